--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: trace replay, baselines, slopes and the report."""
--- /dev/null
+++ b/plantainyard/placement/__init__.py
@@ -0,0 +1,1 @@
+"""To be gathered."""
