--- a/plantainyard/work.py
+++ b/plantainyard/work.py
@@ -63,6 +63,8 @@
         All tasks start together or none does.
     slots, connections : int
         For a service: requests in progress and connections a runner can hold.
+    payload : str
+        Opaque to the scheduler; handed to the worker with each start.
     """
 
     id: str
@@ -78,6 +80,7 @@
     gang: bool = False
     slots: int = 0
     connections: int = 0
+    payload: str = ""
 
 
 class TaskKey(NamedTuple):
