Check settings as a whole before anything starts

An operator who mends one fault only to be told of the next loses a restart for each. Settings are TOML, read into one nested NamedTuple; every wrong type, unknown key, missing or impossible value gets a line of its own with file, key, line and what is expected; conflicts between keys follow once all keys are right alone, since before that they can't be judged.

tomllib gives no line numbers. A TOML parser of our own was ruled out; a scan for headers and keys finds the line, and falls back to the section's line.

The token is held in a value that neither repr nor a JSON encoder shows.

trust_gone is false unless the operator says otherwise: a list that calls a worker gone while its tasks still run would let a task run in two places.

Seen to fail without the guard: test_all_faults_are_told_at_once with the check for unknown keys taken out.

--- /dev/null
+++ b/plantainyard/settings/__init__.py
@@ -0,0 +1,42 @@
+"""Settings of one instance: their model, rules and loading."""
+
+from plantainyard.settings.load import (
+    SettingError,
+    describe_setting_error,
+    load_settings,
+    parse_settings,
+)
+from plantainyard.settings.model import (
+    CutOff,
+    Instance,
+    Intervals,
+    Limits,
+    Logs,
+    Metrics,
+    Platform,
+    Requests,
+    Security,
+    Settings,
+)
+from plantainyard.settings.rules import RULES, Rule
+from plantainyard.settings.secret import Secret
+
+__all__ = [
+    "RULES",
+    "CutOff",
+    "Instance",
+    "Intervals",
+    "Limits",
+    "Logs",
+    "Metrics",
+    "Platform",
+    "Requests",
+    "Rule",
+    "Secret",
+    "Security",
+    "SettingError",
+    "Settings",
+    "describe_setting_error",
+    "load_settings",
+    "parse_settings",
+]
