--- /dev/null
+++ b/plantainyard/metrics.py
@@ -0,0 +1,226 @@
+"""Metrics: a documented list of names, sent by statsd and kept for the dump."""
+
+import threading
+from typing import Any, NamedTuple
+
+from hdrh.histogram import HdrHistogram
+from statsd import StatsClient
+
+from plantainyard.settings import Metrics
+
+__all__ = [
+    "METRICS",
+    "Kind",
+    "Meter",
+    "Metric",
+    "add_count",
+    "add_timing",
+    "create_meter",
+    "describe_meter",
+    "flush_meter",
+    "set_gauge",
+]
+
+MAX_BUFFERED = 10_000
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+US_IN_MS = 1_000.0
+PERCENTILES = (50.0, 99.0, 100.0)
+
+
+class Kind:
+    """Names of the kinds of metric, as statsd has them."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    TIMER = "timer"
+
+
+class Metric(NamedTuple):
+    """What a metric measures."""
+
+    kind: str
+    unit: str
+    meaning: str
+
+
+def _counter(unit: str, meaning: str) -> Metric:
+    return Metric(Kind.COUNTER, unit, meaning)
+
+
+def _gauge(unit: str, meaning: str) -> Metric:
+    return Metric(Kind.GAUGE, unit, meaning)
+
+
+def _timer(meaning: str) -> Metric:
+    return Metric(Kind.TIMER, "milliseconds", meaning)
+
+
+METRICS: dict[str, Metric] = {
+    "requests.done": _counter("requests", "Callers' requests answered by a runner."),
+    "requests.refused": _counter("requests", "Not run; the caller may come back."),
+    "requests.failed": _counter("requests", "Ran, and the runner answered a failure."),
+    "requests.unknown": _counter("requests", "May have run; no answer can be given."),
+    "requests.retries": _counter("requests", "Sendings after the first."),
+    "requests.forwarded": _counter("requests", "Passed on to another instance."),
+    "requests.late_answers": _counter("answers", "Came after the caller was answered."),
+    "requests.latency": _timer("From a request's arrival to its answer."),
+    "requests.wait": _timer("In the queue, before a slot was free."),
+    "requests.queued": _gauge("requests", "Waiting for a slot now."),
+    "requests.in_progress": _gauge("requests", "At a runner now."),
+    "requests.ids": _gauge("request ids", "Remembered now, for non-idempotent calls."),
+    "credits.held": _gauge("slots", "Runner slots that may be used now."),
+    "credits.lent": _gauge("slots", "Slots lent to instances by racks owned here."),
+    "tasks.started": _counter("tasks", "Starts sent to workers."),
+    "tasks.done": _counter("tasks", "Ended well."),
+    "tasks.failed": _counter("tasks", "Ended with a failure; they run again."),
+    "tasks.evicted": _counter("tasks", "Checkpointed and stopped to make room."),
+    "tasks.lapsed": _counter("tasks", "Lost with their worker; they run again."),
+    "tasks.throttled": _gauge("tasks", "Slowed down now for a service's sake."),
+    "tasks.running": _gauge("tasks", "Running now on racks owned here."),
+    "tasks.waiting": _gauge(
+        "tasks", "Accepted, not yet assigned, on racks owned here."
+    ),
+    "tasks.urgent_wait": _timer("From the acceptance to the start of urgent work."),
+    "jobs.accepted": _counter("jobs", "Accepted here, as records in the log."),
+    "jobs.infeasible": _gauge("jobs", "That can never run as they are declared."),
+    "racks.owned": _gauge("racks", "Owned by this instance, with authority."),
+    "racks.pending": _gauge("racks", "Claimed, but still without authority."),
+    "racks.taken": _counter("racks", "Claimed from another or from nobody."),
+    "racks.lost": _counter("racks", "Lost to another instance or for want of workers."),
+    "workers.quarantined": _gauge("workers", "Set aside because tasks fail there."),
+    "workers.silent": _gauge("workers", "Of owned racks, not heard from in time."),
+    "workers.errors": _counter("calls", "Failed calls to workers."),
+    "log.appends": _counter("records", "Appended."),
+    "log.append_errors": _counter("calls", "Appends refused or without an answer."),
+    "log.read_errors": _counter("calls", "Reads refused or without an answer."),
+    "log.append_latency": _timer("Answer time of an append."),
+    "log.age": _gauge("seconds", "Since a read of the home stream last succeeded."),
+    "log.gaps": _counter("gaps", "Streams started over from a snapshot."),
+    "config.version": _gauge("offset", "Newest configuration in force here."),
+    "config.age": _gauge("seconds", "Since the configuration was known to be current."),
+    "peers.live": _gauge("instances", "Peers heard from in time."),
+    "peers.sent_bytes": _counter("bytes", "Bodies sent to other instances."),
+    "peers.errors": _counter("calls", "Failed calls to other instances."),
+    "calls.unauthorized": _counter("calls", "Without the right token."),
+    "calls.malformed": _counter("calls", "Refused for their form or their size."),
+    "actors.failures": _counter("failures", "Actors that died and were replaced."),
+    "actors.mailbox": _gauge("messages", "In the longest mailbox."),
+    "process.cpu": _counter("milliseconds", "Processor time used."),
+    "process.memory": _gauge("bytes", "Resident memory."),
+}
+
+
+class Meter:
+    """Values since the start, and what waits to be sent.
+
+    Attributes
+    ----------
+    client : StatsClient or None
+        None where metrics are not sent.
+    counts, gauges : dict
+        Total of each counter since the start; last value of each gauge.
+    histograms : dict
+        Distribution of each timer since the start, in microseconds.
+    unsent_counts, unsent_timings
+        What the next `flush_meter` sends.
+    lock : Lock
+        Held for each change; threads share a meter.
+    """
+
+    def __init__(self, client: StatsClient | None) -> None:
+        self.client = client
+        self.counts: dict[str, int] = {}
+        self.gauges: dict[str, float] = {}
+        self.histograms: dict[str, HdrHistogram] = {}
+        self.unsent_counts: dict[str, int] = {}
+        self.unsent_timings: list[tuple[str, float]] = []
+        self.lock = threading.Lock()
+
+
+def create_meter(metrics: Metrics) -> Meter:
+    """Return a meter that sends to the statsd server of `metrics`, if it has one."""
+    if not metrics.host:
+        return Meter(None)
+    ipv6 = ":" in metrics.host
+    return Meter(StatsClient(metrics.host, metrics.port, metrics.prefix, ipv6=ipv6))
+
+
+def add_count(meter: Meter, name: str, number: int = 1) -> None:
+    """Add `number` to a counter of `METRICS`."""
+    _require(name, Kind.COUNTER)
+    with meter.lock:
+        meter.counts[name] = meter.counts.get(name, 0) + number
+        meter.unsent_counts[name] = meter.unsent_counts.get(name, 0) + number
+
+
+def set_gauge(meter: Meter, name: str, value: float) -> None:
+    """Set a gauge of `METRICS`."""
+    _require(name, Kind.GAUGE)
+    with meter.lock:
+        meter.gauges[name] = value
+
+
+def add_timing(meter: Meter, name: str, milliseconds: float) -> None:
+    """Add one duration to a timer of `METRICS`."""
+    _require(name, Kind.TIMER)
+    microseconds = min(max(int(milliseconds * US_IN_MS), LOWEST_US), HIGHEST_US)
+    with meter.lock:
+        if name not in meter.histograms:
+            meter.histograms[name] = HdrHistogram(
+                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+            )
+        meter.histograms[name].record_value(microseconds)
+        if meter.client and len(meter.unsent_timings) < MAX_BUFFERED:
+            meter.unsent_timings.append((name, milliseconds))
+
+
+def flush_meter(meter: Meter) -> None:
+    """Send what gathered since the last call; call it about once a second.
+
+    Notes
+    -----
+    One datagram takes many values, so the cost is some datagrams a second whatever
+    the load. Datagrams may be lost; nothing waits for the server. Past
+    ``MAX_BUFFERED`` timings between two calls the rest are kept but not sent.
+    """
+    with meter.lock:
+        counts, meter.unsent_counts = meter.unsent_counts, {}
+        timings, meter.unsent_timings = meter.unsent_timings, []
+        gauges = dict(meter.gauges)
+    if meter.client is None:
+        return
+    with meter.client.pipeline() as pipeline:
+        for name, number in counts.items():
+            pipeline.incr(name, number)
+        for name, value in gauges.items():
+            pipeline.gauge(name, value)
+        for name, milliseconds in timings:
+            pipeline.timing(name, milliseconds)
+
+
+def describe_meter(meter: Meter) -> dict[str, Any]:
+    """Return all values since the start as a JSON object, for the dump."""
+    with meter.lock:
+        timers = {
+            name: {
+                "count": histogram.total_count,
+                **{
+                    f"p{percentile:g}_ms": histogram.get_value_at_percentile(percentile)
+                    / US_IN_MS
+                    for percentile in PERCENTILES
+                },
+            }
+            for name, histogram in meter.histograms.items()
+        }
+        return {
+            "counters": dict(meter.counts),
+            "gauges": dict(meter.gauges),
+            "timers": timers,
+        }
+
+
+def _require(name: str, kind: str) -> None:
+    if METRICS[name].kind != kind:
+        raise ValueError(f"{name} is a {METRICS[name].kind}, not a {kind}")
