Add clients of the log, workers, instance list and runners

Cause: every layer above needs to know after a failed call whether the request can have reached the peer. A caller that repeats by itself runs a charge twice; a connection put back with half an answer on it gives the next caller somebody else's.

Change: one caller for JSON over urllib3 that sends once, maps each failure to a CallError, bounds the answer's length and its whole time, and closes a connection that is out of step before the pool sees it. Typed clients on top: append/read, read_state/send_commands, read_instances, run_request.

Ruled out: urllib3's Retry even for connect errors (its count is not the caller's budget), and a 5xx as a refusal (the peer may have acted).

Seen to fail: with urllib3 retries on, the lost-answer test; with the connection returned after a foreign id, or the id not checked, the out-of-step tests; without the length bound, the too-long test.

--- a/plantainyard/clients/__init__.py
+++ b/plantainyard/clients/__init__.py
@@ -1,1 +1,82 @@
-"""To be gathered."""
+"""Clients of the platform: log, workers, instance list and runners."""
+
+from plantainyard.clients.http import HttpAnswer, HttpPeer, build_peer, build_pool
+from plantainyard.clients.instances import (
+    Instance,
+    InstanceKind,
+    InstancesClient,
+    InstanceState,
+    build_instances_client,
+    read_instances,
+)
+from plantainyard.clients.log import (
+    LogClient,
+    LogPage,
+    LogRecord,
+    append,
+    build_log_client,
+    read,
+)
+from plantainyard.clients.runner import (
+    RunnerAnswer,
+    RunnerClient,
+    RunnerOutcome,
+    build_runner_client,
+    run_request,
+)
+from plantainyard.clients.worker import (
+    Commands,
+    FinishedTask,
+    Refusal,
+    Renewal,
+    RunningTask,
+    Start,
+    TaskAttempt,
+    Throttle,
+    Usage,
+    WorkerAnswer,
+    WorkerClient,
+    WorkerState,
+    build_worker_client,
+    read_state,
+    send_commands,
+)
+
+__all__ = [
+    "Commands",
+    "FinishedTask",
+    "HttpAnswer",
+    "HttpPeer",
+    "Instance",
+    "InstanceKind",
+    "InstanceState",
+    "InstancesClient",
+    "LogClient",
+    "LogPage",
+    "LogRecord",
+    "Refusal",
+    "Renewal",
+    "RunnerAnswer",
+    "RunnerClient",
+    "RunnerOutcome",
+    "RunningTask",
+    "Start",
+    "TaskAttempt",
+    "Throttle",
+    "Usage",
+    "WorkerAnswer",
+    "WorkerClient",
+    "WorkerState",
+    "append",
+    "build_instances_client",
+    "build_log_client",
+    "build_peer",
+    "build_pool",
+    "build_runner_client",
+    "build_worker_client",
+    "read",
+    "read_instances",
+    "read_state",
+    "run_request",
+    "send_commands",
+]
--- /dev/null
+++ b/plantainyard/clients/instances.py
@@ -0,0 +1,119 @@
+"""Client of the platform's lagging list of instances."""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import urllib3
+from result import Err, Ok, Result
+
+from plantainyard.clients.http import DEFAULT_TIMEOUT_S, HttpPeer, build_peer, call_json
+from plantainyard.errors import CallError, ErrorKind
+from plantainyard.work import Size, WorkerInfo
+
+__all__ = [
+    "Instance",
+    "InstanceKind",
+    "InstanceState",
+    "InstancesClient",
+    "build_instances_client",
+    "read_instances",
+]
+
+
+class InstanceKind:
+    """Kinds of instances in the list."""
+
+    ENTRY = "entry"
+    WORKER = "worker"
+
+
+class InstanceState:
+    """States of an instance as the list tells them, some seconds late."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class Instance(NamedTuple):
+    """An instance of the platform.
+
+    Attributes
+    ----------
+    kind, state : str
+        Names in `InstanceKind` and `InstanceState`.
+    address : str
+        Where callers reach an entry instance, or the owner reaches a worker.
+    control_address : str
+        Control port of an entry instance; empty for a worker.
+    worker : WorkerInfo or None
+        Rack and capacity; None for an entry instance.
+    """
+
+    id: str
+    kind: str
+    region: str
+    domain: str
+    address: str
+    control_address: str
+    state: str
+    worker: WorkerInfo | None
+
+
+class InstancesClient(NamedTuple):
+    """The instance list as one instance reaches it."""
+
+    peer: HttpPeer
+
+
+def build_instances_client(
+    address: str,
+    pool: urllib3.PoolManager | None = None,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+) -> InstancesClient:
+    """Return a client of the instance list at `address`."""
+    return InstancesClient(build_peer(address, pool, timeout_s))
+
+
+def read_instances(
+    client: InstancesClient,
+) -> Result[tuple[Instance, ...], CallError]:
+    """Return all instances that the platform lists."""
+    step = "instances.read"
+    answer = call_json(client.peer, step, "GET", "/instances")
+    if isinstance(answer, Err):
+        return answer
+    try:
+        items = answer.ok_value.body["instances"]
+        return Ok(tuple(_parse_instance(item) for item in items))
+    except (KeyError, TypeError, ValueError) as error:
+        return Err(
+            CallError(ErrorKind.MALFORMED, step, client.peer.address, repr(error))
+        )
+
+
+def _parse_instance(item: Mapping[str, Any]) -> Instance:
+    is_worker = item["kind"] == InstanceKind.WORKER
+    return Instance(
+        id=str(item["id"]),
+        kind=str(item["kind"]),
+        region=str(item["region"]),
+        domain=str(item["domain"]),
+        address=str(item["address"]),
+        control_address=str(item.get("control_address", "")),
+        state=str(item["state"]),
+        worker=_parse_worker(item) if is_worker else None,
+    )
+
+
+def _parse_worker(item: Mapping[str, Any]) -> WorkerInfo:
+    return WorkerInfo(
+        id=str(item["id"]),
+        address=str(item["address"]),
+        region=str(item["region"]),
+        domain=str(item["domain"]),
+        rack=str(item["rack"]),
+        capacity=Size(**item["capacity"]),
+        accelerator=str(item.get("accelerator", "")),
+        leaving=item["state"] == InstanceState.LEAVING,
+    )
--- /dev/null
+++ b/plantainyard/clients/log.py
@@ -0,0 +1,130 @@
+"""Client of the platform's append-only log.
+
+`append` may fail with ``LOST``: the record can stand in the log all the same, which
+only reading on can tell.
+"""
+
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+import urllib3
+from result import Err, Ok, Result
+
+from plantainyard.clients.http import DEFAULT_TIMEOUT_S, HttpPeer, build_peer, call_json
+from plantainyard.errors import CallError, ErrorKind
+
+__all__ = ["LogClient", "LogPage", "LogRecord", "append", "build_log_client", "read"]
+
+
+class LogClient(NamedTuple):
+    """The log service as one instance reaches it."""
+
+    peer: HttpPeer
+
+
+class LogRecord(NamedTuple):
+    """A record of a stream.
+
+    Attributes
+    ----------
+    offset : int
+        Position in the stream.
+    time_s : float
+        Wall clock of the log at the append.
+    data : dict
+        The record itself.
+    """
+
+    offset: int
+    time_s: float
+    data: dict[str, Any]
+
+
+class LogPage(NamedTuple):
+    """Consecutive records of a stream.
+
+    Attributes
+    ----------
+    first : int
+        Offset of the earliest record that the log still keeps.
+    next : int
+        Offset that the next append will get.
+    records : tuple of LogRecord
+        The records found; empty where there was none in time.
+    """
+
+    first: int
+    next: int
+    records: tuple[LogRecord, ...]
+
+
+def build_log_client(
+    address: str,
+    pool: urllib3.PoolManager | None = None,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+) -> LogClient:
+    """Return a client of the log at `address`."""
+    return LogClient(build_peer(address, pool, timeout_s))
+
+
+def append(
+    client: LogClient, stream: str, record: dict[str, Any]
+) -> Result[int, CallError]:
+    """Append `record` to `stream` and return its offset."""
+    step = "log.append"
+    answer = call_json(client.peer, step, "POST", _format_path(stream), record)
+    if isinstance(answer, Err):
+        return answer
+    offset = answer.ok_value.body.get("offset")
+    if not isinstance(offset, int):
+        # The log took the record, but its place is not known: as good as no answer.
+        return Err(CallError(ErrorKind.LOST, step, client.peer.address, "no offset"))
+    return Ok(offset)
+
+
+def read(
+    client: LogClient, stream: str, start: int, limit: int = 500, wait_s: float = 0.0
+) -> Result[LogPage, CallError]:
+    """Return up to `limit` records of `stream` from offset `start` on.
+
+    Parameters
+    ----------
+    client : LogClient
+        The log.
+    stream : str
+        Name of the stream; one that was never written reads as empty.
+    start : int
+        Offset of the first record wanted. Where the log no longer keeps it, the
+        page begins at `LogPage.first`.
+    limit : int
+        Greatest number of records.
+    wait_s : float
+        How long the log may wait for a first record.
+    """
+    step = "log.read"
+    path = (
+        f"{_format_path(stream)}?from={start}&limit={limit}"
+        f"&wait_ms={int(wait_s * 1000)}"
+    )
+    timeout_s = client.peer.timeout_s + wait_s
+    answer = call_json(client.peer, step, "GET", path, timeout_s=timeout_s)
+    if isinstance(answer, Err):
+        return answer
+    try:
+        return Ok(_parse_page(answer.ok_value.body))
+    except (KeyError, TypeError, ValueError) as error:
+        return Err(
+            CallError(ErrorKind.MALFORMED, step, client.peer.address, repr(error))
+        )
+
+
+def _format_path(stream: str) -> str:
+    return f"/streams/{quote(stream, safe='')}/records"
+
+
+def _parse_page(body: dict[str, Any]) -> LogPage:
+    records = tuple(
+        LogRecord(int(r["offset"]), float(r["time_s"]), dict(r["data"]))
+        for r in body["records"]
+    )
+    return LogPage(int(body["first"]), int(body["next"]), records)
--- /dev/null
+++ b/plantainyard/clients/tests/test_http.py
@@ -0,0 +1,103 @@
+import socket
+
+import pytest
+
+from plantainyard.clients.http import build_peer, call_json
+from plantainyard.clients.runner import RunnerOutcome, build_runner_client, run_request
+from plantainyard.clients.tests.peers import format_answer, serve_raw
+from plantainyard.errors import ErrorKind
+
+TRUNCATED = b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{}"
+FINE = format_answer(b"{}")
+MINE = format_answer(b"mine", "200 OK", "Request-Id: r2")
+
+
+@pytest.mark.parametrize(
+    ("raw", "kind", "retry_after_s"),
+    [
+        (format_answer(b"{}", "409 Conflict"), ErrorKind.CONFLICT, 0),
+        (format_answer(b"{}", "410 Gone"), ErrorKind.CONFLICT, 0),
+        (format_answer(b"{}", "404 Not Found"), ErrorKind.REFUSED, 0),
+        (format_answer(b"", "429 Slow", "Retry-After: 2"), ErrorKind.REFUSED, 2),
+        (format_answer(b"", "503 Out", "Retry-After: 0.5"), ErrorKind.REFUSED, 0.5),
+        (format_answer(b"", "500 Oops"), ErrorKind.LOST, 0),
+        (format_answer(b"{not json"), ErrorKind.MALFORMED, 0),
+        (format_answer(b"[1]"), ErrorKind.MALFORMED, 0),
+        (TRUNCATED, ErrorKind.LOST, 0),
+        (b"", ErrorKind.LOST, 0),
+    ],
+)
+def test_each_failure_has_its_kind(raw, kind, retry_after_s):
+    with serve_raw([raw]) as (address, _):
+        error = call_json(build_peer(address, timeout_s=0.5), "step", "GET", "/").err()
+    assert error is not None
+    assert (error.kind, error.step, error.peer) == (kind, "step", address)
+    assert error.retry_after_s == retry_after_s
+
+
+def test_only_a_failed_connection_is_unreachable():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    error = call_json(build_peer(address), "step", "POST", "/", {}).err()
+    assert error is not None
+    assert error.kind == ErrorKind.UNREACHABLE
+
+
+def test_too_long_answer_is_dropped():
+    body = b'{"x": "' + b"x" * 100_000 + b'"}'
+    with serve_raw([format_answer(body)]) as (address, _):
+        peer = build_peer(address)._replace(body_limit=1000)
+        error = call_json(peer, "step", "GET", "/").err()
+    assert error is not None
+    assert error.kind == ErrorKind.MALFORMED
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        TRUNCATED,
+        format_answer(b"yours", "200 OK", "Request-Id: r1"),
+        format_answer(b"", "200 OK"),
+    ],
+)
+def test_connection_out_of_step_is_not_reused(first):
+    """A caller gets another caller's answer.
+
+    The runner answers request r2 late or with the answer to r1. The gateway puts
+    the connection back; the next request on it reads what was left over.
+    """
+    with serve_raw([first, MINE, MINE]) as (address, seen):
+        client = build_runner_client(address)
+        lost = run_request(client, b"", "r2", 0.5)
+        answered = [run_request(client, b"", "r2", 5.0) for _ in range(2)]
+    assert lost.outcome == RunnerOutcome.LOST
+    assert [a.outcome for a in answered] == [RunnerOutcome.ANSWERED] * 2
+    assert [a.answer.body for a in answered if a.answer] == [b"mine"] * 2
+    assert seen == [0, 1, 1]
+
+
+def test_lost_answer_is_not_sent_again():
+    """A charge runs twice.
+
+    The runner takes the charge and dies before it answers; a caller that repeats by
+    itself sends it to the restarted runner.
+    """
+    with serve_raw([b"", MINE]) as (address, seen):
+        answer = run_request(build_runner_client(address), b"", "r2", 2.0)
+    assert answer.outcome == RunnerOutcome.LOST
+    assert len(seen) == 1
+
+
+@pytest.mark.parametrize(
+    ("status", "header", "outcome"),
+    [
+        ("503 Full", "Not-Run: true", RunnerOutcome.NOT_RUN),
+        ("503 Full", "X: y", RunnerOutcome.ANSWERED),
+        ("500 Oops", "Not-Run: true", RunnerOutcome.ANSWERED),
+    ],
+)
+def test_not_run_only_on_the_runners_word(status, header, outcome):
+    raw = format_answer(b"", status, "Request-Id: r", header)
+    with serve_raw([raw]) as (address, _):
+        answer = run_request(build_runner_client(address), b"", "r", 2.0)
+    assert answer.outcome == outcome
--- /dev/null
+++ b/plantainyard/clients/worker.py
@@ -0,0 +1,364 @@
+"""Client of the platform's workers: read their state, send them commands.
+
+A worker fences its commands: it answers 409 to an epoch older than the greatest it
+has seen and 410 after `Commands.not_after`. Both answers carry its state, from which
+the sender learns who holds it now.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+import urllib3
+from result import Err, Ok, Result
+
+from plantainyard.clients.http import (
+    CONFLICT,
+    DEFAULT_TIMEOUT_S,
+    GONE,
+    HttpPeer,
+    JsonAnswer,
+    build_peer,
+    call_json,
+)
+from plantainyard.errors import CallError, ErrorKind
+from plantainyard.work import Size, TaskKey, format_task, parse_task
+
+__all__ = [
+    "Commands",
+    "FinishedTask",
+    "Refusal",
+    "Renewal",
+    "RunningTask",
+    "Start",
+    "TaskAttempt",
+    "Throttle",
+    "Usage",
+    "WorkerAnswer",
+    "WorkerClient",
+    "WorkerState",
+    "build_worker_client",
+    "encode_commands",
+    "parse_state",
+    "read_state",
+    "send_commands",
+]
+
+
+class WorkerClient(NamedTuple):
+    """A worker as one instance reaches it."""
+
+    peer: HttpPeer
+
+
+class TaskAttempt(NamedTuple):
+    """One attempt at a task."""
+
+    task: TaskKey
+    attempt: int
+
+
+class Renewal(NamedTuple):
+    """A lease extended to `until`, on the worker's clock."""
+
+    task: TaskKey
+    attempt: int
+    until: float
+
+
+class Throttle(NamedTuple):
+    """A share of its processors, in (0, 1], that an attempt may use."""
+
+    task: TaskKey
+    attempt: int
+    share: float
+
+
+class Start(NamedTuple):
+    """An attempt to start.
+
+    Attributes
+    ----------
+    until : float
+        End of its lease, on the worker's clock.
+    run_s : float
+        Declared run time; zero for a runner.
+    slots, connections : int
+        What a runner can hold.
+    checkpoint : str
+        Checkpoint to resume from; empty for a fresh start.
+    work : dict
+        Passed on to the task as it is.
+    """
+
+    task: TaskKey
+    attempt: int
+    until: float
+    size: Size
+    run_s: float = 0.0
+    workload: str = ""
+    latency_critical: bool = False
+    slots: int = 0
+    connections: int = 0
+    checkpoint: str = ""
+    work: Mapping[str, Any] = {}
+
+
+class Commands(NamedTuple):
+    """Everything one call tells a worker.
+
+    Attributes
+    ----------
+    epoch : int
+        Fence of the sender.
+    holder : str
+        Instance that sends.
+    not_after : float
+        Time on the worker's clock past which the call must do nothing.
+    """
+
+    epoch: int
+    holder: str
+    not_after: float
+    renew: tuple[Renewal, ...] = ()
+    start: tuple[Start, ...] = ()
+    stop: tuple[TaskAttempt, ...] = ()
+    checkpoint: tuple[TaskAttempt, ...] = ()
+    throttle: tuple[Throttle, ...] = ()
+    ack: tuple[TaskAttempt, ...] = ()
+
+
+class RunningTask(NamedTuple):
+    """A running attempt; `address` is a runner's, empty for a batch task."""
+
+    task: TaskKey
+    attempt: int
+    until: float
+    size: Size
+    workload: str
+    address: str
+    leaving: bool
+    throttle: float
+
+
+class FinishedTask(NamedTuple):
+    """An ended attempt that the worker keeps until it is acknowledged."""
+
+    task: TaskKey
+    attempt: int
+    outcome: str
+    detail: str
+
+
+class Usage(NamedTuple):
+    """Measured use of an attempt at `time_s` on the worker's clock."""
+
+    task: TaskKey
+    attempt: int
+    time_s: float
+    cores: float
+    memory_gb: float
+    latency_ms: float
+
+
+class Refusal(NamedTuple):
+    """A start that the worker did not carry out."""
+
+    task: TaskKey
+    attempt: int
+    reason: str
+
+
+class WorkerState(NamedTuple):
+    """What a worker says of itself.
+
+    Attributes
+    ----------
+    incarnation : int
+        Grows with each restart of the worker; a restart ends all that ran.
+    clock_s : float
+        The worker's clock at the answer.
+    epoch, holder
+        The greatest epoch seen and the instance that showed it.
+    """
+
+    worker: str
+    incarnation: int
+    clock_s: float
+    epoch: int
+    holder: str
+    capacity: Size
+    refused: tuple[Refusal, ...]
+    running: tuple[RunningTask, ...]
+    finished: tuple[FinishedTask, ...]
+    usage: tuple[Usage, ...]
+    leaving: bool = False
+
+
+class WorkerAnswer(NamedTuple):
+    """A worker's answer to commands.
+
+    Attributes
+    ----------
+    accepted : bool
+        Whether the worker carried the commands out.
+    expired : bool
+        Whether they came after their `Commands.not_after`; where neither holds, the
+        worker has seen a greater epoch, which `state` names.
+    state : WorkerState
+        The worker's state after the call.
+    """
+
+    accepted: bool
+    expired: bool
+    state: WorkerState
+
+
+def build_worker_client(
+    address: str,
+    pool: urllib3.PoolManager | None = None,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+) -> WorkerClient:
+    """Return a client of the worker at `address`."""
+    return WorkerClient(build_peer(address, pool, timeout_s))
+
+
+def read_state(client: WorkerClient) -> Result[WorkerState, CallError]:
+    """Return the worker's state; needs no epoch and changes nothing."""
+    step = "worker.state"
+    answer = call_json(client.peer, step, "GET", "/state")
+    if isinstance(answer, Err):
+        return answer
+    return _parse_checked(client, step, answer.ok_value)
+
+
+def send_commands(
+    client: WorkerClient, commands: Commands
+) -> Result[WorkerAnswer, CallError]:
+    """Send `commands` once and return the worker's answer.
+
+    Returns
+    -------
+    Result[WorkerAnswer, CallError]
+        A stale epoch and a late call are answers, not errors. After ``LOST`` the
+        commands may have been carried out: ask `read_state`.
+    """
+    step = "worker.commands"
+    answer = call_json(
+        client.peer,
+        step,
+        "POST",
+        "/commands",
+        encode_commands(commands),
+        accepted=frozenset({CONFLICT, GONE}),
+    )
+    if isinstance(answer, Err):
+        return answer
+    status = answer.ok_value.status
+    return _parse_checked(client, step, answer.ok_value).map(
+        lambda state: WorkerAnswer(
+            status not in (CONFLICT, GONE), status == GONE, state
+        )
+    )
+
+
+def encode_commands(commands: Commands) -> dict[str, Any]:
+    """Return `commands` as a JSON object; empty lists are left out."""
+    lists = {
+        "renew": _encode_rows(commands.renew),
+        "start": [_encode_start(start) for start in commands.start],
+        "stop": _encode_rows(commands.stop),
+        "checkpoint": _encode_rows(commands.checkpoint),
+        "throttle": _encode_rows(commands.throttle),
+        "ack": _encode_rows(commands.ack),
+    }
+    return {
+        "epoch": commands.epoch,
+        "holder": commands.holder,
+        "not_after": commands.not_after,
+        **{name: rows for name, rows in lists.items() if rows},
+    }
+
+
+def parse_state(body: Mapping[str, Any]) -> WorkerState:
+    """Return the state in a worker's JSON answer.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        If a field is missing or of another type.
+    """
+    return WorkerState(
+        worker=str(body["worker"]),
+        incarnation=int(body["incarnation"]),
+        clock_s=float(body["clock_s"]),
+        epoch=int(body["epoch"]),
+        holder=str(body["holder"]),
+        capacity=Size(**body["capacity"]),
+        refused=tuple(
+            Refusal(parse_task(task), int(attempt), str(reason))
+            for task, attempt, reason in body.get("refused", ())
+        ),
+        running=tuple(_parse_running(item) for item in body["running"]),
+        finished=tuple(_parse_finished(item) for item in body["finished"]),
+        usage=tuple(_parse_usage(item) for item in body.get("usage", ())),
+        leaving=bool(body.get("leaving", False)),
+    )
+
+
+def _parse_checked(
+    client: WorkerClient, step: str, answer: JsonAnswer
+) -> Result[WorkerState, CallError]:
+    try:
+        return Ok(parse_state(answer.body))
+    except (KeyError, TypeError, ValueError) as error:
+        return Err(
+            CallError(ErrorKind.MALFORMED, step, client.peer.address, repr(error))
+        )
+
+
+def _encode_rows(
+    rows: Iterable[Renewal | Throttle | TaskAttempt],
+) -> list[list[Any]]:
+    return [[format_task(row[0]), *row[1:]] for row in rows]
+
+
+def _encode_start(start: Start) -> dict[str, Any]:
+    return {
+        **start._asdict(),
+        "task": format_task(start.task),
+        "size": start.size._asdict(),
+        "work": dict(start.work),
+    }
+
+
+def _parse_running(item: Mapping[str, Any]) -> RunningTask:
+    return RunningTask(
+        parse_task(item["task"]),
+        int(item["attempt"]),
+        float(item["until"]),
+        Size(**item["size"]),
+        str(item["workload"]),
+        str(item.get("address", "")),
+        bool(item.get("leaving", False)),
+        float(item.get("throttle", 1.0)),
+    )
+
+
+def _parse_finished(item: Mapping[str, Any]) -> FinishedTask:
+    return FinishedTask(
+        parse_task(item["task"]),
+        int(item["attempt"]),
+        str(item["outcome"]),
+        str(item.get("detail", "")),
+    )
+
+
+def _parse_usage(item: Mapping[str, Any]) -> Usage:
+    return Usage(
+        parse_task(item["task"]),
+        int(item["attempt"]),
+        float(item["time_s"]),
+        float(item["cores"]),
+        float(item["memory_gb"]),
+        float(item.get("latency_ms", 0.0)),
+    )
