Publish the operators' schema and serve it over plain HTTP

Operators drive the system from their own tools, so the schema is a proto3 file and each method one POST, in JSON or binary protobuf; the generated code is committed and no build needs a generator. gRPC's transport was ruled out: curl can't speak it, and it brings an HTTP/2 stack beside the one we have.

protobuf's JSON reader names only part of a field's path and drops unknown fields in binary form; a constraint that a newer tool sends would be lost silently. Decoding therefore refuses unknown fields in both forms and names the whole path. An outcome is "refused" only where nothing can have happened.

Seen to fail without the guard, one at a time: a handler's exception told as refused; unknown binary fields let through; the token not compared; the body's length not compared; a lost call told as refused; a service's part not bound to its domain.

--- a/plantainyard/api/__init__.py
+++ b/plantainyard/api/__init__.py
@@ -1,1 +1,58 @@
-"""To be gathered."""
+"""Operators' calls: the published schema, its generated code and their serving."""
+
+from plantainyard.api.app import Probes, create_app, has_token, read_body
+from plantainyard.api.calls import (
+    METHODS,
+    SERVICE,
+    Answer,
+    Handler,
+    Handlers,
+    answer_error,
+    serve_call,
+)
+from plantainyard.api.convert import (
+    iter_service_parts,
+    read_changes,
+    read_constraints,
+    read_job,
+    read_size,
+    read_value,
+    write_constraints,
+    write_size,
+    write_value,
+)
+from plantainyard.api.errors import (
+    ApiError,
+    ErrorCode,
+    build_api_error,
+    decode_error,
+    encode_error,
+)
+
+__all__ = [
+    "METHODS",
+    "SERVICE",
+    "Answer",
+    "ApiError",
+    "ErrorCode",
+    "Handler",
+    "Handlers",
+    "Probes",
+    "answer_error",
+    "build_api_error",
+    "create_app",
+    "decode_error",
+    "encode_error",
+    "has_token",
+    "iter_service_parts",
+    "read_body",
+    "read_changes",
+    "read_constraints",
+    "read_job",
+    "read_size",
+    "read_value",
+    "serve_call",
+    "write_constraints",
+    "write_size",
+    "write_value",
+]
--- /dev/null
+++ b/plantainyard/api/app.py
@@ -0,0 +1,163 @@
+"""The WSGI application of the control port: operators' calls, checks and the dump."""
+
+import json
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from http import HTTPStatus
+from typing import Any, NamedTuple
+from wsgiref.types import StartResponse, WSGIApplication, WSGIEnvironment
+
+from plantainyard.api.calls import (
+    SERVICE,
+    STATUS_OK,
+    Answer,
+    Handlers,
+    answer_error,
+    serve_call,
+)
+from plantainyard.api.errors import STATUS_OF_CODE, ApiError, ErrorCode
+from plantainyard.metrics import Meter, add_count
+from plantainyard.settings import Settings
+
+__all__ = ["Probes", "create_app", "has_token", "read_body"]
+
+BEARER = "bearer"
+CALLS = f"/{SERVICE}/"
+HEALTH = "/healthz"
+READY = "/readyz"
+DUMP = "/dump"
+NOT_READY = 503
+MALFORMED_STATUSES = frozenset(
+    {STATUS_OF_CODE[ErrorCode.MALFORMED], STATUS_OF_CODE[ErrorCode.TOO_LARGE]}
+)
+METHOD_HINT = "expected POST for calls, GET for /healthz, /readyz and /dump"
+
+
+class Probes(NamedTuple):
+    """What the application asks of the daemon.
+
+    Attributes
+    ----------
+    healthy : callable
+        Reasons for which the process should be replaced; empty when well.
+    ready : callable
+        Reasons for which the balancer should send callers elsewhere.
+    dump : callable
+        The process's whole state, encodable as JSON, without secrets.
+    """
+
+    healthy: Callable[[], Sequence[str]]
+    ready: Callable[[], Sequence[str]]
+    dump: Callable[[], Mapping[str, Any]]
+
+
+def create_app(
+    settings: Settings,
+    handlers: Handlers,
+    probes: Probes,
+    meter: Meter,
+    fallback: WSGIApplication | None = None,
+) -> WSGIApplication:
+    """Return the application of the control port.
+
+    Parameters
+    ----------
+    settings : Settings
+        Gives the token and the limit of bodies.
+    handlers : mapping
+        See `plantainyard.api.calls.serve_call`.
+    probes : Probes
+        Health, readiness and state.
+    meter : Meter
+        Counts refused calls.
+    fallback : WSGIApplication, optional
+        Answers the other paths, such as those between instances, after the token
+        and the body's length have been checked.
+
+    Notes
+    -----
+    Health and readiness need no token: balancers send none, and the answers hold
+    nothing but reasons.
+    """
+    token = settings.security.token
+    limit = settings.limits.body_bytes
+
+    def serve(environ: WSGIEnvironment, start: StartResponse) -> Iterable[bytes]:
+        verb, path = environ["REQUEST_METHOD"], environ.get("PATH_INFO", "")
+        if verb == "GET" and path == HEALTH:
+            return _send(start, _answer_reasons(probes.healthy()))
+        if verb == "GET" and path == READY:
+            return _send(start, _answer_reasons(probes.ready()))
+        if not has_token(environ, token.matches):
+            add_count(meter, "calls.unauthorized")
+            detail = "expected the header 'Authorization: Bearer <token>'"
+            return _send(start, answer_error(ApiError(ErrorCode.UNAUTHORIZED, detail)))
+        if verb == "GET" and path == DUMP:
+            return _send(start, Answer(STATUS_OK, json.dumps(probes.dump()).encode()))
+        if path.startswith(CALLS) and verb == "POST":
+            answer = _serve_operator(environ, handlers, path, limit)
+        elif fallback is not None and not path.startswith(CALLS):
+            if _find_length(environ) <= limit:
+                return fallback(environ, start)
+            answer = _answer_too_large(limit)
+        else:
+            answer = answer_error(ApiError(ErrorCode.NOT_FOUND, METHOD_HINT, "path"))
+        if answer.status in MALFORMED_STATUSES:
+            add_count(meter, "calls.malformed")
+        return _send(start, answer)
+
+    return serve
+
+
+def has_token(environ: WSGIEnvironment, matches: Callable[[str], bool]) -> bool:
+    """Return whether the request carries a bearer token that `matches`."""
+    scheme, _, offered = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+    return scheme.lower() == BEARER and matches(offered.strip())
+
+
+def read_body(environ: WSGIEnvironment, limit: int) -> bytes | None:
+    """Return the request's body, or None where it is longer than `limit` bytes.
+
+    Notes
+    -----
+    The server has received the body as a whole and sets its length, for chunked
+    bodies too, so that a slow sender holds no thread here.
+    """
+    length = _find_length(environ)
+    return None if length > limit else environ["wsgi.input"].read(length)
+
+
+def _find_length(environ: WSGIEnvironment) -> int:
+    text = environ.get("CONTENT_LENGTH") or "0"
+    return int(text) if text.isdecimal() else 0
+
+
+def _serve_operator(
+    environ: WSGIEnvironment, handlers: Handlers, path: str, limit: int
+) -> Answer:
+    body = read_body(environ, limit)
+    if body is None:
+        return _answer_too_large(limit)
+    content_type = environ.get("CONTENT_TYPE", "")
+    return serve_call(handlers, path.removeprefix(CALLS), content_type, body)
+
+
+def _answer_too_large(limit: int) -> Answer:
+    detail = f"expected a body of at most {limit} bytes"
+    return answer_error(ApiError(ErrorCode.TOO_LARGE, detail, "body"))
+
+
+def _answer_reasons(reasons: Sequence[str]) -> Answer:
+    body = json.dumps({"ok": not reasons, "reasons": list(reasons)}).encode()
+    return Answer(NOT_READY if reasons else STATUS_OK, body)
+
+
+def _send(start: StartResponse, answer: Answer) -> list[bytes]:
+    headers = [
+        ("Content-Type", answer.content_type),
+        ("Content-Length", str(len(answer.body))),
+    ]
+    if answer.retry_after_s:
+        headers.append(("Retry-After", str(int(answer.retry_after_s))))
+    status = HTTPStatus(answer.status)
+    start(f"{status.value} {status.phrase}", headers)
+    return [answer.body]
--- /dev/null
+++ b/plantainyard/api/codec.py
@@ -0,0 +1,229 @@
+"""Messages of the schema as JSON and as binary protobuf, strictly read."""
+
+import json
+from collections.abc import Iterator
+from typing import Any, NamedTuple, TypeVar
+
+from google.protobuf import json_format
+from google.protobuf.descriptor import FieldDescriptor
+from google.protobuf.message import DecodeError, EncodeError, Message
+from google.protobuf.message_factory import GetMessageClass
+from google.protobuf.unknown_fields import UnknownFieldSet
+from result import Err, Ok, Result
+
+from plantainyard.api.errors import ApiError, ErrorCode
+
+__all__ = [
+    "BINARY",
+    "JSON",
+    "decode_message",
+    "encode_message",
+    "parse_content_type",
+]
+
+JSON = "application/json"
+BINARY = "application/x-protobuf"
+BINARY_NAMES = frozenset({BINARY, "application/protobuf"})
+WELL_KNOWN = "google.protobuf."
+PARSE_ERRORS = (
+    json_format.ParseError,
+    ValueError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    EncodeError,
+)
+EXPECTED = {
+    FieldDescriptor.CPPTYPE_INT32: "an integer of 32 bits",
+    FieldDescriptor.CPPTYPE_INT64: "an integer of 64 bits",
+    FieldDescriptor.CPPTYPE_DOUBLE: "a number",
+    FieldDescriptor.CPPTYPE_BOOL: "true or false",
+    FieldDescriptor.CPPTYPE_STRING: "a string of valid Unicode",
+    FieldDescriptor.CPPTYPE_MESSAGE: "an object",
+}
+
+SomeMessage = TypeVar("SomeMessage", bound=Message)
+
+
+class Fault(NamedTuple):
+    """A field that can't be read, and why."""
+
+    path: str
+    detail: str
+
+
+def parse_content_type(header: str) -> str | None:
+    """Return `JSON` or `BINARY` for a Content-Type header, None for others.
+
+    Examples
+    --------
+    >>> parse_content_type("application/json; charset=utf-8")
+    'application/json'
+    """
+    name = header.partition(";")[0].strip().lower()
+    if name == JSON:
+        return JSON
+    return BINARY if name in BINARY_NAMES else None
+
+
+def decode_message(
+    message_class: type[SomeMessage], content_type: str, body: bytes
+) -> Result[SomeMessage, ApiError]:
+    """Return the message in `body`, or an error that names the field at fault.
+
+    Parameters
+    ----------
+    message_class : type
+        A generated class.
+    content_type : str
+        `JSON` or `BINARY`.
+    body : bytes
+        The whole body.
+
+    Notes
+    -----
+    Unknown fields are refused in both forms. The library would drop them; a newer
+    tool's constraint would then be lost without a sign and a task be allowed where
+    it must not run.
+    """
+    if content_type == BINARY:
+        return _decode_binary(message_class, body)
+    return _decode_json(message_class, body)
+
+
+def encode_message(message: Message, content_type: str) -> bytes:
+    """Return `message` in the form of `content_type`; JSON names all fields."""
+    if content_type == BINARY:
+        return message.SerializeToString()
+    data = json_format.MessageToDict(
+        message,
+        preserving_proto_field_name=True,
+        always_print_fields_with_no_presence=True,
+    )
+    return json.dumps(data).encode()
+
+
+def _decode_binary(
+    message_class: type[SomeMessage], body: bytes
+) -> Result[SomeMessage, ApiError]:
+    message = message_class()
+    try:
+        message.ParseFromString(body)
+    except DecodeError:
+        detail = f"not a binary {message_class.DESCRIPTOR.name}"
+        return Err(ApiError(ErrorCode.MALFORMED, detail))
+    path = next(_iter_unknown(message, ""), None)
+    if path is not None:
+        return Err(ApiError(ErrorCode.MALFORMED, "unknown field", path))
+    return Ok(message)
+
+
+def _iter_unknown(message: Message, prefix: str) -> Iterator[str]:
+    unknown = UnknownFieldSet(message)
+    for i in range(len(unknown)):
+        yield f"{prefix}{unknown[i].field_number}"
+    for field, value in message.ListFields():
+        if field.message_type is None or _is_map(field):
+            continue
+        inner = value if field.is_repeated else [value]
+        for item in inner:
+            yield from _iter_unknown(item, f"{prefix}{field.name}.")
+
+
+def _decode_json(
+    message_class: type[SomeMessage], body: bytes
+) -> Result[SomeMessage, ApiError]:
+    try:
+        data = json.loads(body or b"{}", object_pairs_hook=_refuse_duplicates)
+    except (ValueError, RecursionError) as error:
+        return Err(ApiError(ErrorCode.MALFORMED, f"not a JSON object: {error}"))
+    if not isinstance(data, dict):
+        return Err(ApiError(ErrorCode.MALFORMED, "not a JSON object"))
+    message = message_class()
+    try:
+        json_format.ParseDict(data, message)
+        message.SerializeToString()
+    except PARSE_ERRORS as error:
+        found = _find_fault(data, message.DESCRIPTOR, "")
+        fault = found or Fault("", str(error).partition("\n")[0])
+        return Err(ApiError(ErrorCode.MALFORMED, fault.detail, fault.path))
+    return Ok(message)
+
+
+def _refuse_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    data = dict(pairs)
+    if len(data) != len(pairs):
+        names = [name for name, _ in pairs]
+        twice = next(name for name in names if names.count(name) > 1)
+        raise ValueError(f"the name {twice!r} stands twice")
+    return data
+
+
+def _find_fault(data: dict[str, Any], message: Any, path: str) -> Fault | None:
+    """Return the first field of `data` that `message` can't take.
+
+    The library's own texts name only part of a path, and differ between versions.
+    """
+    names = {field.name: field for field in message.fields}
+    names |= {field.json_name: field for field in message.fields}
+    message_class = GetMessageClass(message)
+    for name, value in data.items():
+        if name not in names:
+            known = ", ".join(field.name for field in message.fields)
+            return Fault(f"{path}{name}", f"unknown field; known are {known or 'none'}")
+        if fault := _find_value_fault(
+            message_class, names[name], value, f"{path}{name}"
+        ):
+            return fault
+    return None
+
+
+def _find_value_fault(
+    message_class: type[Message], field: FieldDescriptor, value: Any, path: str
+) -> Fault | None:
+    inner = field.message_type if _is_plain_message(field) else None
+    if inner is not None:
+        if field.is_repeated and isinstance(value, list):
+            places = [(f"{path}[{i}]", item) for i, item in enumerate(value)]
+        else:
+            places = [(path, value)]
+        for place, item in places:
+            if isinstance(item, dict) and (
+                fault := _find_fault(item, inner, f"{place}.")
+            ):
+                return fault
+    whole = message_class()
+    try:
+        json_format.ParseDict({field.name: value}, whole)
+        whole.SerializeToString()
+    except PARSE_ERRORS:
+        return Fault(path, f"expected {_describe_expected(field)}")
+    return None
+
+
+def _describe_expected(field: FieldDescriptor) -> str:
+    if field.message_type is not None and _is_map(field):
+        value = field.message_type.fields_by_name["value"]
+        return f"an object whose values are each {_describe_expected(value)}"
+    if field.enum_type is not None:
+        one = f"one of {', '.join(value.name for value in field.enum_type.values)}"
+    elif field.message_type and field.message_type.full_name == f"{WELL_KNOWN}Value":
+        one = "a JSON value"
+    else:
+        one = EXPECTED[field.cpp_type]
+    return f"a list whose items are each {one}" if field.is_repeated else one
+
+
+def _is_map(field: FieldDescriptor) -> bool:
+    entry = field.message_type
+    return entry is not None and entry.GetOptions().map_entry
+
+
+def _is_plain_message(field: FieldDescriptor) -> bool:
+    message = field.message_type
+    return (
+        message is not None
+        and not _is_map(field)
+        and not message.full_name.startswith(WELL_KNOWN)
+    )
--- /dev/null
+++ b/plantainyard/api/tests/test_calls.py
@@ -0,0 +1,243 @@
+"""Operators' calls: faults name their field, and a repeat has no second effect."""
+
+import io
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from plantainyard.api import (
+    METHODS,
+    ApiError,
+    ErrorCode,
+    Probes,
+    build_api_error,
+    create_app,
+    decode_error,
+    encode_error,
+    iter_service_parts,
+    read_changes,
+    serve_call,
+)
+from plantainyard.api import operators_pb2 as schema
+from plantainyard.api.codec import BINARY, JSON
+from plantainyard.errors import CallError, ErrorKind
+from plantainyard.metrics import create_meter
+from plantainyard.settings import Metrics, parse_settings
+from plantainyard.settings.tests.test_load import MINIMAL
+
+JOB: dict[str, Any] = {
+    "request_id": "0190f3c2-0001",
+    "name": "statements",
+    "team": "billing",
+    "task_count": 4,
+    "size": {"cores": 2, "memory_gb": 4},
+    "run_s": 60,
+    "constraints": {"domains": ["addis-kality"]},
+}
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+def read_error(answer) -> ApiError:
+    error = decode_error(answer.body)
+    assert error is not None
+    return error
+
+
+def accept_job(accepted: dict):
+    """Answer as a daemon does: the job's id follows from the request id."""
+
+    def handle(request):
+        job_id = accepted.setdefault(request.request_id, f"j{len(accepted)}")
+        job = schema.AcceptedJob(job_id=job_id, domain="addis-kality", offset=7)
+        return Ok(schema.CreateJobResponse(job=job))
+
+    return {"CreateJob": handle}
+
+
+def call(body, handlers=None, method="CreateJob", form=JSON):
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    return serve_call(handlers or accept_job({}), method, form, data)
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"size": {"corse": 1}}, "size.corse"),
+        ({"size": {"cores": "x"}}, "size.cores"),
+        ({"size": {"cores": float("nan"), "memory_gb": 1}}, "size.cores"),
+        ({"task_count": 1.5}, "task_count"),
+        ({"task_count": 0}, "task_count"),
+        ({"constraints": {"regions": "addis"}}, "constraints.regions"),
+        ({"constraints": {"domains": ["a", "b c"]}}, "constraints.domains[1]"),
+        ({"urgent": "yes"}, "urgent"),
+        ({"name": "\ud800"}, "name"),
+        ({"name": ""}, "name"),
+        ({"team": "a.b"}, "team"),
+        ({"request_id": "short"}, "request_id"),
+        ({"payload": "x" * 70_000}, "payload"),
+        ({"run_s": 0}, "run_s"),
+    ],
+)
+def test_fault_names_its_field(change, field):
+    answer = call({**JOB, **change})
+    error = read_error(answer)
+    assert (answer.status, error.code, error.field) == (400, "malformed", field)
+    assert error.detail
+
+
+def test_faults_of_other_requests_name_their_field():
+    apply = {"request_id": "0190f3c2-0001", "changes": {"teams.a": 1}}
+    handlers = dict.fromkeys(METHODS, lambda request: Ok(request))
+    cases = [
+        ("ApplyConfiguration", apply, "base_version"),
+        ("ApplyConfiguration", {**apply, "base_version": -1, "changes": {}}, "changes"),
+        ("CancelJobs", {"request_id": "0190f3c2-0001"}, "job_ids"),
+        ("Drain", {"request_id": "0190f3c2-0001"}, "instance"),
+        ("ListJobs", {"state": "RUNNING"}, "state"),
+        ("DescribeJob", {}, "job_id"),
+        ("Nope", {}, "method"),
+    ]
+    found = [
+        read_error(call(body, handlers, method)).field for method, body, _ in cases
+    ]
+    assert found == [field for _, _, field in cases]
+    assert read_error(call(JOB, form="text/plain")).field == "Content-Type"
+    assert "twice" in read_error(call(b'{"name":"a","name":"b"}')).detail
+
+
+@given(JSON_VALUES, st.sampled_from(sorted(METHODS)), st.data())
+@settings(derandomize=True, deadline=None, max_examples=300)
+def test_any_body_gets_an_answer(value, method, data):
+    """A script with a fault posts anything; the daemon tells it and lives on."""
+    names = [field.name for field in METHODS[method].request.DESCRIPTOR.fields]
+    body = {data.draw(st.sampled_from(names)): value} if names else value
+    handlers = {method: lambda request: Ok(METHODS[method].response())}
+    answer = call(body, handlers, method)
+    assert answer.status == 200 or read_error(answer).code == "malformed"
+    raw = data.draw(st.binary(max_size=30))
+    for form in (JSON, BINARY):
+        assert call(raw, handlers, method, form).status in (200, 400)
+
+
+def test_binary_refuses_unknown_fields_and_answers_in_kind():
+    request = schema.CreateJobRequest(**JOB)
+    answer = call(request.SerializeToString(), form=BINARY)
+    assert schema.CreateJobResponse.FromString(answer.body).job.job_id == "j0"
+    newer = request.SerializeToString() + b"\xf8\x07\x01"
+    assert read_error(call(newer, form=BINARY)).field == "127"
+
+
+def test_repeat_with_the_same_id_has_one_effect():
+    """A script's connection breaks after the daemon accepted the job.
+
+    The script sees no answer and repeats the call. Were the repeat a new job, the
+    statements would be billed twice.
+    """
+    accepted: dict = {}
+    answers = {call(JOB, accept_job(accepted)).body for _ in range(3)}
+    assert len(answers) == len(accepted) == 1
+
+
+@pytest.mark.parametrize(
+    ("method", "body", "status"), [("CreateJob", JOB, 504), ("Status", {}, 500)]
+)
+def test_fault_of_a_handler_is_never_told_as_not_run(method, body, status):
+    """The daemon appends the job's record and then fails on a fault of its own.
+
+    Told "refused", the operator would send the job again under a new id and it
+    would run twice. A read changes nothing and says so.
+    """
+
+    def fail(request):
+        raise RuntimeError("after the append")
+
+    assert call(body, {method: fail}, method).status == status
+
+
+@given(
+    st.sampled_from([ErrorKind.LOST, ErrorKind.MALFORMED, ErrorKind.UNREACHABLE]),
+    st.text(max_size=10),
+)
+@settings(derandomize=True, deadline=None, max_examples=50)
+def test_only_a_call_without_effect_becomes_refused(kind, detail):
+    error = build_api_error(CallError(kind, "log.append", "log", detail))
+    assert (error.code == ErrorCode.REFUSED) == (kind == ErrorKind.UNREACHABLE)
+    assert decode_error(encode_error(error)) == error
+
+
+def test_conflict_names_the_winning_version():
+    error = ApiError(ErrorCode.CONFLICT, "teams.a", winning_version=9)
+    answer = call(JOB, {"CreateJob": lambda request: Err(error)})
+    assert answer.status == 409
+    assert json.loads(answer.body)["winning_version"] == 9
+
+
+def test_configuration_values_keep_their_types():
+    changes = {"a": 40, "b": None, "c": {"d": [1, 2.5, "x", True]}}
+    seen: Any = []
+    handlers = {"ApplyConfiguration": lambda sent: seen.append(sent) or Ok(sent)}
+    body = {"request_id": "0190f3c2-0001", "base_version": 0, "changes": changes}
+    assert call(body, handlers, "ApplyConfiguration").status == 200
+    assert read_changes(seen[0]) == changes
+    assert isinstance(read_changes(seen[0])["a"], int)
+
+
+def test_service_parts_are_bound_to_their_domains():
+    request = schema.CreateServiceRequest(
+        name="orders", runners={"tema-harbour": 2, "accra-central": 3}, slots=8
+    )
+    parts = list(iter_service_parts(request, "s1"))
+    assert [(p.id, p.task_count, p.constraints.domains) for p in parts] == [
+        ("s1.accra-central", 3, ("accra-central",)),
+        ("s1.tema-harbour", 2, ("tema-harbour",)),
+    ]
+
+
+def get(app, path, verb="GET", body=b"", **headers):
+    seen = []
+    environ = {
+        "REQUEST_METHOD": verb,
+        "PATH_INFO": path,
+        "CONTENT_LENGTH": str(len(body)),
+        "CONTENT_TYPE": JSON,
+        "wsgi.input": io.BytesIO(body),
+        **headers,
+    }
+    parts = app(environ, lambda status, fields: seen.append((status, dict(fields))))
+    return int(seen[0][0][:3]), b"".join(parts), seen[0][1]
+
+
+def test_app_guards_token_and_length_and_tells_readiness():
+    loaded = parse_settings(MINIMAL, "x").unwrap()
+    loaded = loaded._replace(limits=loaded.limits._replace(body_bytes=1_024))
+    reasons = ["no configuration yet"]
+    probes = Probes(list, lambda: reasons, lambda: {"racks": {}})
+    busy = ApiError(ErrorCode.REFUSED, retry_after_s=1.2)
+    handlers = {"CreateJob": lambda request: Err(busy)}
+    app = create_app(loaded, handlers, probes, create_meter(Metrics()))
+    token = {"HTTP_AUTHORIZATION": "Bearer 0123456789abcdef"}
+    path = "/plantainyard.v1.Operators/CreateJob"
+    body = json.dumps(JOB).encode()
+    assert get(app, "/healthz")[0] == 200
+    assert get(app, "/readyz")[0] == 503
+    reasons.clear()
+    assert get(app, "/readyz")[0] == 200
+    assert get(app, path, "POST", body)[0] == 401
+    wrong = {"HTTP_AUTHORIZATION": "Bearer 0123456789abcdeg"}
+    assert get(app, "/dump", **wrong)[0] == 401
+    assert json.loads(get(app, "/dump", **token)[1]) == {"racks": {}}
+    status, _, headers = get(app, path, "POST", body, **token)
+    assert (status, headers["Retry-After"]) == (503, "2")
+    assert get(app, path, "POST", b"x" * 1_025, **token)[0] == 413
+    assert get(app, "/peer/heartbeat", "POST", **token)[0] == 404
