Add the deciding parts of request routing

All parts are pure steps over time passed in.

A credit ask names the owner's term. Without it an ask that lay in a socket since before the owner changed could show more than its gateway still holds, and the difference would be lent twice.

Fixed split and a single dispatcher stand behind the same step, for measuring.

--- /dev/null
+++ b/plantainyard/routing/credits.py
@@ -0,0 +1,245 @@
+"""A gateway's credits: what it holds of each runner and until when.
+
+Notes
+-----
+A lease is counted from before the ask was sent, less the drift of the clock, so it
+ends here before it ends at the owner. A request whose answer was lost keeps its slot
+until the longest request has ended, since it may still be running.
+"""
+
+from plantainyard.protocol.messages import (
+    CreditAnswer,
+    CreditAsk,
+    Holding,
+    RunnerInfo,
+)
+from plantainyard.routing.values import RoutingSettings
+
+__all__ = [
+    "CreditState",
+    "apply_answer",
+    "build_ask",
+    "build_return",
+    "check_credit",
+    "count_free",
+    "count_in_flight",
+    "drop_runner",
+    "release_slot",
+    "take_slot",
+]
+
+
+class _Held:
+    """Credits and requests in progress of one runner."""
+
+    def __init__(self, info: RunnerInfo) -> None:
+        self.info = info
+        self.limit = 0
+        self.valid_until = float("-inf")
+        self.sending = 0
+        self.lost: list[float] = []
+
+
+class CreditState:
+    """Credits of one gateway over all runners.
+
+    Parameters
+    ----------
+    gateway : str
+        Name of this process; a later process must not use it again, because the
+        requests of this one may still be running.
+    """
+
+    def __init__(self, gateway: str) -> None:
+        self.gateway = gateway
+        self.held: dict[str, _Held] = {}
+        self.sequences: dict[str, int] = {}
+        self.asked: dict[str, float] = {}
+        self.terms: dict[str, str] = {}
+
+
+def build_ask(
+    state: CreditState,
+    rack: str,
+    demand: dict[str, int],
+    settings: RoutingSettings,
+    now: float,
+) -> CreditAsk:
+    """Return the next ask to the owner of `rack`, and give back idle credits.
+
+    Parameters
+    ----------
+    state : CreditState
+        Changed: limits fall to what is in use, where the demand is below them.
+    rack : str
+        The rack whose owner is asked.
+    demand : dict of str to int
+        Slots wanted for each service.
+    settings : RoutingSettings
+        For the spare that is kept.
+    now : float
+        Time before sending.
+
+    Returns
+    -------
+    CreditAsk
+        The report of what is held from now on.
+    """
+    selected = _select_rack(state, rack)
+    for _, held in selected:
+        _expire(held, now)
+    for service in {held.info.service for _, held in selected}:
+        keep = demand.get(service, 0) + settings.spare_slots
+        _return_idle([h for _, h in selected if h.info.service == service], keep)
+    return _report(state, rack, demand, now)
+
+
+def build_return(state: CreditState, rack: str, now: float) -> CreditAsk:
+    """Return the last ask to the owner of `rack`: it gives all credits back."""
+    for _, held in _select_rack(state, rack):
+        held.limit = 0
+    return _report(state, rack, {}, now)._replace(closing=True)
+
+
+def apply_answer(
+    state: CreditState, answer: CreditAnswer, settings: RoutingSettings
+) -> bool:
+    """Take over the owner's answer; return whether it counted.
+
+    Notes
+    -----
+    Only the answer to the newest ask counts. A late answer to an earlier one would
+    raise limits above what the newest ask reported, which the owner may have lent to
+    others since.
+    """
+    newest = state.sequences.get(answer.rack) == answer.sequence
+    if not newest or answer.gateway != state.gateway:
+        return False
+    state.terms[answer.rack] = answer.term
+    if not answer.granted:
+        return False
+    valid_until = state.asked[answer.rack] + answer.lease_s * (1 - settings.drift)
+    for info in answer.runners:
+        state.held.setdefault(info.id, _Held(info)).info = info
+    names = {info.id for info in answer.runners}
+    for key, held in _select_rack(state, answer.rack):
+        held.limit = answer.grants.get(key, 0)
+        held.valid_until = valid_until
+        if key not in names and not count_in_flight(held):
+            del state.held[key]
+    # A second copy of the same answer would set the limit again after it was given
+    # back; the sequence it is compared with is therefore used up.
+    state.sequences[answer.rack] += 1
+    return True
+
+
+def take_slot(state: CreditState, runner_id: str, now: float) -> float | None:
+    """Take a slot of a runner; return until when the request may be sent.
+
+    Returns
+    -------
+    float or None
+        Time after which the request must not be sent any more; None where no valid
+        credit is free.
+    """
+    held = state.held.get(runner_id)
+    if held is None or count_free(held, now) <= 0:
+        return None
+    held.sending += 1
+    return held.valid_until
+
+
+def check_credit(not_after: float, now: float) -> bool:
+    """Tell whether a request may still be sent.
+
+    To be called after every wait, just before the send: a thread that slept past its
+    lease would otherwise send under a credit that others hold by then.
+    """
+    return now < not_after
+
+
+def release_slot(
+    state: CreditState,
+    runner_id: str,
+    ended: bool,
+    settings: RoutingSettings,
+    now: float,
+) -> None:
+    """Give a slot back after a sending.
+
+    Parameters
+    ----------
+    state : CreditState
+        Changed.
+    runner_id : str
+        The runner that the slot is of.
+    ended : bool
+        Whether the request has ended for certain. If not, its slot stays in use until
+        the longest request that could have been sent just now has ended.
+    settings : RoutingSettings
+        For the longest request.
+    now : float
+        Present time.
+    """
+    held = state.held.get(runner_id)
+    if held is None:
+        return
+    held.sending -= 1
+    if not ended:
+        held.lost.append(now + settings.request_max_s * (1 + 2 * settings.drift))
+
+
+def drop_runner(state: CreditState, runner_id: str) -> None:
+    """Forget a runner that has ended, once its last request has been answered."""
+    held = state.held.get(runner_id)
+    if held is None:
+        return
+    held.limit = 0
+    if not count_in_flight(held):
+        del state.held[runner_id]
+
+
+def count_in_flight(held: _Held) -> int:
+    """Return the requests of this gateway that can be in progress at a runner."""
+    return held.sending + len(held.lost)
+
+
+def count_free(held: _Held, now: float) -> int:
+    """Return the credits that are valid and not in use."""
+    _expire(held, now)
+    return max(0, held.limit - count_in_flight(held))
+
+
+def _expire(held: _Held, now: float) -> None:
+    held.lost = [until for until in held.lost if now < until]
+    if now >= held.valid_until:
+        held.limit = 0
+
+
+def _report(
+    state: CreditState, rack: str, demand: dict[str, int], now: float
+) -> CreditAsk:
+    holdings = {
+        key: Holding(held.limit, count_in_flight(held))
+        for key, held in _select_rack(state, rack)
+    }
+    state.sequences[rack] = state.sequences.get(rack, 0) + 1
+    state.asked[rack] = now
+    sequence, term = state.sequences[rack], state.terms.get(rack, "")
+    return CreditAsk(state.gateway, rack, sequence, demand, holdings, term)
+
+
+def _return_idle(group: list[_Held], keep: int) -> None:
+    """Lower limits until `keep` credits are left, from those with the most idle."""
+    excess = sum(held.limit for held in group) - keep
+    while excess > 0:
+        held = max(group, key=lambda h: h.limit - count_in_flight(h))
+        if held.limit <= count_in_flight(held):
+            return
+        held.limit -= 1
+        excess -= 1
+
+
+def _select_rack(state: CreditState, rack: str) -> list[tuple[str, _Held]]:
+    items = list(state.held.items())
+    return [(key, held) for key, held in items if held.info.rack == rack]
--- /dev/null
+++ b/plantainyard/routing/health.py
@@ -0,0 +1,237 @@
+"""Health of runners: set aside, probe, let back, leaving.
+
+Notes
+-----
+A runner is set aside after failures in a row or when it is many times slower than the
+median. After a time that doubles with each failed probe, one request is let through;
+its success lets the runner back. Where more than a share of the runners would be set
+aside, the cause is hardly the runners, and to heap the load on the few that are left
+would bring those down too: then none is treated as set aside.
+"""
+
+from collections.abc import Iterable
+from statistics import median
+
+from plantainyard.routing.retries import SendResult
+from plantainyard.routing.values import RoutingSettings
+
+__all__ = [
+    "HealthState",
+    "describe_runner",
+    "forget_runners",
+    "is_panicking",
+    "mark_leaving",
+    "record_result",
+    "select_usable",
+    "start_probe",
+]
+
+_SMOOTHING = 0.2
+_SLOW_SAMPLES = 8
+_SLOW_FLOOR_S = 0.05
+
+
+class _Health:
+    """What is known of one runner."""
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.samples = 0
+        self.latency_s = 0.0
+        self.aside_until = float("-inf")
+        self.aside_s = 0.0
+        self.is_aside = False
+        self.probing = False
+        self.leaving = ""
+        self.why = ""
+
+
+class HealthState:
+    """Health of all runners that were sent to."""
+
+    def __init__(self) -> None:
+        self.runners: dict[str, _Health] = {}
+
+
+def record_result(
+    state: HealthState,
+    runner_id: str,
+    result: str,
+    latency_s: float,
+    settings: RoutingSettings,
+    now: float,
+) -> None:
+    """Take the end of a sending into account.
+
+    Parameters
+    ----------
+    state : HealthState
+        Changed.
+    runner_id : str
+        The runner.
+    result : str
+        One of the names in `retries.SendResult`.
+    latency_s : float
+        Duration of the sending.
+    settings : RoutingSettings
+        Bounds.
+    now : float
+        Present time.
+    """
+    health = state.runners.setdefault(runner_id, _Health())
+    if result == SendResult.NOT_SENT:
+        health.probing = False
+        return
+    was_probe, health.probing = health.probing, False
+    if result == SendResult.ANSWERED:
+        _record_success(state, health, was_probe, latency_s, settings, now)
+        return
+    health.failures += 1
+    if was_probe or health.failures >= settings.aside_failures:
+        _set_aside(health, f"{health.failures} failures in a row", settings, now)
+
+
+def mark_leaving(state: HealthState, runner_id: str, source: str) -> None:
+    """Note that a runner leaves; the first source that says so is kept.
+
+    Notes
+    -----
+    The sources are the platform's list, which lags, and the runner's own word. A
+    runner that just disappears is covered by its failures.
+    """
+    health = state.runners.setdefault(runner_id, _Health())
+    health.leaving = health.leaving or source
+
+
+def select_usable(
+    state: HealthState,
+    runner_ids: Iterable[str],
+    idempotent: bool,
+    settings: RoutingSettings,
+    now: float,
+) -> list[str]:
+    """Return the runners that may take a request now.
+
+    Parameters
+    ----------
+    state : HealthState
+        Health of the runners.
+    runner_ids : iterable of str
+        All runners of the service, with or without a free slot.
+    idempotent : bool
+        Whether the request can serve as a probe: a lost probe can then be repeated.
+    settings : RoutingSettings
+        Bounds.
+    now : float
+        Present time.
+
+    Returns
+    -------
+    list of str
+        Usable runners, those due for a probe first.
+    """
+    present = [key for key in runner_ids if not _is_leaving(state, key)]
+    if is_panicking(state, present, settings):
+        return present
+    healthy = [key for key in present if not _is_aside(state, key)]
+    probes = [key for key in present if _is_due(state, key, now)]
+    # With nothing healthy a non-idempotent request goes to a due runner too: it would
+    # otherwise wait for an idempotent one that may never come.
+    return [*probes, *healthy] if idempotent or not healthy else healthy
+
+
+def is_panicking(
+    state: HealthState, runner_ids: Iterable[str], settings: RoutingSettings
+) -> bool:
+    """Tell whether too many of the runners are set aside to believe it."""
+    flags = [_is_aside(state, key) for key in runner_ids]
+    return sum(flags) > settings.panic_share * len(flags)
+
+
+def start_probe(state: HealthState, runner_id: str, now: float) -> None:
+    """Note that a request is being sent to a runner; a set-aside one gets one only."""
+    if _is_due(state, runner_id, now):
+        state.runners[runner_id].probing = True
+
+
+def forget_runners(state: HealthState, present: Iterable[str]) -> None:
+    """Drop what is known of runners that are not in `present`."""
+    kept = set(present)
+    state.runners = {k: v for k, v in state.runners.items() if k in kept}
+
+
+def describe_runner(state: HealthState, runner_id: str, now: float) -> str:
+    """Return a runner's health in words.
+
+    Examples
+    --------
+    >>> describe_runner(HealthState(), "r1", 0.0)
+    'healthy'
+    """
+    health = state.runners.get(runner_id)
+    if health is None:
+        return "healthy"
+    if health.leaving:
+        return f"leaving ({health.leaving})"
+    if not health.is_aside:
+        return "healthy"
+    left = max(0.0, health.aside_until - now)
+    return f"set aside for {left:.1f} s more ({health.why})"
+
+
+def _record_success(
+    state: HealthState,
+    health: _Health,
+    was_probe: bool,
+    latency_s: float,
+    settings: RoutingSettings,
+    now: float,
+) -> None:
+    health.failures = 0
+    health.samples += 1
+    weight = _SMOOTHING if health.samples > 1 and not was_probe else 1.0
+    health.latency_s += weight * (latency_s - health.latency_s)
+    if _is_slow(state, health, settings):
+        _set_aside(health, f"slow, {health.latency_s:.3f} s", settings, now)
+        health.samples = 0
+        return
+    health.is_aside = False
+    health.aside_s = 0.0
+
+
+def _is_slow(state: HealthState, health: _Health, settings: RoutingSettings) -> bool:
+    known = [h.latency_s for h in state.runners.values() if h.samples]
+    if health.samples < _SLOW_SAMPLES or len(known) < 3:
+        return False
+    limit = max(_SLOW_FLOOR_S, settings.slow_factor * median(known))
+    return health.latency_s > limit
+
+
+def _set_aside(
+    health: _Health, why: str, settings: RoutingSettings, now: float
+) -> None:
+    if health.is_aside and now < health.aside_until:
+        return
+    health.aside_s = min(
+        settings.aside_max_s, max(settings.aside_s, 2.0 * health.aside_s)
+    )
+    health.aside_until = now + health.aside_s
+    health.is_aside = True
+    health.why = why
+
+
+def _is_leaving(state: HealthState, runner_id: str) -> bool:
+    health = state.runners.get(runner_id)
+    return health is not None and bool(health.leaving)
+
+
+def _is_aside(state: HealthState, runner_id: str) -> bool:
+    health = state.runners.get(runner_id)
+    return health is not None and health.is_aside
+
+
+def _is_due(state: HealthState, runner_id: str, now: float) -> bool:
+    health = state.runners.get(runner_id)
+    if health is None or not health.is_aside or health.probing:
+        return False
+    return now >= health.aside_until
--- /dev/null
+++ b/plantainyard/routing/identity.py
@@ -0,0 +1,280 @@
+"""The arbiter of request ids: whether a non-idempotent request may run.
+
+For each id one instance decides: the one with authority over the rack that the id
+hashes to, within the id's home domain.
+
+Notes
+-----
+The memory is bounded in number and in time. `Arbiter.history_since` is the time of
+issue from which the memory is whole: an id that was issued before it and isn't
+remembered may have run, so its answer is "unknown" and it never runs. Whatever is
+dropped from the memory moves that time forward, which makes dropping always safe.
+"""
+
+import heapq
+import uuid
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+from plantainyard.routing.outcomes import FinalAnswer, Outcome
+from plantainyard.routing.values import RoutingSettings
+
+__all__ = [
+    "Arbiter",
+    "IdVerdict",
+    "Verdict",
+    "find_home",
+    "find_rack",
+    "finish_id",
+    "judge_id",
+    "parse_issue_time",
+    "rank_names",
+    "restart_history",
+]
+
+_UUID_VERSION = 7
+_STAMP_SHIFT = 80
+_COMPACT_SLACK = 1000
+
+
+class Verdict:
+    """Names of the arbiter's verdicts.
+
+    Notes
+    -----
+    ``RUN``
+        First sight of the id: it may run.
+    ``JOIN``
+        The id is in progress: wait for the first arrival's answer.
+    ``REPEAT``
+        The id has an answer: give it again.
+    ``UNKNOWN``
+        The id is older than the history.
+    ``REUSED``
+        The id was used for another request.
+    ``MALFORMED``
+        The id carries no usable time of issue.
+    """
+
+    RUN = "run"
+    JOIN = "join"
+    REPEAT = "repeat"
+    UNKNOWN = "unknown"
+    REUSED = "reused"
+    MALFORMED = "malformed"
+
+
+class IdVerdict(NamedTuple):
+    """A verdict, with the key of the first arrival or its answer."""
+
+    verdict: str
+    key: str = ""
+    answer: FinalAnswer | None = None
+
+
+class _Entry:
+    """An id's history."""
+
+    def __init__(self, key: str, digest: int, issued: float) -> None:
+        self.key = key
+        self.digest = digest
+        self.issued = issued
+        self.answer: FinalAnswer | None = None
+
+
+class Arbiter:
+    """Memory of the ids of one rack.
+
+    Parameters
+    ----------
+    settings : RoutingSettings
+        For the skew of clocks.
+    wall_s : float
+        Wall-clock time at which the authority over the rack was gained.
+    """
+
+    def __init__(self, settings: RoutingSettings, wall_s: float) -> None:
+        self.history_since = wall_s + 2 * settings.id_skew_s
+        self.entries: dict[str, _Entry] = {}
+        self.by_issue: list[tuple[float, str]] = []
+        self.kept: list[tuple[float, str]] = []
+        self.answer_bytes = 0
+
+
+def find_home(request_id: str, domains: Iterable[str]) -> str:
+    """Return the home domain of an id: its prefix, else by hash over all domains.
+
+    Examples
+    --------
+    >>> find_home("tema-harbour.0190f", ["accra-central", "tema-harbour"])
+    'tema-harbour'
+    """
+    names = list(domains)
+    prefix = request_id.rpartition(".")[0]
+    return prefix if prefix in names else rank_names(request_id, names)[0]
+
+
+def find_rack(request_id: str, racks: Iterable[str]) -> str:
+    """Return the rack whose owner judges an id, by rendezvous hash."""
+    return rank_names(request_id, racks)[0]
+
+
+def rank_names(key: str, names: Iterable[str]) -> list[str]:
+    """Return `names` in the order of their rendezvous hash with `key`.
+
+    References
+    ----------
+    Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates",
+    IEEE/ACM Transactions on Networking 6(1), 1998.
+    """
+
+    def rank(name: str) -> int:
+        return xxhash.xxh64_intdigest(f"{name}\0{key}".encode())
+
+    return sorted(names, key=rank, reverse=True)
+
+
+def parse_issue_time(request_id: str) -> float | None:
+    """Return the wall-clock seconds at which an id was issued.
+
+    Returns
+    -------
+    float or None
+        The time in the UUIDv7 after the prefix; None where there is none.
+
+    Examples
+    --------
+    >>> parse_issue_time("accra-central.01890a5d-ac96-774b-bcce-b302099a8057")
+    1688149863.574
+    """
+    try:
+        value = uuid.UUID(request_id.rpartition(".")[2])
+    except ValueError:
+        return None
+    if value.version != _UUID_VERSION:
+        return None
+    return (value.int >> _STAMP_SHIFT) / 1000.0
+
+
+def judge_id(
+    arbiter: Arbiter,
+    request_id: str,
+    key: str,
+    digest: int,
+    settings: RoutingSettings,
+    wall_s: float,
+) -> IdVerdict:
+    """Decide whether an id may run, and remember it if so.
+
+    Parameters
+    ----------
+    arbiter : Arbiter
+        Changed. The caller holds authority over its rack.
+    request_id, key, digest
+        The id, the arrival, and the hash of its content.
+    settings : RoutingSettings
+        Bounds of the memory, and the skew of callers' clocks.
+    wall_s : float
+        Present wall-clock time.
+
+    Returns
+    -------
+    IdVerdict
+        The verdict; ``RUN`` is given once.
+    """
+    issued = parse_issue_time(request_id)
+    if issued is None or issued > wall_s + settings.id_skew_s:
+        return IdVerdict(Verdict.MALFORMED)
+    _forget_old(arbiter, settings, wall_s)
+    entry = arbiter.entries.get(request_id)
+    if entry is not None:
+        return _judge_known(entry, digest)
+    # A former arbiter may have let the id run, or this one has dropped it: a second
+    # run would charge twice.
+    if issued <= arbiter.history_since:
+        return IdVerdict(Verdict.UNKNOWN)
+    arbiter.entries[request_id] = _Entry(key, digest, issued)
+    heapq.heappush(arbiter.by_issue, (issued, request_id))
+    _compact(arbiter)
+    return IdVerdict(Verdict.RUN, key)
+
+
+def finish_id(
+    arbiter: Arbiter, request_id: str, answer: FinalAnswer, settings: RoutingSettings
+) -> None:
+    """Keep the answer of an id for its repeats.
+
+    Notes
+    -----
+    A refused id did not run and is forgotten, so that the same id can be sent again.
+    Answers beyond the bound in bytes lose their body, the oldest first: a repeat then
+    gets the outcome alone.
+    """
+    entry = arbiter.entries.get(request_id)
+    if entry is None:
+        return
+    if answer.outcome == Outcome.REFUSED:
+        del arbiter.entries[request_id]
+        return
+    entry.answer = answer
+    arbiter.answer_bytes += _count_bytes(answer)
+    heapq.heappush(arbiter.kept, (entry.issued, request_id))
+    while arbiter.answer_bytes > settings.id_answer_bytes and arbiter.kept:
+        _drop_body(arbiter, heapq.heappop(arbiter.kept)[1])
+
+
+def restart_history(arbiter: Arbiter, settings: RoutingSettings, wall_s: float) -> None:
+    """Begin the history anew: another instance may have judged ids meanwhile.
+
+    Notes
+    -----
+    The former arbiter took ids stamped up to one skew ahead of its clock, which may
+    itself be one skew ahead of this one. Without the margin such an id would look
+    fresh here, and run a second time.
+    """
+    since = wall_s + 2 * settings.id_skew_s
+    arbiter.history_since = max(arbiter.history_since, since)
+
+
+def _judge_known(entry: _Entry, digest: int) -> IdVerdict:
+    if entry.digest != digest:
+        return IdVerdict(Verdict.REUSED)
+    if entry.answer is None:
+        return IdVerdict(Verdict.JOIN, entry.key)
+    return IdVerdict(Verdict.REPEAT, entry.key, entry.answer)
+
+
+def _forget_old(arbiter: Arbiter, settings: RoutingSettings, wall_s: float) -> None:
+    oldest = wall_s - settings.id_memory_s
+    while arbiter.by_issue and (
+        arbiter.by_issue[0][0] < oldest or len(arbiter.entries) >= settings.id_count
+    ):
+        issued, request_id = heapq.heappop(arbiter.by_issue)
+        entry = arbiter.entries.get(request_id)
+        if entry is None or entry.issued != issued:
+            continue
+        _drop_body(arbiter, request_id)
+        del arbiter.entries[request_id]
+        arbiter.history_since = max(arbiter.history_since, issued)
+
+
+def _compact(arbiter: Arbiter) -> None:
+    """Drop the marks of ids that were refused and forgotten, now and then."""
+    if len(arbiter.by_issue) > 2 * len(arbiter.entries) + _COMPACT_SLACK:
+        pairs = [(entry.issued, key) for key, entry in arbiter.entries.items()]
+        arbiter.by_issue = pairs
+        heapq.heapify(arbiter.by_issue)
+
+
+def _drop_body(arbiter: Arbiter, request_id: str) -> None:
+    entry = arbiter.entries.get(request_id)
+    if entry is None or entry.answer is None:
+        return
+    arbiter.answer_bytes -= _count_bytes(entry.answer)
+    entry.answer = entry.answer._replace(response=None)
+
+
+def _count_bytes(answer: FinalAnswer) -> int:
+    return len(answer.response.body) if answer.response else 0
--- /dev/null
+++ b/plantainyard/routing/lender.py
@@ -0,0 +1,412 @@
+"""Lending of runners' slots, at the owner of their rack.
+
+The owner lends each runner's slots to gateways as credits under a lease. The sum of
+what the gateways may still use never exceeds a runner's slots: not when a gateway
+dies or pauses, not when an answer is lost, and not when the rack's owner changes.
+
+Notes
+-----
+For each runner and gateway a `_Loan` holds an upper bound of the slots that the
+gateway can be using. The bound falls only when a report of the gateway shows it, or
+when the lease and then the longest request have ended. One step costs time
+proportional to the rack's slots.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from plantainyard.protocol.messages import (
+    CreditAnswer,
+    CreditAsk,
+    Holding,
+    RunnerInfo,
+)
+from plantainyard.routing.shares import share_slots, spread_share
+from plantainyard.routing.values import RoutingSettings
+
+__all__ = [
+    "AuthorityExtended",
+    "AuthorityGained",
+    "AuthorityLost",
+    "LenderEvent",
+    "LenderState",
+    "LenderStep",
+    "RunnerGone",
+    "RunnerLeaving",
+    "RunnerUp",
+    "Tick",
+    "build_fixed_lender",
+    "build_leased_lender",
+    "build_single_lender",
+    "count_lent",
+    "dump_lender",
+]
+
+
+class AuthorityGained(NamedTuple):
+    """The instance gains authority over the rack, until `until`.
+
+    `epoch` is the one that the workers accepted.
+    """
+
+    until: float
+    epoch: int
+
+
+class AuthorityExtended(NamedTuple):
+    """The authority that this instance holds now lasts until `until`."""
+
+    until: float
+
+
+class AuthorityLost(NamedTuple):
+    """The instance has lost its authority over the rack."""
+
+
+class RunnerUp(NamedTuple):
+    """A runner takes requests.
+
+    `fresh` says that it was started under the present authority, so that no former
+    owner can have lent its slots.
+    """
+
+    runner: RunnerInfo
+    fresh: bool = False
+
+
+class RunnerLeaving(NamedTuple):
+    """A runner finishes what it has and takes nothing new."""
+
+    runner_id: str
+
+
+class RunnerGone(NamedTuple):
+    """A runner has ended for certain."""
+
+    runner_id: str
+
+
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
+LenderEvent = (
+    CreditAsk
+    | AuthorityGained
+    | AuthorityExtended
+    | AuthorityLost
+    | RunnerUp
+    | RunnerLeaving
+    | RunnerGone
+    | Tick
+)
+
+
+class _Loan(NamedTuple):
+    """What a gateway can be using of a runner at most, and until when it may send."""
+
+    slots: int
+    lease_end: float
+
+
+class _Runner:
+    """A runner's loans, and how many of its slots are accounted for."""
+
+    def __init__(self, info: RunnerInfo, withhold_until: float) -> None:
+        self.info = info
+        self.leaving = False
+        self.gone = False
+        self.withhold_until = withhold_until
+        self.adopted = 0
+        self.heard: set[str] = set()
+        self.loans: dict[str, _Loan] = {}
+
+
+class LenderState:
+    """State of a rack's lender.
+
+    Parameters
+    ----------
+    rack : str
+        The rack whose runners' slots are lent.
+    """
+
+    def __init__(self, rack: str) -> None:
+        self.rack = rack
+        self.term = ""
+        self.terms = 0
+        self.authority_until = float("-inf")
+        self.authority_since = float("-inf")
+        self.runners: dict[str, _Runner] = {}
+        self.sequences: dict[str, int] = {}
+        self.heard: dict[str, float] = {}
+        self.demands: dict[str, dict[str, int]] = {}
+
+
+LenderStep = Callable[[LenderState, LenderEvent, float], list[CreditAnswer]]
+_Target = Callable[[LenderState, CreditAsk, str, float], int]
+
+
+def build_leased_lender(settings: RoutingSettings) -> LenderStep:
+    """Return a step that lends by demand and divides idle slots evenly."""
+
+    def find_target(state: LenderState, ask: CreditAsk, service: str, _: float) -> int:
+        total = _count_slots(state, service)
+        demands = {g: d.get(service, 0) for g, d in sorted(state.demands.items())}
+        return share_slots(total, demands)[ask.gateway]
+
+    return _build_lender(settings, find_target)
+
+
+def build_fixed_lender(
+    settings: RoutingSettings, gateways: Iterable[str]
+) -> LenderStep:
+    """Return a step that gives each of `gateways` the same part, whatever it needs.
+
+    The simplest way, kept for comparison.
+    """
+    names = sorted(gateways)
+
+    def find_target(state: LenderState, ask: CreditAsk, service: str, _: float) -> int:
+        share, rest = divmod(_count_slots(state, service), len(names))
+        if ask.gateway not in names:
+            return 0
+        return share + (names.index(ask.gateway) < rest)
+
+    return _build_lender(settings, find_target)
+
+
+def build_single_lender(settings: RoutingSettings, dispatcher: str) -> LenderStep:
+    """Return a step that gives all slots to `dispatcher`, through which all send."""
+
+    def find_target(state: LenderState, ask: CreditAsk, service: str, _: float) -> int:
+        return _count_slots(state, service) if ask.gateway == dispatcher else 0
+
+    return _build_lender(settings, find_target)
+
+
+def count_lent(state: LenderState, runner_id: str) -> int:
+    """Return the slots of a runner that gateways can be using."""
+    return sum(loan.slots for loan in state.runners[runner_id].loans.values())
+
+
+def dump_lender(state: LenderState) -> dict[str, object]:
+    """Return the state as plain values, for people."""
+    runners = {
+        key: {
+            "leaving": runner.leaving,
+            "withhold_until": runner.withhold_until,
+            "loans": {g: loan._asdict() for g, loan in runner.loans.items()},
+        }
+        for key, runner in state.runners.items()
+    }
+    return {
+        "rack": state.rack,
+        "authority_until": state.authority_until,
+        "demands": state.demands,
+        "runners": runners,
+    }
+
+
+def _build_lender(settings: RoutingSettings, find_target: _Target) -> LenderStep:
+    def step(state: LenderState, event: LenderEvent, now: float) -> list[CreditAnswer]:
+        _expire_loans(state, settings, now)
+        match event:
+            case CreditAsk():
+                return [_answer_ask(state, event, settings, find_target, now)]
+            case AuthorityGained(until, epoch):
+                _start_authority(state, until, epoch, settings, now)
+            case AuthorityExtended(until):
+                state.authority_until = max(state.authority_until, until)
+            case AuthorityLost():
+                state.authority_until = float("-inf")
+            case RunnerUp(runner, fresh):
+                _add_runner(state, runner, fresh, settings)
+            case RunnerLeaving(runner_id) if runner_id in state.runners:
+                state.runners[runner_id].leaving = True
+            case RunnerGone(runner_id) if runner_id in state.runners:
+                state.runners[runner_id].gone = True
+        return []
+
+    return step
+
+
+def _start_authority(
+    state: LenderState,
+    until: float,
+    epoch: int,
+    settings: RoutingSettings,
+    now: float,
+) -> None:
+    """Forget what an earlier term knew: another owner may have lent since."""
+    state.terms += 1
+    state.term = f"{epoch}.{state.terms}"
+    state.authority_since = now
+    state.authority_until = until
+    state.sequences.clear()
+    state.heard.clear()
+    state.demands.clear()
+    infos = [(r.info, r.leaving) for r in state.runners.values() if not r.gone]
+    state.runners.clear()
+    for info, leaving in infos:
+        _add_runner(state, info, False, settings)
+        state.runners[info.id].leaving = leaving
+
+
+def _add_runner(
+    state: LenderState, info: RunnerInfo, fresh: bool, settings: RoutingSettings
+) -> None:
+    if info.id in state.runners:
+        state.runners[info.id].info = info
+        state.runners[info.id].gone = False
+        return
+    # A former owner may have lent slots to a gateway that has not spoken yet: lending
+    # them again overfills the runner. Its last lease was asked for before this
+    # authority began, so after one lease and one longest request nothing is left of it.
+    hold = _stretch(settings, settings.credit_s + settings.request_max_s)
+    until = float("-inf") if fresh else state.authority_since + hold
+    state.runners[info.id] = _Runner(info, until)
+
+
+def _stretch(settings: RoutingSettings, span: float) -> float:
+    """Return how long `span` of a slow clock can last on this one."""
+    return span * (1 + 2 * settings.drift)
+
+
+def _expire_loans(state: LenderState, settings: RoutingSettings, now: float) -> None:
+    # A silent gateway may be paused or cut off and still have requests running: its
+    # slots are free only after its lease and the longest request started under it.
+    hold = _stretch(settings, settings.request_max_s)
+    for runner in state.runners.values():
+        over = [g for g, loan in runner.loans.items() if now > loan.lease_end + hold]
+        for gateway in over:
+            del runner.loans[gateway]
+    # A runner called gone by mistake comes back with its loans, which still count.
+    for key in [k for k, r in state.runners.items() if r.gone and not r.loans]:
+        del state.runners[key]
+    silent = _stretch(settings, settings.credit_s)
+    for gateway in [g for g, heard in state.heard.items() if now > heard + silent]:
+        state.demands.pop(gateway, None)
+        del state.heard[gateway]
+
+
+def _answer_ask(
+    state: LenderState,
+    ask: CreditAsk,
+    settings: RoutingSettings,
+    find_target: _Target,
+    now: float,
+) -> CreditAnswer:
+    if now >= state.authority_until:
+        return _refuse_ask(ask, "no authority over the rack")
+    # An ask from before this authority began can lie in a socket and show more than
+    # the gateway still holds; the difference would be lent twice. Only an ask that
+    # names the term was sent after the term began.
+    if ask.term != state.term:
+        return _refuse_ask(ask, "ask again under this term", state.term)
+    # Asks can overtake each other: an older one would show a limit that the gateway
+    # has raised since, and free slots that are in use.
+    if ask.sequence <= state.sequences.get(ask.gateway, -1):
+        return _refuse_ask(ask, "a newer ask was seen", state.term)
+    state.sequences[ask.gateway] = ask.sequence
+    state.heard[ask.gateway] = now
+    state.demands[ask.gateway] = ask.demand
+    for runner in state.runners.values():
+        _take_report(runner, ask, now)
+    grants = _grant_all(state, ask, settings, find_target, now)
+    runners = tuple(r.info for r in state.runners.values() if not r.gone)
+    leaving = tuple(key for key, r in state.runners.items() if r.leaving)
+    return CreditAnswer(
+        ask.gateway,
+        ask.rack,
+        ask.sequence,
+        True,
+        settings.credit_s,
+        grants,
+        runners,
+        leaving,
+        term=state.term,
+    )
+
+
+def _refuse_ask(ask: CreditAsk, reason: str, term: str = "") -> CreditAnswer:
+    sender = (ask.gateway, ask.rack, ask.sequence)
+    return CreditAnswer(*sender, False, 0.0, reason=reason, term=term)
+
+
+def _take_report(runner: _Runner, ask: CreditAsk, now: float) -> None:
+    """Set the gateway's loan to what its report shows, the lease unchanged."""
+    held = ask.holdings.get(runner.info.id, Holding(0, 0))
+    count = max(held.limit, held.in_flight)
+    known = runner.loans.get(ask.gateway)
+    if ask.gateway not in runner.heard:
+        runner.heard.add(ask.gateway)
+        # First word of a gateway since the owner changed: what it holds, the former
+        # owner lent, so it is within the slots and need not be withheld any longer.
+        runner.adopted += count
+    if count == 0:
+        runner.loans.pop(ask.gateway, None)
+        return
+    lease_end = known.lease_end if known else now
+    # Reported requests run for `request_max_s` from now at most, whatever the lease.
+    runner.loans[ask.gateway] = _Loan(count, max(lease_end, now))
+
+
+def _grant_all(
+    state: LenderState,
+    ask: CreditAsk,
+    settings: RoutingSettings,
+    find_target: _Target,
+    now: float,
+) -> dict[str, int]:
+    services = sorted({runner.info.service for runner in state.runners.values()})
+    grants: dict[str, int] = {}
+    if ask.closing:
+        return grants
+    for service in services:
+        target = find_target(state, ask, service, now)
+        grants |= _grant_service(state, ask, service, target, now)
+    lease_end = now + _stretch(settings, settings.credit_s)
+    for key, limit in grants.items():
+        loans = state.runners[key].loans
+        count = max(limit, loans[ask.gateway].slots if ask.gateway in loans else 0)
+        if count:
+            loans[ask.gateway] = _Loan(count, lease_end)
+    return grants
+
+
+def _grant_service(
+    state: LenderState, ask: CreditAsk, service: str, target: int, now: float
+) -> dict[str, int]:
+    runners = {
+        key: runner
+        for key, runner in state.runners.items()
+        if runner.info.service == service and _is_open(runner)
+    }
+    held = {key: ask.holdings[key] for key in runners if key in ask.holdings}
+    most = {
+        key: max(0, _count_lendable(runner, now) - _count_others(runner, ask.gateway))
+        for key, runner in runners.items()
+    }
+    return spread_share(target, held, most)
+
+
+def _is_open(runner: _Runner) -> bool:
+    return not runner.leaving and not runner.gone
+
+
+def _count_lendable(runner: _Runner, now: float) -> int:
+    slots = runner.info.slots
+    return min(slots, runner.adopted) if now < runner.withhold_until else slots
+
+
+def _count_others(runner: _Runner, gateway: str) -> int:
+    return sum(loan.slots for g, loan in runner.loans.items() if g != gateway)
+
+
+def _count_slots(state: LenderState, service: str) -> int:
+    return sum(
+        runner.info.slots
+        for runner in state.runners.values()
+        if runner.info.service == service and _is_open(runner)
+    )
--- /dev/null
+++ b/plantainyard/routing/shares.py
@@ -0,0 +1,95 @@
+"""Division of slots among gateways and of a gateway's share among runners."""
+
+from collections.abc import Mapping
+
+from plantainyard.protocol.messages import Holding
+
+__all__ = ["share_slots", "spread_share"]
+
+
+def share_slots(total: int, demands: Mapping[str, int]) -> dict[str, int]:
+    """Divide `total` slots by demand, max-min fair, and what is idle evenly.
+
+    Parameters
+    ----------
+    total : int
+        Slots to divide.
+    demands : mapping of str to int
+        Slots that each gateway wants.
+
+    Returns
+    -------
+    dict
+        Slots of each gateway; the sum is `total`.
+
+    Notes
+    -----
+    Nobody who wants less than an equal part gets less than it wants. Idle slots are
+    lent too, so that a burst finds credits without an ask.
+
+    Examples
+    --------
+    >>> share_slots(8, {"a": 1, "b": 9, "c": 0})
+    {'a': 1, 'b': 7, 'c': 0}
+    >>> share_slots(8, {"a": 1, "b": 1})
+    {'a': 4, 'b': 4}
+    """
+    shares = dict.fromkeys(demands, 0)
+    left = total
+    order = sorted(demands, key=lambda name: (demands[name], name))
+    for position, name in enumerate(order):
+        fair = -(-left // (len(order) - position))
+        shares[name] = min(demands[name], fair)
+        left -= shares[name]
+    for position, name in enumerate(sorted(order)):
+        idle = -(-left // (len(order) - position))
+        shares[name] += idle
+        left -= idle
+    return shares
+
+
+def spread_share(
+    target: int, held: Mapping[str, Holding], most: Mapping[str, int]
+) -> dict[str, int]:
+    """Divide a gateway's share among runners.
+
+    Parameters
+    ----------
+    target : int
+        Slots that the gateway is to have in all.
+    held : mapping of str to Holding
+        What it holds of each runner.
+    most : mapping of str to int
+        Slots that each runner can lend it.
+
+    Returns
+    -------
+    dict
+        Slots of each runner, at most `target` in all.
+
+    Notes
+    -----
+    The slots that are in use are kept first, then those that are held, so that
+    credits don't move without need; new ones come from the emptiest runners.
+    """
+    grants = dict.fromkeys(most, 0)
+    left = target
+    in_use = {key: min(h.in_flight, most[key]) for key, h in held.items()}
+    holds = {key: min(h.limit, most[key]) for key, h in held.items()}
+    for goal in (in_use, holds, most):
+        left = _raise_grants(grants, goal, most, left)
+    return grants
+
+
+def _raise_grants(
+    grants: dict[str, int], goal: Mapping[str, int], most: Mapping[str, int], left: int
+) -> int:
+    """Raise grants towards `goal`, one slot at a time where most room is left."""
+    open_keys = [key for key in goal if grants[key] < goal[key]]
+    while left > 0 and open_keys:
+        key = max(open_keys, key=lambda k: (most[k] - grants[k], k))
+        grants[key] += 1
+        left -= 1
+        if grants[key] >= goal[key]:
+            open_keys.remove(key)
+    return left
