Name the worker's incarnation in commands

Cause: the contract of commands now carries it; a restarted worker's clock may start over, so that not_after alone no longer tells a late command. A job's payload is opaque text, so Start.work is a string. Change: the field in Commands, 410 read as expired for both reasons.

--- a/plantainyard/clients/worker.py
+++ b/plantainyard/clients/worker.py
@@ -1,8 +1,8 @@
 """Client of the platform's workers: read their state, send them commands.
 
 A worker fences its commands: it answers 409 to an epoch older than the greatest it
-has seen and 410 after `Commands.not_after`. Both answers carry its state, from which
-the sender learns who holds it now.
+has seen, and 410 after `Commands.not_after` or to an earlier incarnation's. Both
+answers carry its state, from which the sender learns who holds it now.
 """
 
 from collections.abc import Iterable, Mapping
@@ -86,8 +86,8 @@
         What a runner can hold.
     checkpoint : str
         Checkpoint to resume from; empty for a fresh start.
-    work : dict
-        Passed on to the task as it is.
+    work : str
+        The job's payload, passed on as it is.
     """
 
     task: TaskKey
@@ -100,7 +100,7 @@
     slots: int = 0
     connections: int = 0
     checkpoint: str = ""
-    work: Mapping[str, Any] = {}
+    work: str = ""
 
 
 class Commands(NamedTuple):
@@ -112,12 +112,15 @@
         Fence of the sender.
     holder : str
         Instance that sends.
+    incarnation : int
+        The worker's incarnation that the call is meant for.
     not_after : float
         Time on the worker's clock past which the call must do nothing.
     """
 
     epoch: int
     holder: str
+    incarnation: int
     not_after: float
     renew: tuple[Renewal, ...] = ()
     start: tuple[Start, ...] = ()
@@ -202,8 +205,9 @@
     accepted : bool
         Whether the worker carried the commands out.
     expired : bool
-        Whether they came after their `Commands.not_after`; where neither holds, the
-        worker has seen a greater epoch, which `state` names.
+        Whether they came after their `Commands.not_after` or were meant for an earlier
+        incarnation; where neither holds, the worker has seen a greater epoch, which
+        `state` names.
     state : WorkerState
         The worker's state after the call.
     """
@@ -274,6 +278,7 @@
     return {
         "epoch": commands.epoch,
         "holder": commands.holder,
+        "incarnation": commands.incarnation,
         "not_after": commands.not_after,
         **{name: rows for name, rows in lists.items() if rows},
     }
@@ -327,7 +332,6 @@
         **start._asdict(),
         "task": format_task(start.task),
         "size": start.size._asdict(),
-        "work": dict(start.work),
     }
 
 
