Give each amount of the configuration a key of its own

Two operators who change a team's cores and its memory at the same time don't contradict each other; with one key for the whole quota one of them got a conflict.

--- a/plantainyard/commands/configurations.py
+++ b/plantainyard/commands/configurations.py
@@ -174,7 +174,12 @@
 
 def _format_history(answer: schema.GetConfigurationHistoryResponse) -> str:
     rows = (
-        (change.version, change.base_version, key, write_json(change.changes[key]))
+        (
+            change.version,
+            change.base_version if change.HasField("base_version") else "-",
+            key,
+            write_json(change.changes[key]),
+        )
         for change in answer.changes
         for key in sorted(change.changes)
     )
@@ -218,7 +223,7 @@
         (
             "plantainyard config apply weights.toml --dry_run",
             "plantainyard config apply --set=workers.w17.fenced=true",
-            "plantainyard config apply --unset=teams.billing.quota --base_version=412",
+            "plantainyard config apply --unset=teams.billing.cores --base_version=412",
         ),
         _define_apply,
         _apply,
