Serve requests that name no team

A request without a team stayed in the queue until its deadline: the team's name is then empty, and the queue took an empty name for "no team waits". Seen when the callers' port was first tried against runners: all of 150 requests were refused. The queue now tells None from an empty name.

--- a/plantainyard/routing/queue.py
+++ b/plantainyard/routing/queue.py
@@ -116,14 +116,14 @@
     """
     urgent = _pick_team(state.urgent, can_send)
     ordinary = _pick_team(state.ordinary, can_send)
-    if urgent and ordinary:
+    if urgent is not None and ordinary is not None:
         state.ordinary_debt += settings.ordinary_share
         take_ordinary = state.ordinary_debt >= 1.0
         state.ordinary_debt -= 1.0 if take_ordinary else 0.0
     else:
-        take_ordinary = bool(ordinary)
+        take_ordinary = ordinary is not None
     team = ordinary if take_ordinary else urgent
-    if not team:
+    if team is None:
         return None
     lane = state.ordinary if take_ordinary else state.urgent
     request = next(r for r in lane.lines[team] if can_send(r))
@@ -201,13 +201,13 @@
     state.size_bytes += request.size_bytes
 
 
-def _pick_team(lane: _Lane, can_send: Callable[[Request], bool]) -> str:
+def _pick_team(lane: _Lane, can_send: Callable[[Request], bool]) -> str | None:
     teams = (
         team
         for team, line in lane.lines.items()
         if any(can_send(request) for request in line)
     )
-    return min(teams, key=lambda team: (lane.passes[team], team), default="")
+    return min(teams, key=lambda team: (lane.passes[team], team), default=None)
 
 
 def _pick_victim(state: QueueState, request: Request) -> Request | None:
