Tell malformed input, upstream status and free credits

The callers' port needs to name the wrong field, the runner's own status and, for heartbeats, the credits that nothing waits for. A credit is now used up `send_margin_s` before its lease ends, because making a connection may take that long after the last check.

--- a/plantainyard/protocol/__init__.py
+++ b/plantainyard/protocol/__init__.py
@@ -14,6 +14,7 @@
     RECORDS_PATH,
     REQUEST_ID_HEADER,
     TEAM_HEADER,
+    UPSTREAM_STATUS_HEADER,
     URGENT_HEADER,
     VERSION_HEADER,
 )
@@ -56,6 +57,7 @@
     "RelayedRecord",
     "RunnerInfo",
     "TEAM_HEADER",
+    "UPSTREAM_STATUS_HEADER",
     "URGENT_HEADER",
     "VERSION_HEADER",
     "build_authorization",
--- a/plantainyard/protocol/constants.py
+++ b/plantainyard/protocol/constants.py
@@ -13,6 +13,7 @@
     "RECORDS_PATH",
     "REQUEST_ID_HEADER",
     "TEAM_HEADER",
+    "UPSTREAM_STATUS_HEADER",
     "URGENT_HEADER",
     "VERSION_HEADER",
 ]
@@ -32,5 +33,6 @@
 URGENT_HEADER = "Plantainyard-Urgent"
 OUTCOME_HEADER = "Plantainyard-Outcome"
 REASON_HEADER = "Plantainyard-Reason"
+UPSTREAM_STATUS_HEADER = "Plantainyard-Upstream-Status"
 
 MAX_HOPS = 2
--- a/plantainyard/protocol/messages.py
+++ b/plantainyard/protocol/messages.py
@@ -229,15 +229,19 @@
 
 
 class ForwardAnswer(NamedTuple):
-    """The final answer to a `ForwardAsk`, to be handed on unchanged."""
+    """The final answer to a `ForwardAsk`, to be handed on unchanged.
+
+    `status` is the runner's, or zero where no runner answered.
+    """
 
     request_id: str
     outcome: str
     reason: str = ""
     retry_after_s: float = 0.0
-    status: int = 200
+    status: int = 0
     body: str = ""
     content_type: str = "application/octet-stream"
+    detail: str = ""
 
 
 Message = (
--- a/plantainyard/routing/__init__.py
+++ b/plantainyard/routing/__init__.py
@@ -23,7 +23,13 @@
     Send,
     Tick,
 )
-from plantainyard.routing.gateway import GatewayState, dump_gateway, is_idle, step
+from plantainyard.routing.gateway import (
+    GatewayState,
+    count_room,
+    dump_gateway,
+    is_idle,
+    step,
+)
 from plantainyard.routing.lender import (
     AuthorityExtended,
     AuthorityGained,
@@ -96,6 +102,7 @@
     "build_single_lender",
     "check_credit",
     "count_lent",
+    "count_room",
     "dump_gateway",
     "dump_lender",
     "get_status",
--- a/plantainyard/routing/credits.py
+++ b/plantainyard/routing/credits.py
@@ -118,7 +118,8 @@
     state.terms[answer.rack] = answer.term
     if not answer.granted:
         return False
-    valid_until = state.asked[answer.rack] + answer.lease_s * (1 - settings.drift)
+    lease_s = answer.lease_s * (1 - settings.drift) - settings.send_margin_s
+    valid_until = state.asked[answer.rack] + lease_s
     for info in answer.runners:
         state.held.setdefault(info.id, _Held(info)).info = info
     names = {info.id for info in answer.runners}
--- a/plantainyard/routing/gateway.py
+++ b/plantainyard/routing/gateway.py
@@ -63,7 +63,7 @@
 )
 from plantainyard.routing.values import Request, RoutingSettings
 
-__all__ = ["GatewayState", "dump_gateway", "is_idle", "step"]
+__all__ = ["GatewayState", "count_room", "dump_gateway", "is_idle", "step"]
 
 _DECISIONS_KEPT = 200
 _URGENT_ASK_S = 0.05
@@ -163,6 +163,16 @@
     return not state.flights
 
 
+def count_room(state: GatewayState, now: float) -> dict[str, int]:
+    """Return the credits for each service that nothing here is waiting for."""
+    room: Counter[str] = Counter()
+    for held in state.credits.held.values():
+        if held.info.domain == state.place.domain:
+            room[held.info.service] += count_free(held, now)
+    room.subtract(request.service for request in select_waiting(state.queue))
+    return {service: free for service, free in room.items() if free > 0}
+
+
 def dump_gateway(state: GatewayState, now: float) -> dict[str, object]:
     """Return the state and the last decisions as plain values, for people."""
     runners = {
--- a/plantainyard/routing/outcomes.py
+++ b/plantainyard/routing/outcomes.py
@@ -4,7 +4,11 @@
 import math
 from typing import NamedTuple
 
-from plantainyard.protocol.constants import OUTCOME_HEADER, REASON_HEADER
+from plantainyard.protocol.constants import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    UPSTREAM_STATUS_HEADER,
+)
 
 __all__ = [
     "FinalAnswer",
@@ -88,12 +92,15 @@
         Seconds after which to come back; zero where there is nothing to wait for.
     response : Response or None
         The runner's answer, where there is one.
+    detail : str
+        What is wrong with a malformed request.
     """
 
     outcome: str
     reason: str = ""
     retry_after_s: float = 0.0
     response: Response | None = None
+    detail: str = ""
 
 
 def get_status(answer: FinalAnswer) -> int:
@@ -122,6 +129,8 @@
     headers = [(OUTCOME_HEADER, answer.outcome)]
     if answer.reason:
         headers.append((REASON_HEADER, answer.reason))
+    if answer.response is not None and answer.response.status != _STATUS[Outcome.DONE]:
+        headers.append((UPSTREAM_STATUS_HEADER, str(answer.response.status)))
     if answer.retry_after_s > 0:
         headers.append(("Retry-After", str(math.ceil(answer.retry_after_s))))
     return headers
@@ -131,12 +140,14 @@
     """Return the body that tells `answer`: the runner's own, else a JSON object."""
     if answer.outcome == Outcome.DONE and answer.response is not None:
         return answer.response
-    data = {
+    data: dict[str, object] = {
         "outcome": answer.outcome,
         "reason": answer.reason,
         "request_id": request_id,
         "retry_after_s": answer.retry_after_s,
     }
+    if answer.detail:
+        data["detail"] = answer.detail
     if answer.response is not None:
         data["upstream_status"] = answer.response.status
         data["upstream_body"] = answer.response.body.decode(errors="replace")
--- a/plantainyard/routing/values.py
+++ b/plantainyard/routing/values.py
@@ -12,6 +12,9 @@
     ----------
     credit_s : float
         Lease of lent slots.
+    send_margin_s : float
+        Time before the end of a credit in which nothing is sent any more, because a
+        connection may take that long to be made.
     ask_every_s : float
         Longest time between two credit asks to one owner.
     request_max_s : float
@@ -52,6 +55,7 @@
     """
 
     credit_s: float = 2.0
+    send_margin_s: float = 0.3
     ask_every_s: float = 0.5
     request_max_s: float = 30.0
     drift: float = 0.001
