--- /dev/null
+++ b/plantainyard/gateway/tests/test_gateway_http.py
@@ -0,0 +1,243 @@
+"""The callers' port against real stand-in runners, over loopback."""
+
+import contextlib
+import itertools
+import json
+import random
+import threading
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor, as_completed
+from typing import Any
+
+import pytest
+import urllib3
+
+from plantainyard.clock import read_clock
+from plantainyard.gateway import (
+    describe_gateway,
+    drain_gateway,
+    run_gateway,
+    serve_gateway,
+    tell_event,
+)
+from plantainyard.gateway.intake import build_request_id
+from plantainyard.gateway.tuning import build_routing_settings
+from plantainyard.metrics import create_meter
+from plantainyard.protocol import RunnerInfo
+from plantainyard.routing import (
+    AuthorityChanged,
+    AuthorityGained,
+    CreditsAnswered,
+    LenderState,
+    Owner,
+    OwnersChanged,
+    Peer,
+    PeersChanged,
+    RunnerUp,
+    build_leased_lender,
+)
+from plantainyard.settings import (
+    Instance,
+    Limits,
+    Metrics,
+    Platform,
+    Requests,
+    Secret,
+    Security,
+    Settings,
+)
+from standins.runners import RunnerFaults, RunnerState, open_runner
+
+TOKEN = "0123456789abcdef"
+URL = "/v1/services/billing/requests"
+
+
+def build_settings(name="i1", request_max_s=30.0):
+    instance = Instance(name, "reg", "d1", "127.0.0.1:0", "127.0.0.1:0")
+    platform = Platform("http://127.0.0.1:1", "http://127.0.0.1:1")
+    requests = Requests(request_max_s=request_max_s)
+    security = Security(Secret(TOKEN))
+    return Settings(instance, platform, security, requests=requests)
+
+
+class Owned:
+    """A lender for one rack, called directly by the gateways."""
+
+    def __init__(self, settings, runners):
+        self.lock = threading.Lock()
+        self.state = LenderState("k1")
+        self.lend = build_leased_lender(build_routing_settings(settings))
+        self.lend(self.state, AuthorityGained(float("inf"), 1), read_clock())
+        for info in runners:
+            self.lend(self.state, RunnerUp(info, True), read_clock())
+
+    def ask(self, ask):
+        with self.lock:
+            return self.lend(self.state, ask, read_clock())[0]
+
+
+@contextlib.contextmanager
+def open_site(
+    runner_count=2, slots=2, gateways=("i1",), request_max_s=30.0, threads=64
+):
+    """Yield the runners, the gateways and their addresses."""
+    settings = build_settings("i1", request_max_s)
+    settings = settings._replace(limits=Limits(caller_threads=threads))
+    with contextlib.ExitStack() as stack:
+        states = [RunnerState(f"r{n}", slots, 60) for n in range(runner_count)]
+        infos = []
+        for state in states:
+            running = stack.enter_context(
+                open_runner(state, lambda: 1.0, random.Random(1))
+            )
+            address = running.address
+            info = RunnerInfo(
+                state.name, "billing", address, "k1", "d1", "reg", slots, 60
+            )
+            infos.append(info)
+        owned = Owned(settings, infos)
+        started = [
+            stack.enter_context(
+                open_gateway(
+                    settings._replace(instance=settings.instance._replace(id=name)),
+                    owned,
+                )
+            )
+            for name in gateways
+        ]
+        yield states, started
+
+
+@contextlib.contextmanager
+def open_gateway(settings, owned):
+    handles: list[Any] = []
+
+    def ask(action):
+        answer = owned.ask(action.ask)
+        tell_event(handles[0], CreditsAnswered(answer))
+
+    with run_gateway(settings, settings.instance.id, ask) as gateway:
+        handles.append(gateway)
+        owner = Owner("i1", "d1", "reg")
+        tell_event(gateway, OwnersChanged({"k1": owner}))
+        if settings.instance.id == "i1":
+            since = time.time() - 100
+            tell_event(gateway, AuthorityChanged("k1", float("inf"), True, since))
+        with serve_gateway(settings, gateway, create_meter(Metrics())) as address:
+            yield gateway, f"http://{address}"
+
+
+HTTP = urllib3.PoolManager(maxsize=32, retries=False)
+
+
+def post(address, request_id="", body=b"{}", **headers):
+    named = {f"Plantainyard-{k}": v for k, v in headers.items()}
+    if request_id:
+        named["Plantainyard-Request-Id"] = request_id
+    return HTTP.request("POST", address + URL, body=body, headers=named)
+
+
+def test_each_of_many_callers_gets_its_own_whole_answer():
+    """Answers cut short, swapped or late reach nobody.
+
+    A user sees another customer's invoice: a runner's answer was late, the caller
+    had gone, and the next request on the same connection read it. Or the answer was
+    cut short, or carried another request's id.
+    """
+    with open_site(runner_count=3, request_max_s=0.5) as (runners, [(_, address)]):
+        runners[0].faults = RunnerFaults(truncate_next=4)
+        runners[1].faults = RunnerFaults(wrong_id_next=4)
+        runners[2].faults = RunnerFaults(delay_next=4, delay_ms=400)
+
+        def call(number):
+            body = json.dumps({"n": number}).encode()
+            name = build_request_id(time.time())
+            return number, post(address, name, body, **{"Deadline-Ms": "300"})
+
+        with ThreadPoolExecutor(8) as pool:
+            answers = list(pool.map(call, range(200)))
+        outcomes = Counter(a.headers["Plantainyard-Outcome"] for _, a in answers)
+        done = [(n, a) for n, a in answers if a.status == 200]
+        assert all(json.loads(answer.data) == {"n": n} for n, answer in done)
+        assert outcomes["unknown"] == 12 and outcomes["done"] > 50
+        assert sum(r.runs.total() for r in runners) == len(done) + 12
+        assert all(max(runner.runs.values()) == 1 for runner in runners)
+        assert all(r.max_in_progress <= 2 for r in runners)
+
+
+def test_one_id_at_two_gateways_runs_once():
+    """A repeated charge is charged once, and both callers get the answer.
+
+    A caller times out, or its balancer repeats the call at another instance while
+    the first is in progress; each instance for itself would let the id run.
+    """
+    with open_site(gateways=("i1", "i2")) as (runners, [(_, one), (two_ref, two)]):
+        peer = Peer("i1", "d1", "reg", one, {"billing": 1})
+        tell_event(two_ref, PeersChanged((peer,)))
+        name = build_request_id(time.time())
+        with ThreadPoolExecutor(8) as pool:
+            calls = [pool.submit(post, a, name, b"[1]") for a in [one, two] * 4]
+            answers = [call.result() for call in calls]
+        assert {(a.status, a.data) for a in answers} == {(200, b"[1]")}
+        assert sum(r.runs[name] for r in runners) == 1
+        assert post(two, name, b"[2]").status == 400
+
+
+def test_a_drain_cuts_off_no_request():
+    """A planned stop at full load loses nothing.
+
+    Callers see broken connections at every replacement of an instance when the
+    server closes while requests are queued or at a runner.
+    """
+    body = json.dumps({"work_ms": 60, "pad": "x" * 900_000}).encode()
+    with ThreadPoolExecutor(8) as pool:
+        with open_site() as (_, [(gateway, address)]):
+            calls = [
+                pool.submit(post, address, body=body, Idempotent="true")
+                for _ in range(8)
+            ]
+            while describe_gateway(gateway)["in_progress"] < 8:
+                assert not any(call.done() for call in calls)
+            drain_gateway(gateway, 0.0)
+            assert gateway.drained.wait(30)
+        assert [call.result().data for call in calls] == [body] * 8
+
+
+@pytest.mark.parametrize(
+    ("headers", "field"),
+    [
+        ({"Deadline-Ms": "-1"}, "Plantainyard-Deadline-Ms"),
+        ({"Deadline-Ms": "9" * 400}, "Plantainyard-Deadline-Ms"),
+        ({"Urgent": "maybe"}, "Plantainyard-Urgent"),
+        ({"Idempotent": "false"}, "Plantainyard-Request-Id"),
+    ],
+)
+def test_malformed_input_is_answered_with_the_field(headers, field):
+    with open_site(runner_count=1) as (_, [(_, address)]):
+        answer = post(address, **headers)
+        assert answer.status == 400
+        assert answer.headers["Plantainyard-Outcome"] == "refused"
+        assert json.loads(answer.data)["detail"].startswith(field)
+        huge = HTTP.request("POST", address + URL, body=b"x" * 1_500_000)
+        assert huge.status == 413
+
+
+def test_overload_is_answered_at_once():
+    """More callers than threads: the rest hear at once when to come back.
+
+    Without it they wait in the server's own queue, past their deadlines, and the
+    instance looks dead.
+    """
+    with (
+        open_site(runner_count=1, slots=1, threads=12) as (_, [(_, address)]),
+        ThreadPoolExecutor(40) as pool,
+    ):
+        calls = [
+            pool.submit(post, address, body=b'{"work_ms": 300}', Idempotent="true")
+            for _ in range(40)
+        ]
+        first = [call.result() for call in itertools.islice(as_completed(calls), 20)]
+        assert {a.status for a in first} == {429}
+        assert all(int(a.headers["Retry-After"]) >= 1 for a in first)
+        assert {call.result().status for call in calls} <= {200, 429, 503}
--- /dev/null
+++ b/plantainyard/gateway/tuning.py
@@ -0,0 +1,34 @@
+"""Translation of an instance's settings into those of routing."""
+
+from plantainyard.routing import RoutingSettings
+from plantainyard.settings import Settings
+
+__all__ = ["build_routing_settings"]
+
+_ASKS_IN_LEASE = 6.0
+_BYTES_IN_MB = 1_000_000
+_QUEUE_SHARE = 0.25
+
+
+def build_routing_settings(settings: Settings) -> RoutingSettings:
+    """Return the routing settings of `settings`.
+
+    Notes
+    -----
+    Bodies that wait take a quarter of the memory for bodies; the rest is left to the
+    requests in progress and their answers.
+    """
+    requests, limits = settings.requests, settings.limits
+    return RoutingSettings(
+        credit_s=requests.credit_s,
+        ask_every_s=min(0.5, requests.credit_s / _ASKS_IN_LEASE),
+        request_max_s=requests.request_max_s,
+        drift=settings.platform.clock_drift,
+        queue_count=limits.queue_requests,
+        queue_bytes=int(_QUEUE_SHARE * limits.memory_mb * _BYTES_IN_MB),
+        retry_share=requests.retry_share,
+        attempts_max=requests.attempts,
+        id_memory_s=requests.id_memory_s,
+        id_count=requests.id_memory_count,
+        forward_max=limits.caller_threads,
+    )
