--- a/plantainyard/api/checks.py
+++ b/plantainyard/api/checks.py
@@ -10,12 +10,13 @@
 from google.protobuf.struct_pb2 import Value
 
 from plantainyard.api import operators_pb2 as schema
+from plantainyard.api.convert import read_value
+from plantainyard.configuration import check_change
 
 __all__ = ["CHECKS", "BadField", "check_request"]
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,63}")
 REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{8,128}")
-CONFIGURATION_KEY = re.compile(r"[A-Za-z0-9_-]+(\.[A-Za-z0-9_-]+)*")
 MAX_TITLE = 200
 MAX_TASKS = 1_000_000
 MAX_RUNNERS = 100_000
@@ -139,10 +140,12 @@
     if not request.changes:
         yield BadField("changes", "at least one key")
     for key, value in request.changes.items():
-        if len(key) > MAX_KEY or not CONFIGURATION_KEY.fullmatch(key):
-            yield BadField(f"changes.{key}", "a dotted name as key")
+        if len(key) > MAX_KEY:
+            yield BadField(f"changes.{key}", f"a key of at most {MAX_KEY} characters")
         elif not all(map(math.isfinite, _iter_numbers(value))):
             yield BadField(f"changes.{key}", "finite numbers")
+        elif expected := check_change(key, read_value(value)):
+            yield BadField(f"changes.{key}", expected)
 
 
 def _iter_numbers(value: Value) -> Iterator[float]:
--- a/plantainyard/api/tests/test_calls.py
+++ b/plantainyard/api/tests/test_calls.py
@@ -102,6 +102,7 @@
     cases = [
         ("ApplyConfiguration", apply, "base_version"),
         ("ApplyConfiguration", {**apply, "base_version": -1, "changes": {}}, "changes"),
+        ("ApplyConfiguration", {**apply, "base_version": 2}, "changes.teams.a"),
         ("CancelJobs", {"request_id": "0190f3c2-0001"}, "job_ids"),
         ("Drain", {"request_id": "0190f3c2-0001"}, "instance"),
         ("ListJobs", {"state": "RUNNING"}, "state"),
@@ -184,13 +185,18 @@
 
 
 def test_configuration_values_keep_their_types():
-    changes = {"a": 40, "b": None, "c": {"d": [1, 2.5, "x", True]}}
+    changes: dict[str, Any] = {
+        "teams.a.cores": 40,
+        "teams.b.cores": 2.5,
+        "workers.w.fenced": True,
+    }
+    changes |= {"weights.tail": None}
     seen: Any = []
     handlers = {"ApplyConfiguration": lambda sent: seen.append(sent) or Ok(sent)}
     body = {"request_id": "0190f3c2-0001", "base_version": 0, "changes": changes}
     assert call(body, handlers, "ApplyConfiguration").status == 200
     assert read_changes(seen[0]) == changes
-    assert isinstance(read_changes(seen[0])["a"], int)
+    assert isinstance(read_changes(seen[0])["teams.a.cores"], int)
 
 
 def test_service_parts_are_bound_to_their_domains():
--- /dev/null
+++ b/plantainyard/commands/command.py
@@ -0,0 +1,181 @@
+"""What a subcommand is made of, and what its runs share."""
+
+import json
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, NamedTuple
+
+from absl import flags
+from google.protobuf.message import Message
+from result import Err, Result
+from tabulate import tabulate
+
+from plantainyard.api.codec import JSON, encode_message
+from plantainyard.api.errors import encode_error
+from plantainyard.commands.access import Access
+from plantainyard.commands.caller import Failure, call
+from plantainyard.commands.exits import ExitCode
+from plantainyard.commands.world import World
+
+__all__ = [
+    "OUTPUT_JSON",
+    "Command",
+    "Invocation",
+    "UsageError",
+    "ask",
+    "define_nothing",
+    "define_request_id",
+    "format_table",
+    "pick_request_id",
+    "report_failure",
+    "run_call",
+    "show",
+    "show_json",
+]
+
+OUTPUT_JSON = "json"
+OUTPUT_TABLE = "table"
+NO_VERSION = -1
+
+
+class UsageError(Exception):
+    """The flags or arguments are wrong; the text says what is expected."""
+
+
+class Invocation(NamedTuple):
+    """One run of a subcommand.
+
+    Attributes
+    ----------
+    world : World
+        The outside.
+    access : Access
+        The instances and the token.
+    flags : FlagValues
+        Of this subcommand.
+    arguments : tuple of str
+        What follows the flags.
+    """
+
+    world: World
+    access: Access
+    flags: flags.FlagValues
+    arguments: tuple[str, ...]
+
+
+class Command(NamedTuple):
+    """A subcommand.
+
+    Attributes
+    ----------
+    path : tuple of str
+        Its words, such as ``("jobs", "create")``.
+    arguments : str
+        Its arguments, for the usage line.
+    summary : str
+        One line.
+    about : str
+        What a newcomer has to know.
+    examples : tuple of str
+        Whole command lines.
+    define : callable
+        Defines its flags.
+    run : callable
+        Runs it and returns the exit code.
+    least, most : int
+        How many arguments it takes.
+    """
+
+    path: tuple[str, ...]
+    arguments: str
+    summary: str
+    about: str
+    examples: tuple[str, ...]
+    define: Callable[[flags.FlagValues], None]
+    run: Callable[[Invocation], ExitCode]
+    least: int = 0
+    most: int = 0
+
+
+def define_nothing(values: flags.FlagValues) -> None:
+    """Define no flags."""
+
+
+def define_request_id(values: flags.FlagValues) -> None:
+    """Define the flag of a call that changes something."""
+    flags.DEFINE_string(
+        "request_id",
+        "",
+        "Id of the call; give the printed one to repeat a call safely.",
+        flag_values=values,
+    )
+
+
+def pick_request_id(invocation: Invocation) -> str:
+    """Return the given request id, or a new one."""
+    return invocation.flags.request_id or invocation.world.create_id()
+
+
+def ask(invocation: Invocation, method: str, request: Message) -> Result[Any, Failure]:
+    """Send one call with the invocation's access."""
+    timeout_s = invocation.flags.timeout_s
+    return call(invocation.world, invocation.access, method, request, timeout_s)
+
+
+def run_call(
+    invocation: Invocation,
+    method: str,
+    request: Message,
+    render: Callable[[Any], str],
+) -> ExitCode:
+    """Send one call, show its answer as JSON or as `render` has it, and judge it."""
+    answer = ask(invocation, method, request)
+    if isinstance(answer, Err):
+        return report_failure(invocation, answer.err_value)
+    show(invocation, answer.ok_value, render)
+    return ExitCode.OK
+
+
+def show(
+    invocation: Invocation, message: Message, render: Callable[[Any], str]
+) -> None:
+    """Print `message` as the flag ``--output`` asks."""
+    if invocation.flags.output == OUTPUT_JSON:
+        show_json(invocation, json.loads(encode_message(message, JSON)))
+    else:
+        print(render(message), file=invocation.world.out)
+
+
+def show_json(invocation: Invocation, data: Any) -> None:
+    """Print `data` as indented JSON."""
+    print(json.dumps(data, indent=2, sort_keys=True), file=invocation.world.out)
+
+
+def report_failure(invocation: Invocation, failure: Failure) -> ExitCode:
+    """Print why a call came to nothing and what to do; return its exit code."""
+    err, error = invocation.world.err, failure.error
+    if invocation.flags.output == OUTPUT_JSON:
+        told = json.loads(encode_error(error))
+        print(json.dumps({**told, "request_id": failure.request_id}), file=err)
+        return failure.exit_code
+    print(_describe_failure(failure), file=err)
+    if failure.exit_code == ExitCode.UNKNOWN:
+        hint = f"Repeat with --request_id={failure.request_id}"
+        print(f"It may have been done. {hint}", file=err)
+    return failure.exit_code
+
+
+def _describe_failure(failure: Failure) -> str:
+    error = failure.error
+    parts = [failure.exit_code.name.lower().replace("_", " ")]
+    parts += [part for part in (error.field, error.detail) if part]
+    if error.winning_version != NO_VERSION:
+        parts.append(f"version {error.winning_version} won")
+    if error.retry_after_s:
+        parts.append(f"come back in {error.retry_after_s:g} s")
+    return ": ".join(parts)
+
+
+def format_table(headers: Sequence[str], rows: Iterable[Sequence[Any]]) -> str:
+    """Return rows as a table, or a word where there are none."""
+    listed = list(rows)
+    return tabulate(listed, headers, disable_numparse=True) if listed else "none"
--- /dev/null
+++ b/plantainyard/commands/instances.py
@@ -0,0 +1,153 @@
+"""Subcommands for instances and workers: drain, dump and status."""
+
+from absl import flags
+from google.protobuf import json_format
+from result import Err
+
+from plantainyard.api import operators_pb2 as schema
+from plantainyard.commands.command import (
+    Command,
+    Invocation,
+    UsageError,
+    ask,
+    define_nothing,
+    define_request_id,
+    format_table,
+    pick_request_id,
+    report_failure,
+    run_call,
+    show_json,
+)
+from plantainyard.commands.exits import ExitCode
+from plantainyard.commands.render import format_ages
+
+__all__ = ["COMMANDS"]
+
+
+def _define_drain(values: flags.FlagValues) -> None:
+    define_request_id(values)
+    flags.DEFINE_string("instance", "", "Entry instance to empty.", flag_values=values)
+    flags.DEFINE_string("worker", "", "Worker to empty.", flag_values=values)
+    flags.DEFINE_bool("undo", False, "Take it back into use.", flag_values=values)
+
+
+def _drain(invocation: Invocation) -> ExitCode:
+    values = invocation.flags
+    if bool(values.instance) == bool(values.worker):
+        raise UsageError("expected either --instance or --worker")
+    request = schema.DrainRequest(
+        request_id=pick_request_id(invocation), undo=values.undo
+    )
+    if values.instance:
+        request.instance = values.instance
+    else:
+        request.worker = values.worker
+    return run_call(
+        invocation,
+        "Drain",
+        request,
+        lambda answer: f"accepted as configuration version {answer.version}",
+    )
+
+
+def _dump(invocation: Invocation) -> ExitCode:
+    answer = ask(invocation, "Dump", schema.DumpRequest())
+    if isinstance(answer, Err):
+        return report_failure(invocation, answer.err_value)
+    show_json(invocation, json_format.MessageToDict(answer.ok_value.state))
+    return ExitCode.OK
+
+
+def _tell_status(invocation: Invocation) -> ExitCode:
+    return run_call(invocation, "Status", schema.StatusRequest(), _format_status)
+
+
+def _format_status(answer: schema.StatusResponse) -> str:
+    reasons = "; ".join(answer.not_ready_reasons)
+    facts = (
+        ("instance", f"{answer.instance} ({answer.domain}, {answer.region})"),
+        ("software", f"{answer.software_version}, up {answer.uptime_s:.0f} s"),
+        ("ready", "yes" if answer.ready else f"no: {reasons}"),
+        (
+            "configuration",
+            f"version {answer.configuration_version}, "
+            f"known current {answer.configuration_age_s:.0f} s ago",
+        ),
+        (
+            "requests",
+            f"{answer.requests_in_progress} in progress, "
+            f"{answer.requests_queued} queued",
+        ),
+    )
+    racks = (
+        (
+            r.rack,
+            r.term,
+            "yes" if r.authority else "not yet",
+            f"{r.workers - r.workers_silent} of {r.workers}",
+            r.tasks_assigned,
+            r.tasks_waiting,
+        )
+        for r in answer.racks
+    )
+    peers = (
+        (p.instance, p.domain, p.state, f"{p.heard_s:.1f} s ago", p.address)
+        for p in answer.peers
+    )
+    rack_names = (
+        "rack",
+        "term",
+        "authority",
+        "workers heard from",
+        "assigned",
+        "waiting",
+    )
+    peer_names = ("peer", "domain", "state", "heard from", "address")
+    return "\n".join(
+        [
+            *(f"{name + ':':<15} {value}" for name, value in facts),
+            *format_ages(answer.streams),
+            "",
+            format_table(rack_names, racks),
+            "",
+            format_table(peer_names, peers),
+        ]
+    )
+
+
+COMMANDS = (
+    Command(
+        ("drain",),
+        "",
+        "Empty an entry instance or a worker ahead of a planned stop.",
+        "The order is a change of configuration, so it reaches the target through "
+        "the log. An instance stops taking requests, gives its racks up and "
+        "finishes what it has; a worker gets no new tasks. --undo takes it back.",
+        (
+            "plantainyard drain --instance=addis-kality-2",
+            "plantainyard drain --worker=w17",
+            "plantainyard drain --worker=w17 --undo",
+        ),
+        _define_drain,
+        _drain,
+    ),
+    Command(
+        ("dump",),
+        "",
+        "Print the whole state of one instance as JSON.",
+        "Asks the first instance that answers; name one with --address. Secrets are "
+        "not part of it.",
+        ("plantainyard dump --address=10.10.1.1:7401 > dump.json",),
+        define_nothing,
+        _dump,
+    ),
+    Command(
+        ("status",),
+        "",
+        "Tell how one instance is: readiness, racks, peers, configuration.",
+        "Asks the first instance that answers; name one with --address.",
+        ("plantainyard status --address=10.10.1.1:7401",),
+        define_nothing,
+        _tell_status,
+    ),
+)
--- /dev/null
+++ b/plantainyard/commands/render.py
@@ -0,0 +1,133 @@
+"""Messages of the schema as tables for people."""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from google.protobuf.message import Message
+from google.protobuf.struct_pb2 import Value
+
+from plantainyard.api import operators_pb2 as schema
+from plantainyard.api import read_value
+from plantainyard.commands.command import format_table
+
+__all__ = [
+    "format_ages",
+    "format_counts",
+    "format_job",
+    "format_jobs",
+    "format_size",
+    "format_state",
+    "format_value",
+    "write_json",
+]
+
+STALE_S = 30.0
+STATE_PREFIX = "JOB_STATE_"
+
+
+def format_state(state: int) -> str:
+    """Return the name of a job's state in lower case."""
+    try:
+        return schema.JobState.Name(state).removeprefix(STATE_PREFIX).lower()
+    except ValueError:
+        return f"state {state}"
+
+
+def format_counts(counts: schema.TaskCounts) -> str:
+    """Return numbers of tasks on one line.
+
+    Examples
+    --------
+    >>> format_counts(schema.TaskCounts(waiting=2, done=1))
+    '1 done, 0 assigned, 2 waiting'
+    """
+    text = f"{counts.done} done, {counts.assigned} assigned, {counts.waiting} waiting"
+    extra = (("cancelled", counts.cancelled), ("failed attempts", counts.failures))
+    return ", ".join([text, *(f"{n} {name}" for name, n in extra if n)])
+
+
+def format_size(size: schema.Size) -> str:
+    """Return a size on one line."""
+    text = f"{size.cores:g} cores, {size.memory_gb:g} GB"
+    return f"{text}, {size.accelerators} accelerators" if size.accelerators else text
+
+
+def format_value(message: Message, field: str) -> str:
+    """Return a configuration value, or a dash where it is not set."""
+    if not message.HasField(field):
+        return "-"
+    return write_json(getattr(message, field))
+
+
+def write_json(value: Value) -> str:
+    """Return a configuration value as JSON on one line."""
+    return json.dumps(read_value(value))
+
+
+def format_jobs(answer: schema.ListJobsResponse) -> str:
+    """Return a list of jobs with a warning for each failure domain that is stale."""
+    rows = (
+        (
+            job.job_id,
+            job.name,
+            job.team,
+            format_state(job.state),
+            job.domain,
+            format_counts(job.counts),
+            job.reason,
+        )
+        for job in answer.jobs
+    )
+    headers = ("job", "name", "team", "state", "domain", "tasks", "reason")
+    return "\n".join([format_table(headers, rows), *format_ages(answer.ages)])
+
+
+def format_ages(ages: Iterable[schema.DomainAge]) -> list[str]:
+    """Return a line for each failure domain not read for some time."""
+    return [
+        f"{age.domain}: not read for {age.age_s:.0f} s; what is told of it is old"
+        for age in ages
+        if age.age_s > STALE_S
+    ]
+
+
+def format_job(answer: schema.DescribeJobResponse) -> str:
+    """Return all that is known of a job."""
+    job, limits = answer.job, answer.constraints
+    allowed = {
+        "regions": ", ".join(limits.regions),
+        "domains": ", ".join(limits.domains),
+        "accelerator": limits.accelerator,
+    }
+    rows: list[tuple[str, Any]] = [
+        ("job", job.job_id),
+        ("name", job.name),
+        ("team", job.team),
+        ("state", format_state(job.state)),
+        ("home domain", job.domain),
+        ("tasks", format_counts(job.counts)),
+        ("size of one", format_size(answer.size)),
+    ]
+    if answer.run_s:
+        rows.append(("declared run time", f"{answer.run_s:g} s"))
+    if answer.slots:
+        rows.append(("slots, connections", f"{answer.slots}, {answer.connections}"))
+    rows += [(f"only in {name}", names) for name, names in allowed.items() if names]
+    lines = [f"{name + ':':<20} {value}" for name, value in rows]
+    lines += [f"{'because:':<20} {_format_reason(reason)}" for reason in answer.reasons]
+    lines += format_ages([schema.DomainAge(domain=job.domain, age_s=answer.age_s)])
+    racks = (
+        (r.rack, r.tasks, r.waiting, r.owner or "nobody yet") for r in answer.racks
+    )
+    places = ((p.number, p.attempt, p.worker, p.rack, p.domain) for p in answer.places)
+    lines += ["", format_table(("rack", "tasks", "waiting", "decided by"), racks)]
+    place_names = ("task", "attempt", "worker", "rack", "domain")
+    lines += ["", format_table(place_names, places)]
+    return "\n".join(lines)
+
+
+def _format_reason(reason: schema.Reason) -> str:
+    when = "can never run" if reason.permanent else "waits"
+    where = f" on {reason.rack}" if reason.rack else ""
+    return f"{reason.tasks} tasks{where}: {when}: {reason.code} {reason.detail}".strip()
--- /dev/null
+++ b/plantainyard/commands/run.py
@@ -0,0 +1,121 @@
+"""From the words of a command line to an exit code."""
+
+from collections.abc import Sequence
+
+from absl import flags
+from result import Err
+
+from plantainyard.commands import configurations, instances, jobs, services, teams
+from plantainyard.commands.access import find_access
+from plantainyard.commands.command import (
+    OUTPUT_JSON,
+    OUTPUT_TABLE,
+    Command,
+    Invocation,
+    UsageError,
+)
+from plantainyard.commands.exits import ExitCode
+from plantainyard.commands.guide import describe_command, describe_commands
+from plantainyard.commands.world import World
+
+__all__ = ["COMMANDS", "run_command"]
+
+HELP = frozenset({"--help", "-help", "-h", "help"})
+COMMANDS: tuple[Command, ...] = (
+    *jobs.COMMANDS,
+    *services.COMMANDS,
+    *configurations.COMMANDS,
+    *teams.COMMANDS,
+    *instances.COMMANDS,
+)
+
+
+def run_command(words: Sequence[str], world: World) -> ExitCode:
+    """Run the subcommand in `words`, which exclude the program's name."""
+    if not words or words[0] in HELP:
+        print(describe_commands(COMMANDS, ()), file=world.out)
+        return ExitCode.OK if words else ExitCode.USAGE
+    command = _find_command(words)
+    if command is None:
+        return _explain_unknown(words, world)
+    own, shared = flags.FlagValues(), flags.FlagValues()
+    command.define(own)
+    _define_shared(shared)
+    rest = list(words[len(command.path) :])
+    if HELP.intersection(rest):
+        print(describe_command(command, own, shared), file=world.out)
+        return ExitCode.OK
+    try:
+        return _run(command, rest, world)
+    except (UsageError, flags.Error) as error:
+        usage = " ".join(("plantainyard", *command.path))
+        print(f"usage: {error}\nsee '{usage} --help'", file=world.err)
+        return ExitCode.USAGE
+    except KeyboardInterrupt:
+        return ExitCode.INTERRUPTED
+
+
+def _find_command(words: Sequence[str]) -> Command | None:
+    return next(
+        (c for c in COMMANDS if c.path == tuple(words[: len(c.path)])),
+        None,
+    )
+
+
+def _explain_unknown(words: Sequence[str], world: World) -> ExitCode:
+    group = [c for c in COMMANDS if c.path[0] == words[0]]
+    if group and HELP.intersection(words[1:2]):
+        print(describe_commands(COMMANDS, words[:1]), file=world.out)
+        return ExitCode.OK
+    known = [" ".join(c.path) for c in group or COMMANDS]
+    print(
+        f"usage: no subcommand '{' '.join(words[:2])}'; known are: {', '.join(known)}",
+        file=world.err,
+    )
+    return ExitCode.USAGE
+
+
+def _define_shared(values: flags.FlagValues) -> None:
+    flags.DEFINE_multi_string(
+        "address",
+        [],
+        "IP:PORT of an instance's control address; repeat it to name several.",
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "token_file", "", "File that holds the token.", flag_values=values
+    )
+    flags.DEFINE_string(
+        "profile", "", "TOML file with addresses and token.", flag_values=values
+    )
+    flags.DEFINE_enum(
+        "output",
+        OUTPUT_TABLE,
+        [OUTPUT_TABLE, OUTPUT_JSON],
+        "Form of the result.",
+        flag_values=values,
+    )
+    flags.DEFINE_float(
+        "timeout_s",
+        10.0,
+        "Longest wait for one instance's answer.",
+        lower_bound=0.1,
+        flag_values=values,
+    )
+
+
+def _run(command: Command, rest: list[str], world: World) -> ExitCode:
+    values = flags.FlagValues()
+    command.define(values)
+    _define_shared(values)
+    values.set_gnu_getopt(True)
+    arguments = tuple(values(["plantainyard", *rest])[1:])
+    if not command.least <= len(arguments) <= command.most:
+        expected = command.arguments or "no arguments"
+        raise UsageError(f"expected {expected}, got {' '.join(arguments) or 'none'}")
+    access = find_access(
+        values.address, values.token_file, values.profile, world.environ
+    )
+    if isinstance(access, Err):
+        raise UsageError(access.err_value)
+    return command.run(Invocation(world, access.ok_value, values, arguments))
--- /dev/null
+++ b/plantainyard/commands/services.py
@@ -0,0 +1,174 @@
+"""Subcommands for services."""
+
+from absl import flags
+from result import Err
+
+from plantainyard.api import operators_pb2 as schema
+from plantainyard.commands.command import (
+    Command,
+    Invocation,
+    ask,
+    define_nothing,
+    define_request_id,
+    report_failure,
+    run_call,
+    show,
+)
+from plantainyard.commands.declare import (
+    define_work,
+    parse_pairs,
+    read_declared_file,
+    read_work,
+)
+from plantainyard.commands.exits import ExitCode
+from plantainyard.commands.jobs import (
+    cancel_jobs,
+    define_filters,
+    list_jobs,
+)
+from plantainyard.commands.render import format_job
+
+__all__ = ["COMMANDS"]
+
+PAGE = 1_000
+LIVE = frozenset(
+    {
+        schema.JOB_STATE_WAITING,
+        schema.JOB_STATE_RUNNING,
+        schema.JOB_STATE_INFEASIBLE,
+    }
+)
+
+
+def _define_create(values: flags.FlagValues) -> None:
+    define_work(values)
+    flags.DEFINE_list(
+        "runners", [], "DOMAIN=NUMBER of runners, ...", flag_values=values
+    )
+    flags.DEFINE_integer(
+        "slots", 8, "Requests that a runner can hold.", flag_values=values
+    )
+    flags.DEFINE_integer(
+        "connections", 60, "Connections that a runner can hold.", flag_values=values
+    )
+
+
+def _create(invocation: Invocation) -> ExitCode:
+    values = invocation.flags
+    if values.file:
+        request = read_declared_file(invocation, schema.CreateServiceRequest)
+    else:
+        request = schema.CreateServiceRequest(
+            **read_work(invocation),
+            runners=parse_pairs("runners", values.runners),
+            slots=values.slots,
+            connections=values.connections,
+        )
+    return run_call(invocation, "CreateService", request, _format_created)
+
+
+def _format_created(answer: schema.CreateServiceResponse) -> str:
+    return "\n".join(
+        f"{job.job_id} accepted in {job.domain}"
+        if job.job_id
+        else f"would be accepted in {job.domain}"
+        for job in answer.jobs
+    )
+
+
+def _list(invocation: Invocation) -> ExitCode:
+    return list_jobs(invocation, schema.JOB_KIND_SERVICE)
+
+
+def _find_parts(invocation: Invocation) -> list[schema.JobSummary] | ExitCode:
+    name = invocation.arguments[0]
+    request = schema.ListJobsRequest(
+        kind=schema.JOB_KIND_SERVICE, name_prefix=name, page_size=PAGE
+    )
+    parts: list[schema.JobSummary] = []
+    while True:
+        answer = ask(invocation, "ListJobs", request)
+        if isinstance(answer, Err):
+            return report_failure(invocation, answer.err_value)
+        page: schema.ListJobsResponse = answer.ok_value
+        parts += [job for job in page.jobs if job.name == name and job.state in LIVE]
+        if not page.next_page_token:
+            break
+        request.page_token = page.next_page_token
+    if not parts:
+        print(f"not found: no service {name} that runs", file=invocation.world.err)
+        return ExitCode.NOT_FOUND
+    return parts
+
+
+def _describe(invocation: Invocation) -> ExitCode:
+    parts = _find_parts(invocation)
+    if isinstance(parts, ExitCode):
+        return parts
+    for part in parts:
+        request = schema.DescribeJobRequest(job_id=part.job_id)
+        answer = ask(invocation, "DescribeJob", request)
+        if isinstance(answer, Err):
+            return report_failure(invocation, answer.err_value)
+        show(
+            invocation, answer.ok_value, lambda described: format_job(described) + "\n"
+        )
+    return ExitCode.OK
+
+
+def _cancel(invocation: Invocation) -> ExitCode:
+    parts = _find_parts(invocation)
+    if isinstance(parts, ExitCode):
+        return parts
+    return cancel_jobs(invocation, [part.job_id for part in parts])
+
+
+COMMANDS = (
+    Command(
+        ("services", "create"),
+        "",
+        "Accept a service and start its runners.",
+        "A service has a part in each failure domain that --runners names; the part "
+        "is decided on there alone, also when the domain is cut off. Callers use the "
+        "service's name in their URLs.",
+        (
+            "plantainyard services create --name=gate-clearing --team=gate "
+            "--runners=addis-kality=12,addis-akaki=10,dire-dawa-rail=8 --cores=4 "
+            "--memory_gb=8 --slots=8 --connections=60",
+            "plantainyard services create --file=ordering.json --dry_run",
+        ),
+        _define_create,
+        _create,
+    ),
+    Command(
+        ("services", "list"),
+        "",
+        "List services, a line for each failure domain's part.",
+        "The reason tells why runners are missing.",
+        ("plantainyard services list --domain=kumasi-adum",),
+        define_filters,
+        _list,
+    ),
+    Command(
+        ("services", "describe"),
+        "NAME",
+        "Show a service: its parts, runners and where they run.",
+        "With --output=json one object for each part.",
+        ("plantainyard services describe gate-clearing",),
+        define_nothing,
+        _describe,
+        1,
+        1,
+    ),
+    Command(
+        ("services", "cancel"),
+        "NAME",
+        "Stop a service in every failure domain.",
+        "Its runners get no new requests, and the workers are told to stop them.",
+        ("plantainyard services cancel gate-clearing",),
+        define_request_id,
+        _cancel,
+        1,
+        1,
+    ),
+)
--- /dev/null
+++ b/plantainyard/commands/tests/test_run.py
@@ -0,0 +1,393 @@
+"""The command-line tool: exit codes, repeats, waits and tables."""
+
+import io
+import json
+import threading
+import urllib.request
+from typing import Any
+
+import pytest
+from absl import flags
+from google.protobuf.message import Message
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+from waitress.server import create_server
+
+from plantainyard.api import (
+    METHODS,
+    ApiError,
+    ErrorCode,
+    Probes,
+    create_app,
+    encode_error,
+    serve_call,
+    write_value,
+)
+from plantainyard.api import operators_pb2 as schema
+from plantainyard.api.errors import STATUS_OF_CODE
+from plantainyard.clients.http import HttpAnswer
+from plantainyard.commands import COMMANDS, ExitCode, World, create_world, run_command
+from plantainyard.errors import CallError, ErrorKind
+from plantainyard.metrics import create_meter
+from plantainyard.settings import Metrics, parse_settings
+from plantainyard.settings.tests.test_load import MINIMAL
+
+ENVIRON = {
+    "PLANTAINYARD_ADDRESSES": "127.0.0.1:1,127.0.0.1:2",
+    "PLANTAINYARD_TOKEN": "0123456789abcdef",
+}
+CREATE = [
+    "jobs",
+    "create",
+    "--name=n",
+    "--team=t",
+    "--cores=1",
+    "--memory_gb=1",
+    "--run_s=1",
+]
+ANSWERED, LOST, DOWN, STRANGE = "answered", "lost", "down", "strange"
+BUSY, REJECTED = ErrorCode.REFUSED, ErrorCode.INFEASIBLE
+SUMMARY = schema.JobSummary(job_id="j0", name="n", state=schema.JOB_STATE_RUNNING)
+
+
+def fail(code, **more):
+    return lambda request: Err(ApiError(code, **more))
+
+
+def make_world(handlers, fates=(), environ=ENVIRON):
+    """Return a world whose sendings meet `fates` in turn, then are answered.
+
+    A lost sending reaches the handler; only its answer is lost. A busy or rejecting
+    instance does nothing.
+    """
+    remaining, sent = list(fates), []
+
+    def send(address, path, body, headers, timeout_s):
+        sent.append((address, body))
+        fate = remaining.pop(0) if remaining else ANSWERED
+        if fate == DOWN:
+            return Err(CallError(ErrorKind.UNREACHABLE, path, address))
+        if fate in (BUSY, REJECTED):
+            return Ok(
+                HttpAnswer(STATUS_OF_CODE[fate], {}, encode_error(ApiError(fate)))
+            )
+        method = path.rpartition("/")[2]
+        answer = serve_call(handlers, method, headers["Content-Type"], body)
+        if fate == LOST:
+            return Err(CallError(ErrorKind.LOST, path, address))
+        if fate == STRANGE:
+            return Ok(HttpAnswer(502, {}, b"<html>"))
+        return Ok(HttpAnswer(answer.status, {}, answer.body))
+
+    clock = iter(range(10_000))
+    ids = (f"request-{n}" for n in range(100))
+    world = World(
+        environ,
+        io.StringIO(),
+        io.StringIO(),
+        send,
+        lambda seconds: None,
+        lambda: next(clock),
+        lambda: next(ids),
+    )
+    return world, sent
+
+
+def accept_jobs(accepted):
+    def handle(request):
+        job_id = accepted.setdefault(request.request_id, f"j{len(accepted)}")
+        return Ok(schema.CreateJobResponse(job=schema.AcceptedJob(job_id=job_id)))
+
+    return {"CreateJob": handle}
+
+
+def read(stream: Any) -> str:
+    return stream.getvalue()
+
+
+@given(st.lists(st.sampled_from([LOST, DOWN, BUSY, REJECTED, STRANGE]), max_size=8))
+@settings(derandomize=True, deadline=None, max_examples=200)
+def test_job_is_accepted_once_and_told_truly(fates):
+    """Connections break, instances are down or busy, and a proxy answers nonsense.
+
+    The operator's script sees one exit code. "Not done" while the job was accepted
+    would make it send the work again, and statements would be billed twice.
+    """
+    accepted: dict = {}
+    world, sent = make_world(accept_jobs(accepted), fates)
+    code = run_command(CREATE, world)
+    reached = any(fate in (LOST, STRANGE) for fate in fates[: len(sent)])
+    assert len(accepted) <= 1
+    assert len({body for _, body in sent}) == 1
+    if code == ExitCode.OK:
+        assert "j0 accepted" in read(world.out)
+    else:
+        assert (code == ExitCode.UNKNOWN) == reached
+        assert code in {5, 3, 6, 8}
+        assert bool(accepted) <= reached
+    if code == ExitCode.UNKNOWN:
+        assert "--request_id=request-0" in read(world.err)
+
+
+@pytest.mark.parametrize(
+    ("code", "expected"),
+    [
+        (ErrorCode.MALFORMED, 2),
+        (ErrorCode.REFUSED, 3),
+        (ErrorCode.CONFLICT, 4),
+        (ErrorCode.UNKNOWN, 5),
+        (ErrorCode.NOT_FOUND, 7),
+        (ErrorCode.INFEASIBLE, 8),
+        (ErrorCode.UNAUTHORIZED, 9),
+    ],
+)
+def test_each_error_has_its_exit_code(code, expected):
+    error = fail(code, field="size.cores", detail="too many", retry_after_s=4.0)
+    world, _ = make_world({"CreateJob": error})
+    assert run_command(CREATE, world) == expected
+    assert "size.cores: too many" in read(world.err)
+    world, _ = make_world({"CreateJob": error})
+    assert run_command([*CREATE, "--output=json"], world) == expected
+    assert json.loads(read(world.err).splitlines()[-1])["code"] == code
+
+
+@pytest.mark.parametrize("second", [BUSY, REJECTED])
+def test_loss_then_refusal_stays_unknown(second):
+    """The first answer is lost; the second instance refuses, or sees no room ever.
+
+    The job was accepted by the first. The tool says "not done", the operator sends
+    it under a new id, and it runs twice.
+    """
+    accepted: dict = {}
+    world, _ = make_world(accept_jobs(accepted), [LOST, *[second] * 9])
+    assert run_command(CREATE, world) == ExitCode.UNKNOWN
+    assert len(accepted) == 1
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        "",
+        "jobs",
+        "jobs make",
+        "nope",
+        "jobs describe",
+        "jobs list extra",
+        "jobs list --state=gone",
+        "jobs create --no_such=1",
+        "jobs create --file=/no/such/file",
+        "services create --runners=a=b",
+        "config apply",
+        "config apply --set=weights.tail",
+        "config apply --set=weights.tail={",
+        "config apply --set=weights.tail=1 --request_id=request-1",
+        "teams set billing",
+        "teams set billing --cores=1 --memory_gb=1 --unlimited",
+        "drain",
+        "drain --worker=a --instance=b",
+        "jobs cancel",
+        "status --output=xml",
+    ],
+)
+def test_wrong_usage_is_told_and_sends_nothing(words):
+    world, sent = make_world({})
+    assert run_command(words.split(), world) == ExitCode.USAGE
+    assert not sent
+    assert read(world.err) or not words
+
+
+def test_access_comes_from_flags_environment_or_profile(tmp_path):
+    profile = tmp_path / "profile.toml"
+    profile.write_text('addresses = ["127.0.0.1:7"]\ntoken_file = "token"\n')
+    (tmp_path / "token").write_text("0123456789abcdef\n")
+    handlers = {"Dump": lambda request: Ok(schema.DumpResponse())}
+    cases = [
+        (ENVIRON, [], "http://127.0.0.1:1"),
+        (ENVIRON, ["--address=127.0.0.1:9"], "http://127.0.0.1:9"),
+        ({}, [f"--profile={profile}"], "http://127.0.0.1:7"),
+        ({"PLANTAINYARD_PROFILE": str(profile)}, [], "http://127.0.0.1:7"),
+    ]
+    for environ, words, address in cases:
+        world, sent = make_world(handlers, environ=environ)
+        assert run_command(["dump", *words], world) == ExitCode.OK
+        assert sent[0][0] == address
+    profile.write_text("address = 1\n")
+    for words in ([], [f"--profile={profile}"]):
+        world, sent = make_world(handlers, environ={})
+        assert run_command(["dump", *words], world) == ExitCode.USAGE
+        assert "addresses" in read(world.err)
+
+
+def test_help_teaches_each_subcommand():
+    for command in COMMANDS:
+        world, _ = make_world({}, environ={})
+        assert run_command([*command.path, "--help"], world) == ExitCode.OK
+        text = read(world.out)
+        values = flags.FlagValues()
+        command.define(values)
+        assert all(example in text for example in command.examples)
+        assert all(f"{name}" in text for name in values)
+        assert "Exit codes:" in text
+    world, _ = make_world({}, environ={})
+    assert run_command(["--help"], world) == ExitCode.OK
+    assert all(" ".join(c.path) in read(world.out) for c in COMMANDS)
+
+
+def test_wait_shows_progress_until_the_end():
+    states = iter([schema.JOB_STATE_WAITING, *[schema.JOB_STATE_DONE] * 2])
+
+    def describe(request):
+        job = schema.JobSummary(job_id="j0", state=next(states), reason="no room")
+        return Ok(schema.DescribeJobResponse(job=job))
+
+    world, _ = make_world({"DescribeJob": describe}, [DOWN, DOWN])
+    assert run_command(["jobs", "wait", "j0"], world) == ExitCode.OK
+    assert "asking on" in read(world.err)
+    assert "no room" in read(world.err)
+
+
+@pytest.mark.parametrize(
+    ("state", "words", "code"),
+    [
+        (schema.JOB_STATE_CANCELLED, [], ExitCode.ENDED_OTHERWISE),
+        (schema.JOB_STATE_INFEASIBLE, [], ExitCode.ENDED_OTHERWISE),
+        (schema.JOB_STATE_RUNNING, ["--wait_s=5"], ExitCode.STILL_RUNNING),
+    ],
+)
+def test_wait_tells_how_it_ended(state, words, code):
+    job = schema.JobSummary(job_id="j0", state=state)
+    answer = Ok(schema.DescribeJobResponse(job=job))
+    world, _ = make_world({"DescribeJob": lambda request: answer})
+    assert run_command(["jobs", "wait", "j0", *words], world) == code
+
+
+def test_interrupts_tell_what_goes_on():
+    """An operator presses Ctrl-C, once while waiting and once while creating.
+
+    Not told what goes on, the operator believes that the job was stopped, or creates
+    it again.
+    """
+
+    def interrupt(*arguments):
+        raise KeyboardInterrupt
+
+    answer = Ok(schema.DescribeJobResponse(job=SUMMARY))
+    world, _ = make_world({"DescribeJob": lambda request: answer})
+    world = world._replace(sleep=interrupt)
+    assert run_command(["jobs", "wait", "j0"], world) == ExitCode.INTERRUPTED
+    assert "j0 goes on" in read(world.err)
+    world = make_world({})[0]._replace(send=interrupt)
+    assert run_command(CREATE, world) == ExitCode.INTERRUPTED
+    assert "--request_id=request-0" in read(world.err)
+
+
+def test_list_follows_pages_up_to_the_limit():
+    def page(request):
+        token = str(int(request.page_token or 0) + 1)
+        jobs = [SUMMARY] * min(2, request.page_size)
+        return Ok(schema.ListJobsResponse(jobs=jobs, next_page_token=token))
+
+    world, sent = make_world({"ListJobs": page})
+    words = ["jobs", "list", "--limit=5", "--state=running", "--output=json"]
+    assert run_command(words, world) == ExitCode.OK
+    assert len(json.loads(read(world.out))["jobs"]) == 5
+    assert len(sent) == 3
+
+
+def test_change_builds_on_the_version_read(tmp_path):
+    changes = tmp_path / "changes.toml"
+    changes.write_text("[teams.a]\ncores = 2\nmemory_gb = 4\n")
+    seen: list = []
+
+    def apply(request):
+        seen.append(request)
+        change = schema.ConfigurationChange(key="teams.a.cores", after=write_value(2))
+        return Ok(schema.ApplyConfigurationResponse(version=8, changes=[change]))
+
+    handlers = {
+        "GetConfiguration": lambda request: Ok(
+            schema.GetConfigurationResponse(version=7)
+        ),
+        "ApplyConfiguration": apply,
+    }
+    world, _ = make_world(handlers)
+    words = ["config", "apply", str(changes), "--unset=weights.tail", "--dry_run"]
+    assert run_command(words, world) == ExitCode.OK
+    assert (seen[0].base_version, seen[0].dry_run) == (7, True)
+    assert seen[0].changes["weights.tail"].HasField("null_value")
+    assert seen[0].changes["teams.a.cores"].number_value == 2
+    assert "teams.a.cores" in read(world.out)
+
+
+EVERY_READ = {
+    "jobs list": "ListJobs",
+    "jobs describe j0": "DescribeJob",
+    "services list": "ListJobs",
+    "config show": "GetConfiguration",
+    "config history": "GetConfigurationHistory",
+    "config status": "GetConfigurationStatus",
+    "teams list": "ListTeams",
+    "status": "Status",
+    "dump": "Dump",
+    "services create --name=s --team=t --runners=a=1 --cores=1 --memory_gb=1": (
+        "CreateService"
+    ),
+    "teams set a --cores=1 --memory_gb=1 --base_version=1": "ApplyConfiguration",
+    "jobs cancel j0": "CancelJobs",
+    "drain --worker=w": "Drain",
+}
+
+
+def fill(message: Message) -> Message:
+    """Return `message` with one item in each repeated message field."""
+    for field in message.DESCRIPTOR.fields:
+        plain = field.message_type and not field.message_type.GetOptions().map_entry
+        if plain and field.is_repeated:
+            fill(getattr(message, field.name).add())
+    return message
+
+
+@pytest.mark.parametrize("words", EVERY_READ)
+@pytest.mark.parametrize("output", ["table", "json"])
+def test_every_answer_can_be_shown(words, output):
+    method = EVERY_READ[words]
+    for answer in (METHODS[method].response(), fill(METHODS[method].response())):
+        world, _ = make_world({method: lambda request, a=answer: Ok(a)})
+        code = run_command([*words.split(), f"--output={output}"], world)
+        assert code == ExitCode.OK
+        if output == "json" or words == "dump":
+            json.loads(read(world.out))
+
+
+def test_whole_path_over_a_socket():
+    """Tool and curl-like JSON reach the same daemon, with one job for one id."""
+    accepted: dict = {}
+    loaded = parse_settings(MINIMAL, "x").unwrap()
+    probes = Probes(list, list, dict)
+    app = create_app(loaded, accept_jobs(accepted), probes, create_meter(Metrics()))
+    server = create_server(app, host="127.0.0.1", port=0)
+    thread = threading.Thread(target=server.run, daemon=True)
+    thread.start()
+    try:
+        address = f"127.0.0.1:{server.effective_port}"
+        environ = {**ENVIRON, "PLANTAINYARD_ADDRESSES": address}
+        world = create_world()._replace(
+            environ=environ, out=io.StringIO(), err=io.StringIO()
+        )
+        assert run_command([*CREATE, "--request_id=same-request"], world) == 0
+        body = {"request_id": "same-request", "name": "n", "team": "t", "run_s": 1}
+        body |= {"task_count": 1, "size": {"cores": 1, "memory_gb": 1}}
+        request = urllib.request.Request(
+            f"http://{address}/plantainyard.v1.Operators/CreateJob",
+            json.dumps(body).encode(),
+            {
+                "Authorization": "Bearer 0123456789abcdef",
+                "Content-Type": "application/json",
+            },
+        )
+        with urllib.request.urlopen(request) as answer:
+            assert json.load(answer)["job"]["job_id"] == "j0"
+        assert "j0 accepted" in read(world.out)
+    finally:
+        server.close()
--- /dev/null
+++ b/plantainyard/commands/world.py
@@ -0,0 +1,73 @@
+"""What a command has of the outside, passed in so that tests can replace it."""
+
+import os
+import sys
+import time
+import uuid
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, TextIO
+
+from result import Result
+
+from plantainyard.clients.http import HttpAnswer, build_peer, build_pool, send_request
+from plantainyard.clock import read_clock
+from plantainyard.errors import CallError
+
+__all__ = ["Send", "World", "create_world"]
+
+Send = Callable[
+    [str, str, bytes, Mapping[str, str], float], Result[HttpAnswer, CallError]
+]
+
+
+class World(NamedTuple):
+    """The outside of a command.
+
+    Attributes
+    ----------
+    environ : mapping
+        The environment's variables.
+    out, err : file
+        Results go to `out`; progress and errors to `err`.
+    send : callable
+        ``send(address, path, body, headers, timeout_s)`` posts one request, once.
+    sleep : callable
+        Waits for some seconds.
+    clock : callable
+        Returns seconds.
+    create_id : callable
+        Returns a new request id.
+    """
+
+    environ: Mapping[str, str]
+    out: TextIO
+    err: TextIO
+    send: Send
+    sleep: Callable[[float], None]
+    clock: Callable[[], float]
+    create_id: Callable[[], str]
+
+
+def create_world() -> World:
+    """Return the real one."""
+    pool = build_pool()
+
+    def send(
+        address: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        timeout_s: float,
+    ) -> Result[HttpAnswer, CallError]:
+        peer = build_peer(address, pool, timeout_s)
+        return send_request(peer, path, "POST", path, body, headers)
+
+    return World(
+        os.environ,
+        sys.stdout,
+        sys.stderr,
+        send,
+        time.sleep,
+        read_clock,
+        lambda: str(uuid.uuid4()),
+    )
--- /dev/null
+++ b/plantainyard/configuration.py
@@ -0,0 +1,205 @@
+"""The keys of the configuration that the log holds, and what each may be.
+
+Configuration belongs to the whole system, settings to one instance. A key is a
+dotted name and its value a number or a boolean.
+"""
+
+import math
+import re
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, NamedTuple
+
+from plantainyard.work import Size
+
+__all__ = [
+    "KEYS",
+    "ConfigurationKey",
+    "check_change",
+    "find_key",
+    "flatten_changes",
+    "name_instance_draining",
+    "name_quota",
+    "name_worker_draining",
+]
+
+VARIABLE = "<name>"
+NAME = "[A-Za-z0-9_-]+"
+DOTTED_NAME = r"[A-Za-z0-9_-][A-Za-z0-9_.-]*"
+
+
+class ConfigurationKey(NamedTuple):
+    """A kind of key.
+
+    Attributes
+    ----------
+    pattern : str
+        The key with ``<name>`` for its variable part.
+    accepts : callable
+        Tells whether a value will do.
+    expected : str
+        What is expected, for errors and the reference page.
+    meaning : str
+        What the key does.
+    name : str
+        Regular expression of the variable part.
+    """
+
+    pattern: str
+    accepts: Callable[[Any], bool]
+    expected: str
+    meaning: str
+    name: str = NAME
+
+
+def _is_amount(value: Any) -> bool:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    return math.isfinite(value) and value >= 0
+
+
+def _is_count(value: Any) -> bool:
+    return _is_amount(value) and float(value).is_integer()
+
+
+def _is_boolean(value: Any) -> bool:
+    return isinstance(value, bool)
+
+
+_AMOUNT = "a number, 0 or more"
+_BOOLEAN = "true or false"
+_QUOTA = "at one time, over all failure domains; without it they are not limited."
+
+KEYS: tuple[ConfigurationKey, ...] = (
+    ConfigurationKey(
+        "weights.tail",
+        _is_amount,
+        _AMOUNT,
+        "Weight of services' tail latency in placement.",
+    ),
+    ConfigurationKey(
+        "weights.throughput",
+        _is_amount,
+        _AMOUNT,
+        "Weight of batch throughput in placement.",
+    ),
+    ConfigurationKey(
+        "weights.evictions",
+        _is_amount,
+        _AMOUNT,
+        "Weight of evictions in placement.",
+    ),
+    ConfigurationKey(
+        "teams.<name>.cores",
+        _is_amount,
+        _AMOUNT,
+        f"Cores that a team's tasks may hold {_QUOTA}",
+    ),
+    ConfigurationKey(
+        "teams.<name>.memory_gb",
+        _is_amount,
+        _AMOUNT,
+        f"Gigabytes of memory that a team's tasks may hold {_QUOTA}",
+    ),
+    ConfigurationKey(
+        "teams.<name>.accelerators",
+        _is_count,
+        "an integer, 0 or more",
+        f"Accelerators that a team's tasks may hold {_QUOTA}",
+    ),
+    ConfigurationKey(
+        "workers.<name>.fenced",
+        _is_boolean,
+        _BOOLEAN,
+        "An operator's word that no task runs there any more; its tasks may run again.",
+        DOTTED_NAME,
+    ),
+    ConfigurationKey(
+        "workers.<name>.draining",
+        _is_boolean,
+        _BOOLEAN,
+        "The worker is to be emptied.",
+        DOTTED_NAME,
+    ),
+    ConfigurationKey(
+        "instances.<name>.draining",
+        _is_boolean,
+        _BOOLEAN,
+        "The entry instance is to be emptied.",
+        DOTTED_NAME,
+    ),
+)
+_MATCHERS = [
+    (re.compile(re.escape(key.pattern).replace(VARIABLE, key.name)), key)
+    for key in KEYS
+]
+
+
+def find_key(name: str) -> ConfigurationKey | None:
+    """Return the kind of the key `name`, or None for an unknown one.
+
+    Examples
+    --------
+    >>> find_key("teams.billing.cores").pattern
+    'teams.<name>.cores'
+    """
+    return next((key for matcher, key in _MATCHERS if matcher.fullmatch(name)), None)
+
+
+def check_change(name: str, value: Any) -> str | None:
+    """Return what is expected in place of a change, or None where it is sound.
+
+    Parameters
+    ----------
+    name : str
+        The whole key.
+    value : JSON value
+        The new value; None takes the key away and is always sound.
+    """
+    key = find_key(name)
+    if key is None:
+        return f"a known key: {', '.join(known.pattern for known in KEYS)}"
+    return None if value is None or key.accepts(value) else key.expected
+
+
+def flatten_changes(nested: Mapping[str, Any]) -> dict[str, Any]:
+    """Return changes by whole key from the nested tables of a TOML or JSON file.
+
+    Examples
+    --------
+    >>> flatten_changes({"workers": {"w1": {"fenced": True}}})
+    {'workers.w1.fenced': True}
+    """
+    return dict(_iter_changes("", nested))
+
+
+def _iter_changes(prefix: str, value: Any) -> Iterator[tuple[str, Any]]:
+    if not isinstance(value, Mapping):
+        yield prefix, value
+        return
+    for name, inner in value.items():
+        yield from _iter_changes(f"{prefix}.{name}" if prefix else name, inner)
+
+
+def name_quota(team: str, resource: str) -> str:
+    """Return the key of a team's quota of a resource.
+
+    Parameters
+    ----------
+    team : str
+        The team.
+    resource : str
+        A field of `plantainyard.work.Size`.
+    """
+    if resource not in Size._fields:
+        raise ValueError(f"{resource} is no field of Size")
+    return f"teams.{team}.{resource}"
+
+
+def name_worker_draining(worker: str) -> str:
+    """Return the key that drains a worker."""
+    return f"workers.{worker}.draining"
+
+
+def name_instance_draining(instance: str) -> str:
+    """Return the key that drains an entry instance."""
+    return f"instances.{instance}.draining"
--- /dev/null
+++ b/plantainyard/placement/eviction.py
@@ -0,0 +1,196 @@
+"""Acting on harm: limit first, then checkpoint and evict the cheapest loss.
+
+Paced by hysteresis: a step on a worker is followed by a pause in which its late effect
+can show, an eviction by a longer one, and the ratio at which a limit is lifted lies
+well below the one at which it is set.
+"""
+
+from plantainyard.placement.actions import Action, Checkpoint, Throttle
+from plantainyard.placement.filters import check_worker
+from plantainyard.placement.harm import predict_harm
+from plantainyard.placement.state import (
+    JobState,
+    Placement,
+    PlacementState,
+    WorkerState,
+)
+
+__all__ = ["act_on_harm", "compute_loss", "evict", "hold_worker", "make_room"]
+
+_LEAST_SHARE = 0.25
+_HOLD_S = 15.0
+
+
+def compute_loss(placement: Placement, now: float) -> float:
+    """Return what an eviction costs: cores times the time that a resume repeats."""
+    return (
+        placement.owner.job.size.cores
+        * (1.0 + placement.evictions)
+        * (10.0 + 0.1 * (now - placement.placed_at))
+    )
+
+
+def evict(placement: Placement, reason: str) -> Checkpoint:
+    """Mark a placement as ending and return the action."""
+    placement.ending = True
+    return Checkpoint(placement.key, placement.attempt, placement.worker, reason)
+
+
+def _list_evictable(worker: WorkerState) -> list[Placement]:
+    return [
+        placement
+        for placement in worker.placed.values()
+        if not placement.ending
+        and placement.started_at is not None
+        and not placement.owner.job.latency_critical
+        and not placement.owner.job.urgent
+    ]
+
+
+def _get_harm(
+    state: PlacementState, worker: WorkerState, placement: Placement
+) -> float:
+    victims = (
+        other.owner.workload
+        for other in worker.placed.values()
+        if other.owner.job.latency_critical
+    )
+    share = placement.cores / worker.info.capacity.cores
+    rates = (
+        predict_harm(state.harm, victim, placement.owner.workload) for victim in victims
+    )
+    return share * sum(rates)
+
+
+def act_on_harm(state: PlacementState, now: float) -> list[Action]:
+    """Return the steps against harm on all workers."""
+    if not state.rules.acts:
+        return []
+    actions: list[Action] = []
+    for worker in state.ring:
+        if worker.services and worker.pressure:
+            actions += _act_on_worker(state, worker, now)
+        elif not worker.services:
+            actions += _lift_limits(worker, now)
+    return actions
+
+
+def _act_on_worker(
+    state: PlacementState, worker: WorkerState, now: float
+) -> list[Action]:
+    settings = state.settings
+    patience = settings.patience_s if state.rules.hysteresis else 0.0
+    if now - worker.acted_at < patience:
+        return []
+    ratio = max(worker.pressure.values())
+    calm = settings.calm_ratio if state.rules.hysteresis else settings.throttle_ratio
+    if ratio > settings.throttle_ratio:
+        return _relieve(state, worker, now)
+    if ratio < calm:
+        return _lift_limits(worker, now)
+    return []
+
+
+def _relieve(state: PlacementState, worker: WorkerState, now: float) -> list[Action]:
+    ranked = sorted(
+        (
+            (_get_harm(state, worker, p) / compute_loss(p, now), p.key, p)
+            for p in _list_evictable(worker)
+        ),
+        key=lambda item: (-item[0], item[1]),
+    )
+    if not ranked:
+        return []
+    worker.acted_at = now
+    for _, key, placement in ranked:
+        if placement.share > _LEAST_SHARE:
+            placement.share = max(_LEAST_SHARE, placement.share / 2.0)
+            placement.limited_at = now
+            return [Throttle(key, placement.attempt, placement.worker, placement.share)]
+    pause = state.settings.evict_pause_s if state.rules.hysteresis else 0.0
+    if now - worker.evicted_at < pause:
+        return []
+    for _, _, placement in ranked:
+        many = placement.evictions >= state.settings.evictions_max
+        if not (many and state.rules.hysteresis):
+            worker.evicted_at = now
+            return [evict(placement, "harms a service")]
+    return []
+
+
+def _lift_limits(worker: WorkerState, now: float) -> list[Action]:
+    limited = [
+        placement
+        for placement in worker.placed.values()
+        if placement.share < 1.0 and not placement.ending
+    ]
+    if not limited:
+        return []
+    placement = min(limited, key=lambda p: (p.share, p.key))
+    placement.share = min(1.0, placement.share * 2.0)
+    worker.acted_at = now
+    return [
+        Throttle(placement.key, placement.attempt, placement.worker, placement.share)
+    ]
+
+
+def make_room(state: PlacementState, owner: JobState, now: float) -> list[Action]:
+    """Evict the cheapest batch tasks that let one urgent task in.
+
+    Notes
+    -----
+    The worker is held for the urgent job until the evicted tasks are gone, so that
+    other work can't slip into the room and cause a second round of evictions.
+    """
+    if owner.holds:
+        return []
+    choices = [
+        choice
+        for worker in state.ring
+        if (choice := _price_room(owner, worker, now)) is not None
+    ]
+    if not choices:
+        return []
+    _, _, worker, victims = min(choices, key=lambda choice: choice[:2])
+    hold_worker(owner, worker, now + _HOLD_S)
+    return [evict(victim, f"room for urgent {owner.job.id}") for victim in victims]
+
+
+def hold_worker(owner: JobState, worker: WorkerState, until: float) -> None:
+    """Keep a worker's room for one job until a given time."""
+    worker.reserved_for = owner.job.id
+    worker.reserved_until = until
+    owner.holds += 1
+
+
+def _price_room(
+    owner: JobState, worker: WorkerState, now: float
+) -> tuple[float, str, WorkerState, list[Placement]] | None:
+    blocked = (
+        worker.suspect
+        or worker.info.leaving
+        or worker.quarantined_until is not None
+        or worker.reserved_for
+        or check_worker(owner.job, worker.info) is not None
+    )
+    if blocked:
+        return None
+    capacity = worker.info.capacity
+    lacking = [worker.used[i] + owner.reserved[i] - capacity[i] for i in range(3)]
+    losses = sorted(
+        ((compute_loss(p, now), p.key, p) for p in _list_evictable(worker)),
+        key=lambda item: item[:2],
+    )
+    victims: list[Placement] = []
+    price = 0.0
+    for loss, _, placement in losses:
+        if max(lacking) <= 0:
+            break
+        size = placement.owner.reserved
+        if any(lack > 0 and size[i] > 0 for i, lack in enumerate(lacking)):
+            victims.append(placement)
+            price += loss
+            lacking = [lack - size[i] for i, lack in enumerate(lacking)]
+    if max(lacking) > 1e-6:
+        return None
+    return price, worker.info.id, worker, victims
--- /dev/null
+++ b/plantainyard/placement/explanation.py
@@ -0,0 +1,117 @@
+"""Why a task is where it is, or why it waits."""
+
+from typing import NamedTuple
+
+from plantainyard.placement.filters import check_now, check_possible
+from plantainyard.placement.order import list_order
+from plantainyard.placement.quotas import check_quota
+from plantainyard.placement.scores import compute_parts
+from plantainyard.placement.state import JobState, PlacementState, WorkerState
+from plantainyard.work import TaskKey
+
+__all__ = ["Explanation", "WorkerVerdict", "explain"]
+
+
+class WorkerVerdict(NamedTuple):
+    """How one worker looks to one task.
+
+    Attributes
+    ----------
+    worker : str
+        The worker.
+    failing : str
+        What keeps the task off it; empty where it could go there.
+    cost : float
+        Cost of going there now; less is better.
+    parts : dict
+        The parts of the cost by name.
+    """
+
+    worker: str
+    failing: str
+    cost: float
+    parts: dict[str, float]
+
+
+class Explanation(NamedTuple):
+    """Where a task stands.
+
+    Attributes
+    ----------
+    status : str
+        ``"placed"``, ``"waiting"``, ``"impossible"``, ``"given up"`` or ``"unknown"``.
+    worker : str
+        Where it is placed.
+    reason : str
+        Why it waits, which constraint no worker meets, or the last error.
+    place : int
+        Its job's place in the order from 1; 0 when it does not wait.
+    workers : tuple of WorkerVerdict
+        Every worker, the cheapest possible one first.
+    """
+
+    status: str
+    worker: str
+    reason: str
+    place: int
+    workers: tuple[WorkerVerdict, ...]
+
+
+def explain(state: PlacementState, task: TaskKey) -> Explanation:
+    """Return why `task` is where it is, and why not elsewhere.
+
+    Notes
+    -----
+    Costs a look at every worker; meant for operators' questions, not for decisions.
+    """
+    owner = state.jobs.get(task.job)
+    if owner is None:
+        return Explanation("unknown", "", "no such job here", 0, ())
+    verdicts = tuple(
+        sorted(
+            (_judge(state, owner, worker) for worker in state.ring),
+            key=lambda verdict: (bool(verdict.failing), verdict.cost, verdict.worker),
+        )
+    )
+    placement = owner.placed.get(task.number)
+    if placement is not None:
+        phase = "running" if placement.started_at is not None else "being started"
+        return Explanation("placed", placement.worker, phase, 0, verdicts)
+    if owner.given_up:
+        return Explanation("given up", "", owner.last_error, 0, verdicts)
+    if not owner.knows(task.number):
+        return Explanation(
+            "unknown", "", "neither waiting nor placed here", 0, verdicts
+        )
+    infos = [worker.info for worker in state.ring]
+    never = check_possible(owner.job, infos, state.shares.get(owner.job.team))
+    if never is not None:
+        return Explanation("impossible", "", never, 0, verdicts)
+    place = _find_place(state, owner)
+    reason = owner.reason or _find_reason(state, owner, verdicts)
+    return Explanation("waiting", "", reason, place, verdicts)
+
+
+def _judge(
+    state: PlacementState, owner: JobState, worker: WorkerState
+) -> WorkerVerdict:
+    parts = compute_parts(state, owner, worker, state.now)
+    failing = check_now(owner, worker) or ""
+    return WorkerVerdict(worker.info.id, failing, sum(parts), parts._asdict())
+
+
+def _find_place(state: PlacementState, owner: JobState) -> int:
+    order = list_order(state, state.now)
+    return next((i for i, other in enumerate(order, 1) if other is owner), 0)
+
+
+def _find_reason(
+    state: PlacementState, owner: JobState, verdicts: tuple[WorkerVerdict, ...]
+) -> str:
+    if not check_quota(state, owner):
+        return "team quota"
+    if owner.next_waiting(state.now) is None:
+        return "backing off"
+    if all(verdict.failing for verdict in verdicts):
+        return "no room"
+    return "its turn has not come"
--- /dev/null
+++ b/plantainyard/placement/filters.py
@@ -0,0 +1,168 @@
+"""Hard filters: where a task may run at all, and where it may run now."""
+
+from collections.abc import Iterable
+
+from plantainyard.placement.state import JobState, PlacementState, WorkerState
+from plantainyard.work import Job, Size, WorkerInfo
+
+__all__ = [
+    "check_now",
+    "check_possible",
+    "check_worker",
+    "count_fits",
+    "find_candidates",
+]
+
+_SLACK = 1e-6
+
+
+def check_worker(job: Job, worker: WorkerInfo) -> str | None:
+    """Return the constraint that keeps `job` off an empty `worker`, or None."""
+    limits = job.constraints
+    if limits.regions and worker.region not in limits.regions:
+        return "region"
+    if limits.domains and worker.domain not in limits.domains:
+        return "failure domain"
+    if limits.accelerator and worker.accelerator != limits.accelerator:
+        return "accelerator"
+    if job.size.accelerators > worker.capacity.accelerators:
+        return "accelerator count"
+    if job.size.cores > worker.capacity.cores + _SLACK:
+        return "cores"
+    if job.size.memory_gb > worker.capacity.memory_gb + _SLACK:
+        return "memory"
+    return None
+
+
+def check_possible(
+    job: Job, workers: Iterable[WorkerInfo], share: Size | None = None
+) -> str | None:
+    """Return the constraint of `job` that these workers can never meet, or None.
+
+    Parameters
+    ----------
+    job : Job
+        The job in question.
+    workers : iterable of WorkerInfo
+        All workers that there are, whatever runs on them now.
+    share : Size, optional
+        The team's quota; without one the team is not limited.
+
+    Returns
+    -------
+    str or None
+        The constraint that the most promising workers fail: of the filters in the order
+        region, failure domain, accelerator, accelerator count, cores, memory the last
+        one reached by any worker; ``"team quota"`` or ``"gang size"`` where one task
+        would fit.
+
+    Examples
+    --------
+    >>> job = Job("j", "j", "t", False, 1, Size(8, 4))
+    >>> small = WorkerInfo("w", "", "r", "d", "rack", Size(4, 16))
+    >>> check_possible(job, [small])
+    'cores'
+    """
+    known = list(workers)
+    fitting = [worker for worker in known if check_worker(job, worker) is None]
+    if not fitting:
+        ranks = {
+            name: rank
+            for rank, name in enumerate(
+                (
+                    "region",
+                    "failure domain",
+                    "accelerator",
+                    "accelerator count",
+                    "cores",
+                    "memory",
+                )
+            )
+        }
+        failing = {check_worker(job, worker) or "" for worker in known}
+        return max(failing, key=lambda name: ranks[name]) if failing else "no workers"
+    tasks = job.task_count if job.gang else 1
+    if share is not None and not _is_within(_scale(job.size, tasks), share):
+        return "team quota"
+    if sum(count_fits(job.size, worker.capacity) for worker in fitting) < tasks:
+        return "gang size"
+    return None
+
+
+def _scale(size: Size, count: int) -> Size:
+    return Size(size.cores * count, size.memory_gb * count, size.accelerators * count)
+
+
+def _is_within(need: Size, room: Size) -> bool:
+    return all(n <= r + _SLACK for n, r in zip(need, room, strict=True))
+
+
+def count_fits(size: Size, capacity: Size) -> int:
+    """Return how many tasks of `size` an empty worker holds."""
+    return int(
+        min(
+            (
+                (room + _SLACK) // need
+                for need, room in zip(size, capacity, strict=True)
+                if need > 0
+            ),
+            default=1_000_000,
+        )
+    )
+
+
+def check_now(owner: JobState, worker: WorkerState) -> str | None:
+    """Return why a task of the job can't start on `worker` now, or None.
+
+    Notes
+    -----
+    A job that is observed to need more than any declared size is still let onto an
+    empty worker, else it could run nowhere.
+    """
+    info = worker.info
+    if not worker.listed or info.leaving:
+        return "leaving"
+    if worker.suspect:
+        return "not answering"
+    if worker.quarantined_until is not None and not (
+        worker.probing and worker.probe is None
+    ):
+        return "quarantined"
+    if worker.reserved_for and worker.reserved_for != owner.job.id:
+        return "held for a job that waited long"
+    need = owner.reserved
+    used = worker.used
+    room = (
+        used[0] + need[0] <= info.capacity[0] + _SLACK
+        and used[1] + need[1] <= info.capacity[1] + _SLACK
+        and used[2] + need[2] <= info.capacity[2]
+    )
+    if not room and (worker.placed or check_worker(owner.job, info)):
+        return "no room"
+    return check_worker(owner.job, info)
+
+
+def find_candidates(state: PlacementState, owner: JobState) -> list[WorkerState]:
+    """Return workers on which a task of the job can start now.
+
+    Notes
+    -----
+    Goes round the workers from where the last search ended and stops at
+    ``candidates_max``, so that a decision costs no more on many workers than on few.
+    A search that found nothing is not repeated for the same shape until room is made.
+    """
+    shape = (owner.reserved, owner.job.size, owner.job.constraints)
+    if not owner.holds and state.full.get(shape) == state.room_version:
+        return []
+    found: list[WorkerState] = []
+    count = len(state.ring)
+    for offset in range(count):
+        worker = state.ring[(state.cursor + offset) % count]
+        if check_now(owner, worker) is None:
+            found.append(worker)
+            if len(found) == state.settings.candidates_max:
+                state.cursor = (state.cursor + offset + 1) % count
+                break
+    if not found and not owner.holds:
+        state.full[shape] = state.room_version
+    return found
--- /dev/null
+++ b/plantainyard/placement/policy.py
@@ -0,0 +1,273 @@
+"""The one entry point of placement: ``step(state, event, now) -> actions``.
+
+Everything here is deterministic: the same events with the same times give the same
+actions. There is no clock, input or output.
+
+Examples
+--------
+>>> from plantainyard.work import Job, Size, WorkerInfo
+>>> from plantainyard.placement.events import TasksWaiting, Tick, WorkersChanged
+>>> state = create_state()
+>>> worker = WorkerInfo("w1", "", "r", "d", "rack", Size(8, 32))
+>>> step(state, WorkersChanged((worker,)), 0.0)
+[]
+>>> job = Job("j1", "night", "team", False, 1, Size(2, 4), run_s=60)
+>>> step(state, TasksWaiting(job, 0, 1), 0.0)
+[]
+>>> [(a.task.number, a.worker) for a in step(state, Tick(), 0.0)]
+[(0, 'w1')]
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from plantainyard.placement.accounting import (
+    drop_idle_job,
+    find_placement,
+    get_job,
+    occupy,
+    rebuild_ring,
+    vacate,
+)
+from plantainyard.placement.actions import Action, Stop
+from plantainyard.placement.decision import decide
+from plantainyard.placement.events import (
+    Cancelled,
+    Event,
+    Outcome,
+    QuotasChanged,
+    TaskEnded,
+    TasksGone,
+    TaskStarted,
+    TasksWaiting,
+    Tick,
+    UsageReported,
+    WeightsChanged,
+    WorkerBack,
+    WorkersChanged,
+    WorkerSuspect,
+)
+from plantainyard.placement.harm import fade_harm
+from plantainyard.placement.observation import observe_run, observe_usage
+from plantainyard.placement.quarantine import (
+    compute_backoff,
+    judge_failure,
+    judge_success,
+)
+from plantainyard.placement.scores import compute_cost
+from plantainyard.placement.settings import PlacementSettings, Weights
+from plantainyard.placement.state import (
+    Placement,
+    PlacementState,
+    Rules,
+    Waiting,
+    WorkerState,
+)
+from plantainyard.work import Size, WorkerInfo
+
+__all__ = ["create_state", "step"]
+
+
+def create_state(
+    settings: PlacementSettings = PlacementSettings(),  # noqa: B008
+    weights: Weights = Weights(),  # noqa: B008
+    rules: Rules | None = None,
+) -> PlacementState:
+    """Return an empty state; feed it `WorkersChanged` first."""
+    return PlacementState(settings, weights, rules or Rules(compute_cost))
+
+
+def step(state: PlacementState, event: Event, now: float) -> list[Action]:
+    """Take in one event and return what is to be done.
+
+    Parameters
+    ----------
+    state : PlacementState
+        Updated in place.
+    event : Event
+        What was learnt. Decisions about waiting tasks are made on `Tick` only, so
+        events that arrive together are decided together.
+    now : float
+        The caller's clock, in seconds; never less than in the call before.
+
+    Returns
+    -------
+    list of Action
+        To be carried out in this order.
+
+    Notes
+    -----
+    A task occupies its worker from the `Place` action until its `TaskEnded`, also
+    while its assignment is in flight, so no worker is ever given more than it holds.
+    """
+    state.now = now
+    return _HANDLERS[type(event)](state, event, now)
+
+
+def _change_workers(
+    state: PlacementState, event: WorkersChanged, now: float
+) -> list[Action]:
+    listed = {info.id: info for info in event.workers}
+    for worker_id, info in listed.items():
+        worker = state.workers.get(worker_id)
+        if worker is None:
+            state.workers[worker_id] = WorkerState(info, now)
+        else:
+            worker.info = info
+            worker.listed = True
+    for worker_id in [w for w in state.workers if w not in listed]:
+        worker = state.workers[worker_id]
+        worker.listed = False
+        if not worker.placed:
+            del state.workers[worker_id]
+    rebuild_ring(state)
+    return []
+
+
+def _add_waiting(
+    state: PlacementState, event: TasksWaiting, now: float
+) -> list[Action]:
+    owner = get_job(state, event.job)
+    if owner.cancelled:
+        return []
+    owner.add_range(event.first, event.stop, event.attempt, event.since, event.failures)
+    return []
+
+
+def _remove_waiting(
+    state: PlacementState, event: TasksGone, now: float
+) -> list[Action]:
+    owner = state.jobs.get(event.job)
+    if owner is not None:
+        owner.remove_range(event.first, event.stop)
+        drop_idle_job(state, owner)
+    return []
+
+
+def _start_task(state: PlacementState, event: TaskStarted, now: float) -> list[Action]:
+    owner = get_job(state, event.job)
+    placement = owner.placed.get(event.number)
+    if placement is None:
+        placement = _adopt(state, event)
+    if placement is not None and placement.attempt == event.attempt:
+        placement.started_at = now
+    return []
+
+
+def _adopt(state: PlacementState, event: TaskStarted) -> Placement | None:
+    owner = state.jobs[event.job.id]
+    owner.remove_range(event.number, event.number + 1)
+    worker = state.workers.get(event.worker)
+    if worker is None:
+        info = WorkerInfo(event.worker, "", "", "", "", Size(0.0, 0.0))
+        worker = state.workers[event.worker] = WorkerState(info, state.now)
+        worker.listed = False
+    task = Waiting(event.number, event.attempt, state.now)
+    return occupy(state, owner, task, worker)
+
+
+def _end_task(state: PlacementState, event: TaskEnded, now: float) -> list[Action]:
+    placement = find_placement(state, event.task)
+    if placement is None or placement.attempt != event.attempt:
+        return []
+    owner = placement.owner
+    worker = state.workers.get(placement.worker)
+    if event.outcome == Outcome.DONE and worker is not None:
+        observe_run(state, placement, worker, now)
+    probe = worker is not None and worker.probe == placement.key
+    vacate(state, placement)
+    actions: list[Action] = []
+    if event.outcome == Outcome.DONE:
+        actions = judge_success(state, owner, worker, probe)
+    elif event.outcome == Outcome.FAILED:
+        actions = judge_failure(state, owner, worker, event.detail, now, probe)
+    if event.outcome not in (Outcome.DONE, Outcome.CANCELLED) and not owner.cancelled:
+        _wait_again(state, placement, event.outcome, now)
+    drop_idle_job(state, owner)
+    return actions
+
+
+def _wait_again(
+    state: PlacementState, placement: Placement, outcome: str, now: float
+) -> None:
+    failed = outcome == Outcome.FAILED
+    task = Waiting(
+        placement.number,
+        placement.attempt + (outcome != Outcome.UNPLACED),
+        placement.since if outcome == Outcome.UNPLACED else now,
+        placement.failures + failed,
+        placement.evictions + (outcome == Outcome.EVICTED),
+    )
+    pause = compute_backoff(state, task.failures - 1) if failed else 0.0
+    placement.owner.add_again(task, now + pause)
+
+
+def _observe(state: PlacementState, event: UsageReported, now: float) -> list[Action]:
+    observe_usage(state, event)
+    return []
+
+
+def _suspect(state: PlacementState, event: WorkerSuspect, now: float) -> list[Action]:
+    worker = state.workers.get(event.worker)
+    if worker is not None:
+        worker.suspect = True
+    return []
+
+
+def _return_worker(
+    state: PlacementState, event: WorkerBack, now: float
+) -> list[Action]:
+    worker = state.workers.get(event.worker)
+    if worker is not None and worker.suspect:
+        worker.suspect = False
+        state.room_version += 1
+    return []
+
+
+def _change_quotas(
+    state: PlacementState, event: QuotasChanged, now: float
+) -> list[Action]:
+    state.shares = dict(event.shares)
+    return []
+
+
+def _change_weights(
+    state: PlacementState, event: WeightsChanged, now: float
+) -> list[Action]:
+    state.weights = event.weights
+    return []
+
+
+def _cancel(state: PlacementState, event: Cancelled, now: float) -> list[Action]:
+    owners = [state.jobs[job] for job in event.jobs if job in state.jobs]
+    stops: list[Action] = []
+    for owner in owners:
+        owner.cancelled = True
+        owner.clear_waiting()
+        for placement in owner.placed.values():
+            placement.ending = True
+            stops.append(Stop(placement.key, placement.attempt, placement.worker))
+        owner.given_up = False
+        drop_idle_job(state, owner)
+    return stops
+
+
+def _tick(state: PlacementState, event: Tick, now: float) -> list[Action]:
+    fade_harm(state.harm, now)
+    return decide(state, now)
+
+
+_HANDLERS: dict[type, Callable[[PlacementState, Any, float], list[Action]]] = {
+    WorkersChanged: _change_workers,
+    TasksWaiting: _add_waiting,
+    TasksGone: _remove_waiting,
+    TaskStarted: _start_task,
+    TaskEnded: _end_task,
+    UsageReported: _observe,
+    WorkerSuspect: _suspect,
+    WorkerBack: _return_worker,
+    QuotasChanged: _change_quotas,
+    WeightsChanged: _change_weights,
+    Cancelled: _cancel,
+    Tick: _tick,
+}
--- /dev/null
+++ b/plantainyard/placement/quarantine.py
@@ -0,0 +1,169 @@
+"""Telling a bad worker from a bad job.
+
+A worker on which several different jobs fail in a row is bad; a job that fails on
+several otherwise sound workers is bad. A failure counts against both until one of the
+two is cleared by a success.
+"""
+
+from plantainyard.placement.actions import (
+    Action,
+    GiveUp,
+    Probe,
+    Quarantine,
+    Release,
+)
+from plantainyard.placement.state import JobState, PlacementState, WorkerState
+
+__all__ = ["compute_backoff", "judge_failure", "judge_success", "open_probes"]
+
+_MEMORY_S = 900.0
+
+
+def compute_backoff(state: PlacementState, failures: int) -> float:
+    """Return the wait of a task after so many failures, in seconds."""
+    settings = state.settings
+    return min(settings.backoff_max_s, settings.backoff_s * 2.0 ** min(failures, 20))
+
+
+def judge_success(
+    state: PlacementState,
+    owner: JobState,
+    worker: WorkerState | None,
+    probe: bool = False,
+) -> list[Action]:
+    """Clear the job and the worker: they work.
+
+    A quarantined worker is released only by its probe; what it began before, and still
+    ends well, says nothing about what it starts now.
+    """
+    owner.successes += 1
+    owner.failed_on.clear()
+    if worker is None:
+        return []
+    worker.failed_jobs.clear()
+    if worker.quarantined_until is None or not probe:
+        return []
+    return [_release(state, worker)]
+
+
+def _release(state: PlacementState, worker: WorkerState) -> Release:
+    worker.quarantined_until = None
+    worker.probing = False
+    worker.probe = None
+    worker.quarantines = 0
+    state.room_version += 1
+    return Release(worker.info.id)
+
+
+def judge_failure(
+    state: PlacementState,
+    owner: JobState,
+    worker: WorkerState | None,
+    detail: str,
+    now: float,
+    probe: bool = False,
+) -> list[Action]:
+    """Blame the worker, the job or, so far, both for a failed attempt.
+
+    Notes
+    -----
+    A bad worker would burn the attempts of every job that it gets, and a bad job would
+    put every worker under suspicion. Only failures on workers that are not themselves
+    blamed count towards giving a job up; only failures of jobs that are
+    not themselves blamed count towards a quarantine.
+    """
+    owner.failures += 1
+    owner.last_error = detail or owner.last_error
+    if worker is None:
+        return []
+    if not state.rules.judges_workers:
+        owner.failed_on[worker.info.id] = now
+        return _give_up(state, owner)
+    if worker.quarantined_until is not None:
+        if not probe:
+            return []
+        return [_quarantine(state, worker, now, f"probe failed: {detail}")]
+    for job_id, when in list(worker.failed_jobs.items()):
+        if now - when > _MEMORY_S:
+            del worker.failed_jobs[job_id]
+    owner.failed_on[worker.info.id] = now
+    if not _is_bad_job(state, owner):
+        worker.failed_jobs[owner.job.id] = now
+    if len(worker.failed_jobs) >= state.settings.quarantine_jobs:
+        actions: list[Action] = [
+            _quarantine(state, worker, now, f"fails everything: {detail}")
+        ]
+        _acquit_jobs(state, worker)
+        return actions
+    return _give_up(state, owner)
+
+
+def _is_bad_job(state: PlacementState, owner: JobState) -> bool:
+    return len(owner.failed_on) >= 2 and not any(
+        len(worker.failed_jobs) > 1
+        for worker in map(state.workers.get, owner.failed_on)
+        if worker is not None
+    )
+
+
+def _acquit_jobs(state: PlacementState, worker: WorkerState) -> None:
+    for job_id in worker.failed_jobs:
+        owner = state.jobs.get(job_id)
+        if owner is not None:
+            owner.failed_on.pop(worker.info.id, None)
+    worker.failed_jobs.clear()
+
+
+def _give_up(state: PlacementState, owner: JobState) -> list[Action]:
+    sound = [
+        worker_id
+        for worker_id in owner.failed_on
+        if worker_id in state.workers
+        and state.workers[worker_id].quarantined_until is None
+    ]
+    enough = min(state.settings.give_up_workers, max(1, len(state.ring)))
+    tries = owner.failures >= state.settings.give_up_workers
+    if owner.given_up or len(sound) < enough or not tries:
+        return []
+    owner.given_up = True
+    return [GiveUp(owner.job.id, owner.last_error)]
+
+
+def _quarantine(
+    state: PlacementState, worker: WorkerState, now: float, reason: str
+) -> Quarantine:
+    settings = state.settings
+    wait = min(settings.quarantine_max_s, settings.quarantine_s * 2**worker.quarantines)
+    worker.quarantines += 1
+    worker.quarantined_until = now + wait
+    worker.probing = False
+    return Quarantine(worker.info.id, reason)
+
+
+def open_probes(state: PlacementState, now: float) -> list[Action]:
+    """Open workers whose quarantine has passed to one probing task.
+
+    A probe that still runs after ``quarantine_s`` has passed too, since a service's
+    task never ends by itself.
+    """
+    ready = [
+        worker
+        for worker in state.ring
+        if worker.quarantined_until is not None
+        and not worker.probing
+        and now >= worker.quarantined_until
+        and not worker.suspect
+    ]
+    for worker in ready:
+        worker.probing = True
+        state.room_version += 1
+    passed = [worker for worker in state.ring if _has_passed(state, worker, now)]
+    probes: list[Action] = [Probe(worker.info.id) for worker in ready]
+    return probes + [_release(state, worker) for worker in passed]
+
+
+def _has_passed(state: PlacementState, worker: WorkerState, now: float) -> bool:
+    probe = worker.placed.get(worker.probe) if worker.probe else None
+    if probe is None or probe.started_at is None:
+        return False
+    return now - probe.started_at > state.settings.quarantine_s
--- a/plantainyard/settings/tests/test_load.py
+++ b/plantainyard/settings/tests/test_load.py
@@ -9,6 +9,8 @@
 from plantainyard.settings import RULES, Secret, load_settings, parse_settings
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
+CONFIGURATION = "configuration.toml"
+SETTINGS = sorted(p for p in EXAMPLES.glob("*/*.toml") if p.name != CONFIGURATION)
 MINIMAL = """\
 [instance]
 id = "a-1"
@@ -30,7 +32,7 @@
     return parse_settings(text, "x.toml").unwrap_err()
 
 
-@pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*/*.toml")), ids=str)
+@pytest.mark.parametrize("path", SETTINGS, ids=lambda path: path.stem)
 def test_examples_are_sound(path, tmp_path):
     token_file = tmp_path / "token"
     token_file.write_text("0123456789abcdef\n")
--- /dev/null
+++ b/standins/callers.py
@@ -0,0 +1,212 @@
+"""What callers and operators do, for tests and the demo."""
+
+import json
+import random
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any, NamedTuple
+
+from result import Err, Ok, Result
+
+from plantainyard.clients.http import (
+    HttpPeer,
+    build_peer,
+    build_pool,
+    call_json,
+    send_request,
+)
+from plantainyard.clock import read_clock
+from plantainyard.errors import CallError, ErrorKind
+from plantainyard.protocol import (
+    DEADLINE_HEADER,
+    IDEMPOTENT_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    TEAM_HEADER,
+)
+
+__all__ = [
+    "CallerAnswer",
+    "Load",
+    "build_request_id",
+    "call_operator",
+    "run_load",
+    "send_caller_request",
+    "wait_until",
+]
+
+POLL_S = 0.1
+SLACK_S = 2.0
+UUID_VERSION = 7 << 76
+UUID_VARIANT = 2 << 62
+
+
+class CallerAnswer(NamedTuple):
+    """What a caller got; `error` is the transport's where no answer came."""
+
+    request_id: str
+    outcome: str
+    status: int = 0
+    body: bytes = b""
+    latency_ms: float = 0.0
+    error: CallError | None = None
+
+
+def build_request_id(rng: random.Random, domain: str = "") -> str:
+    """Return a UUIDv7 of now, with its home domain in front where one is given."""
+    value = int(time.time() * 1000) << 80 | rng.getrandbits(74)
+    value = value & ~(0xF << 76) & ~(3 << 62) | UUID_VERSION | UUID_VARIANT
+    text = f"{value:032x}"
+    parts = (text[:8], text[8:12], text[12:16], text[16:20], text[20:])
+    return f"{domain}.{'-'.join(parts)}" if domain else "-".join(parts)
+
+
+def send_caller_request(
+    peer: HttpPeer,
+    service: str,
+    body: bytes,
+    request_id: str,
+    deadline_ms: int = 2000,
+    idempotent: bool = False,
+    team: str = "",
+) -> CallerAnswer:
+    """Send one request to an entry instance, as a caller would."""
+    headers = {
+        REQUEST_ID_HEADER: request_id,
+        DEADLINE_HEADER: str(deadline_ms),
+        IDEMPOTENT_HEADER: "true" if idempotent else "false",
+        **({TEAM_HEADER: team} if team else {}),
+    }
+    begun = read_clock()
+    result = send_request(
+        peer,
+        "caller.request",
+        "POST",
+        f"/v1/services/{service}/requests",
+        body,
+        headers,
+        timeout_s=deadline_ms / 1000 + SLACK_S,
+    )
+    latency_ms = (read_clock() - begun) * 1000
+    if isinstance(result, Err):
+        error = result.err_value
+        sure = error.kind == ErrorKind.UNREACHABLE
+        outcome = "refused" if sure else "unknown"
+        return CallerAnswer(request_id, outcome, latency_ms=latency_ms, error=error)
+    answer = result.ok_value
+    outcome = answer.headers.get(OUTCOME_HEADER, "")
+    return CallerAnswer(request_id, outcome, answer.status, answer.body, latency_ms)
+
+
+def call_operator(
+    addresses: Sequence[str], token: str, method: str, body: Mapping[str, Any]
+) -> Result[dict[str, Any], CallError]:
+    """Call the operators' `method` at the first of `addresses` that answers.
+
+    A call that may have been carried out is repeated with the same request id at
+    the next address, as the schema allows.
+    """
+    path = f"/plantainyard.v1.Operators/{method}"
+    headers = {"Authorization": f"Bearer {token}"}
+    error = CallError(ErrorKind.UNREACHABLE, method, "", "no address")
+    for address in addresses:
+        peer = build_peer(address, timeout_s=20.0)
+        answer = call_json(peer, method, "POST", path, body, headers)
+        if isinstance(answer, Ok):
+            return Ok(answer.ok_value.body)
+        error = answer.err_value
+        if "infeasible" in error.detail or "malformed" in error.detail:
+            break
+    return Err(error)
+
+
+def wait_until(condition: Callable[[], Any], what: str, limit_s: float = 30.0) -> Any:
+    """Return the first true value of `condition`.
+
+    Raises
+    ------
+    TimeoutError
+        If there is none within `limit_s`.
+    """
+    deadline = read_clock() + limit_s
+    while not (value := condition()):
+        if read_clock() > deadline:
+            raise TimeoutError(f"waited {limit_s:g} s for: {what}")
+        time.sleep(POLL_S)
+    return value
+
+
+@dataclass
+class Load:
+    """Callers' requests in flight and the answers they got."""
+
+    answers: list[CallerAnswer] = field(default_factory=list)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def count_outcomes(self) -> Counter[str]:
+        """Return the number of answers by outcome."""
+        with self.lock:
+            return Counter(answer.outcome for answer in self.answers)
+
+
+@contextmanager
+def run_load(
+    list_addresses: Callable[[], Sequence[str]],
+    service: str,
+    callers: int = 4,
+    pause_s: float = 0.05,
+    work_ms: float = 20.0,
+    seed: int = 0,
+) -> Iterator[Load]:
+    """Send non-idempotent requests from several callers for the length of the context.
+
+    Parameters
+    ----------
+    list_addresses : callable
+        Returns the entry instances that the balancer would choose from now.
+    service : str
+        The service called.
+    callers : int
+        Callers, each with one request in progress at a time.
+    pause_s : float
+        Pause of a caller between two requests.
+    work_ms : float
+        Time that a runner takes for a request.
+    seed : int
+        Seeds request ids and choices.
+    """
+    load = Load()
+    stopping = threading.Event()
+    pool = build_pool(connections_per_peer=callers)
+
+    def call(number: int) -> None:
+        rng = random.Random(f"{seed}/{number}")
+        for turn in count():
+            if stopping.wait(pause_s):
+                return
+            addresses = list_addresses()
+            if not addresses:
+                continue
+            peer = build_peer(rng.choice(addresses), pool)
+            body = {"caller": number, "turn": turn, "work_ms": work_ms}
+            sent = json.dumps(body).encode()
+            answer = send_caller_request(peer, service, sent, build_request_id(rng))
+            if answer.outcome == "done" and answer.body != sent:
+                answer = answer._replace(outcome="wrong")
+            with load.lock:
+                load.answers.append(answer)
+
+    threads = [threading.Thread(target=call, args=(n,)) for n in range(callers)]
+    for thread in threads:
+        thread.start()
+    try:
+        yield load
+    finally:
+        stopping.set()
+        for thread in threads:
+            thread.join()
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,380 @@
+"""A whole site on loopback: platform, links between domains and entry instances.
+
+Every instance reaches what lies in another failure domain, and the platform's log
+and list, through a link of its own that can be cut.
+"""
+
+import json
+import tempfile
+from collections.abc import Iterator, Mapping, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, field
+from functools import partial
+from itertools import count
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import urllib3
+
+from plantainyard.work import WorkerInfo
+from standins.callers import wait_until
+from standins.deployments import Deployment, DomainPlan, find_delay, list_workers
+from standins.evidence import Verdict, judge_evidence
+from standins.processes import ChildProcess, start_daemon, start_standin
+
+__all__ = [
+    "Entry",
+    "Pace",
+    "Site",
+    "add_entry",
+    "cut_links",
+    "describe_site",
+    "judge_site",
+    "kill_entry",
+    "list_addresses",
+    "list_controls",
+    "post_json",
+    "read_json",
+    "retire_entry",
+    "start_site",
+    "wait_ready",
+]
+
+PLATFORM = "platform"
+START_THREADS = 4
+TOKEN = "token-of-a-site-on-loopback"
+READY_LIMIT_S = 60.0
+
+
+class Pace(NamedTuple):
+    """Times of a site, shorter than in production so that failures show soon."""
+
+    lease_s: float = 4.0
+    credit_s: float = 2.0
+    request_max_s: float = 4.0
+    tick_s: float = 0.1
+    heartbeat_s: float = 0.5
+    silence_s: float = 2.0
+    instances_s: float = 0.5
+    worker_s: float = 0.5
+    stop_s: float = 20.0
+
+
+class Entry(NamedTuple):
+    """A running entry instance and what ends it."""
+
+    id: str
+    domain: str
+    address: str
+    control_address: str
+    child: ChildProcess
+    stack: ExitStack
+
+
+@dataclass
+class Site:
+    """All processes of a site."""
+
+    deployment: Deployment
+    pace: Pace
+    directory: Path
+    stack: ExitStack
+    log: str = ""
+    instances: str = ""
+    links: str = ""
+    domains: dict[str, str] = field(default_factory=dict)
+    platform: dict[str, tuple[str, str]] = field(default_factory=dict)
+    entries: dict[str, Entry] = field(default_factory=dict)
+    numbers: dict[str, Iterator[int]] = field(default_factory=dict)
+    token: str = TOKEN
+
+
+def post_json(address: str, path: str, body: Mapping[str, Any]) -> dict[str, Any]:
+    """Post `body` to a stand-in and return its answer.
+
+    Raises
+    ------
+    RuntimeError
+        If the stand-in does not answer 200.
+    """
+    answer = urllib3.request("POST", address + path, json=body, retries=False)
+    if answer.status != 200:
+        raise RuntimeError(f"{path}: {answer.status} {answer.data[:200]!r}")
+    return dict(answer.json())
+
+
+def read_json(address: str, path: str, token: str = "") -> dict[str, Any]:
+    """Return the JSON object at `path`, whatever the status."""
+    headers = {"Authorization": f"Bearer {token}"} if token else {}
+    answer = urllib3.request("GET", address + path, headers=headers, retries=False)
+    return dict(answer.json())
+
+
+@contextmanager
+def start_site(deployment: Deployment, pace: Pace = Pace()) -> Iterator[Site]:  # noqa: B008
+    """Start a whole site and end all of its processes on exit.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to start.
+    pace : Pace
+        The times in the instances' settings.
+    """
+    with ExitStack() as stack:
+        directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        site = Site(deployment, pace, directory, stack)
+        _start_platform(site)
+        _register_workers(site)
+        domains = [d for d in deployment.domains for _ in range(d.entries)]
+        stack.callback(_kill_entries, site)
+        add_entries(site, domains)
+        yield site
+
+
+def add_entries(site: Site, domains: Sequence[DomainPlan]) -> list[Entry]:
+    """Start an entry instance in each of `domains` and put it on the list."""
+    names = [_name_entry(site, plan.name) for plan in domains]
+    with ThreadPoolExecutor(START_THREADS) as pool:
+        entries = list(pool.map(partial(_start_entry, site), names, domains))
+    site.entries.update({entry.id: entry for entry in entries})
+    _register_entries(site, entries)
+    return entries
+
+
+def add_entry(site: Site, domain: str) -> Entry:
+    """Start one more entry instance in `domain` and put it on the list."""
+    (plan,) = [d for d in site.deployment.domains if d.name == domain]
+    return add_entries(site, [plan])[0]
+
+
+def kill_entry(site: Site, name: str) -> None:
+    """Kill an entry instance without warning; the list shows it as gone."""
+    entry = site.entries.pop(name)
+    entry.child.process.kill()
+    entry.stack.close()
+    post_json(site.instances, "/faults", {"states": {name: "gone"}})
+
+
+def retire_entry(site: Site, name: str) -> int:
+    """Stop an entry instance as planned and return its exit status.
+
+    The balancer stops choosing it first: it leaves the addresses of the site at once,
+    and the list shows it as leaving, then as gone.
+    """
+    entry = site.entries.pop(name)
+    post_json(site.instances, "/faults", {"states": {name: "leaving"}})
+    entry.child.process.terminate()
+    status = entry.child.process.wait(site.pace.stop_s * 2)
+    entry.stack.close()
+    post_json(site.instances, "/faults", {"states": {name: "gone"}})
+    return status
+
+
+def cut_links(site: Site, domain: str, healed: bool = False) -> None:
+    """Cut `domain` off from all others and from the platform, or heal it."""
+    post_json(site.links, "/faults", {"heal" if healed else "cut": [[domain]]})
+
+
+def list_addresses(site: Site, domain: str = "") -> list[str]:
+    """Return the callers' addresses of the entry instances, of one domain or all."""
+    entries = list(site.entries.values())
+    return [e.address for e in entries if not domain or e.domain == domain]
+
+
+def list_controls(site: Site, domain: str = "") -> list[str]:
+    """Return the control addresses of the entry instances, of one domain or all."""
+    entries = list(site.entries.values())
+    return [e.control_address for e in entries if not domain or e.domain == domain]
+
+
+def wait_ready(site: Site, limit_s: float = READY_LIMIT_S) -> None:
+    """Wait until each entry instance says that it is ready.
+
+    Raises
+    ------
+    TimeoutError
+        If one is not within `limit_s`; the message has its reasons.
+    """
+    for entry in list(site.entries.values()):
+        try:
+            wait_until(partial(_is_ready, entry), f"{entry.id} ready", limit_s)
+        except TimeoutError as error:
+            reasons = read_json(entry.control_address, "/readyz")
+            raise TimeoutError(f"{error}; {reasons}") from None
+
+
+def judge_site(site: Site) -> Verdict:
+    """Return what the workers and runners of the site saw go wrong."""
+    return judge_evidence(describe_site(site))
+
+
+def describe_site(site: Site) -> list[dict[str, Any]]:
+    """Return the counts of the workers of each failure domain."""
+    return [read_json(address, "/counts") for address in site.domains.values()]
+
+
+def _kill_entries(site: Site) -> None:
+    # Nothing is left to be kept, and a graceful shutdown of each would take long.
+    for entry in site.entries.values():
+        entry.child.process.kill()
+
+
+def _is_ready(entry: Entry) -> bool:
+    url = f"{entry.control_address}/readyz"
+    try:
+        return urllib3.request("GET", url, retries=False).status == 200
+    except urllib3.exceptions.HTTPError:
+        return False
+
+
+def _start_platform(site: Site) -> None:
+    plan = site.deployment
+    by_domain = {
+        d.name: [
+            {"id": w.id, "capacity": w.capacity._asdict()}
+            for w in list_workers(plan)
+            if w.domain == d.name
+        ]
+        for d in plan.domains
+    }
+    names = ["log", "instances", "link"] + ["workers"] * len(by_domain)
+    lists = [json.dumps(workers) for workers in by_domain.values()]
+    arguments = [[], [], [], *([f"--workers={text}"] for text in lists)]
+    with ThreadPoolExecutor(START_THREADS) as pool:
+        started = list(pool.map(partial(_start_child, site), names, arguments))
+    site.log, site.instances, site.links, *workers = [
+        child.ready["address"] for child in started
+    ]
+    site.domains = dict(zip(by_domain, workers, strict=True))
+    site.platform = {d.name: _link_platform(site, d.name) for d in plan.domains}
+
+
+def _start_child(site: Site, name: str, arguments: list[str]) -> ChildProcess:
+    log = site.directory / f"{name}.log"
+    return site.stack.enter_context(start_standin(name, arguments, log))
+
+
+def _link_platform(site: Site, domain: str) -> tuple[str, str]:
+    delay_ms = find_delay(site.deployment, domain, site.deployment.store_domain)
+    ends = [domain, PLATFORM]
+    targets = [site.log, f"{site.instances}/views/{domain}"]
+    log, instances = _open_links(site, ends, delay_ms, targets)
+    return log, instances
+
+
+def _open_links(
+    site: Site, ends: list[str], delay_ms: float, targets: Sequence[str]
+) -> list[str]:
+    items = [{"ends": ends, "delay_ms": delay_ms, "target": t} for t in targets]
+    return list(post_json(site.links, "/links", {"links": items})["addresses"])
+
+
+def _register_workers(site: Site) -> None:
+    workers = [
+        _format_worker(site.domains[w.domain], w) for w in list_workers(site.deployment)
+    ]
+    post_json(site.instances, "/instances", {"instances": workers})
+
+
+def _format_worker(address: str, worker: WorkerInfo) -> dict[str, Any]:
+    return {
+        **worker._asdict(),
+        "kind": "worker",
+        "address": f"{address}/workers/{worker.id}",
+        "capacity": worker.capacity._asdict(),
+        "state": "live",
+    }
+
+
+def _name_entry(site: Site, domain: str) -> str:
+    numbers = site.numbers.setdefault(domain, count(1))
+    return f"{domain}-{next(numbers)}"
+
+
+def _start_entry(site: Site, name: str, plan: DomainPlan) -> Entry:
+    settings = site.directory / f"{name}.toml"
+    settings.write_text(_format_settings(site, name, plan))
+    stack = site.stack.enter_context(ExitStack())
+    child = stack.enter_context(start_daemon(settings, site.directory / f"{name}.log"))
+    return Entry(
+        name,
+        plan.name,
+        _format_url(child.ready["address"]),
+        _format_url(child.ready["control_address"]),
+        child,
+        stack,
+    )
+
+
+def _format_url(address: str) -> str:
+    return address if "://" in address else f"http://{address}"
+
+
+def _format_settings(site: Site, name: str, plan: DomainPlan) -> str:
+    log, instances = site.platform[plan.name]
+    pace = site.pace
+    return f"""
+[instance]
+id = "{name}"
+region = "{plan.region}"
+domain = "{plan.name}"
+address = "127.0.0.1:0"
+control_address = "127.0.0.1:0"
+
+[platform]
+log = "{log}"
+instances = "{instances}"
+worker_lease_s = {pace.lease_s}
+trust_gone = true
+
+[requests]
+default_deadline_ms = 2000
+request_max_s = {pace.request_max_s}
+credit_s = {pace.credit_s}
+
+[intervals]
+tick_s = {pace.tick_s}
+heartbeat_s = {pace.heartbeat_s}
+silence_s = {pace.silence_s}
+instances_s = {pace.instances_s}
+worker_s = {pace.worker_s}
+stop_s = {pace.stop_s}
+
+[security]
+token = "{site.token}"
+"""
+
+
+def _register_entries(site: Site, entries: Sequence[Entry]) -> None:
+    regions = {d.name: d.region for d in site.deployment.domains}
+    for entry in entries:
+        _link_entry(site, entry)
+    listed = [
+        {
+            "id": entry.id,
+            "kind": "entry",
+            "region": regions[entry.domain],
+            "domain": entry.domain,
+            "address": entry.address,
+            "control_address": entry.control_address,
+            "state": "live",
+        }
+        for entry in entries
+    ]
+    post_json(site.instances, "/instances", {"instances": listed})
+
+
+def _link_entry(site: Site, entry: Entry) -> None:
+    others = [d.name for d in site.deployment.domains if d.name != entry.domain]
+    for other in others:
+        delay_ms = find_delay(site.deployment, entry.domain, other)
+        address, control_address = _open_links(
+            site,
+            [entry.domain, other],
+            delay_ms,
+            [entry.address, entry.control_address],
+        )
+        seen = {"address": address, "control_address": control_address}
+        post_json(site.instances, "/views", {other: {entry.id: seen}})
