--- a/standins/callers.py
+++ b/standins/callers.py
@@ -35,8 +35,10 @@
     "Load",
     "build_request_id",
     "call_operator",
+    "count_outcomes",
     "run_load",
     "send_caller_request",
+    "wait_done",
     "wait_until",
 ]
 
@@ -143,15 +145,29 @@
 
 @dataclass
 class Load:
-    """Callers' requests in flight and the answers they got."""
+    """The answers that callers got so far."""
 
     answers: list[CallerAnswer] = field(default_factory=list)
-    lock: threading.Lock = field(default_factory=threading.Lock)
 
-    def count_outcomes(self) -> Counter[str]:
-        """Return the number of answers by outcome."""
-        with self.lock:
-            return Counter(answer.outcome for answer in self.answers)
+
+def count_outcomes(load: Load) -> Counter[str]:
+    """Return the number of answers by outcome."""
+    return Counter(answer.outcome for answer in list(load.answers))
+
+
+def wait_done(load: Load, more: int, limit_s: float = 30.0) -> None:
+    """Wait until `more` further requests are done.
+
+    Raises
+    ------
+    TimeoutError
+        If they are not within `limit_s`; the message has all outcomes.
+    """
+    wanted = count_outcomes(load)["done"] + more
+    try:
+        wait_until(lambda: count_outcomes(load)["done"] >= wanted, "answers", limit_s)
+    except TimeoutError as error:
+        raise TimeoutError(f"{error}; {dict(count_outcomes(load))}") from None
 
 
 @contextmanager
@@ -161,6 +177,7 @@
     callers: int = 4,
     pause_s: float = 0.05,
     work_ms: float = 20.0,
+    home: str = "",
     seed: int = 0,
 ) -> Iterator[Load]:
     """Send non-idempotent requests from several callers for the length of the context.
@@ -177,6 +194,8 @@
         Pause of a caller between two requests.
     work_ms : float
         Time that a runner takes for a request.
+    home : str
+        Home domain of the request ids; empty for none in particular.
     seed : int
         Seeds request ids and choices.
     """
@@ -195,11 +214,11 @@
             peer = build_peer(rng.choice(addresses), pool)
             body = {"caller": number, "turn": turn, "work_ms": work_ms}
             sent = json.dumps(body).encode()
-            answer = send_caller_request(peer, service, sent, build_request_id(rng))
+            request_id = build_request_id(rng, home)
+            answer = send_caller_request(peer, service, sent, request_id)
             if answer.outcome == "done" and answer.body != sent:
                 answer = answer._replace(outcome="wrong")
-            with load.lock:
-                load.answers.append(answer)
+            load.answers.append(answer)
 
     threads = [threading.Thread(target=call, args=(n,)) for n in range(callers)]
     for thread in threads:
--- a/standins/machine.py
+++ b/standins/machine.py
@@ -4,6 +4,7 @@
 and closing a runner's port is left to `standins.workers`.
 """
 
+import contextlib
 import json
 from collections import deque
 from collections.abc import Iterable
@@ -274,9 +275,9 @@
         "true_memory_gb": start["size"]["memory_gb"],
         **machine.truths.get(start.get("workload", ""), {}),
     }
-    work = start.get("work") or ""
-    if isinstance(work, str) and work.startswith("{"):
-        truth.update(json.loads(work))
+    with contextlib.suppress(ValueError):
+        work = json.loads(start.get("work") or "{}")
+        truth.update(work if isinstance(work, dict) else {})
     if machine.faults.fail_everything:
         truth.update({"fail": True, "true_run_s": FAIL_AFTER_S})
     return truth
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -10,6 +10,7 @@
 import threading
 from collections.abc import Iterator, Sequence
 from pathlib import Path
+from tempfile import TemporaryFile
 from typing import IO, Any, NamedTuple
 
 from plantainyard.clock import read_clock
@@ -19,7 +20,7 @@
 READY_S = 30.0
 STOP_S = 15.0
 KILL_S = 5.0
-BAD_LINES_KEPT = 20
+TAIL_BYTES = 2000
 
 
 class ChildProcess(NamedTuple):
@@ -53,7 +54,7 @@
     arguments : sequence of str
         Its command line.
     log : Path, optional
-        File that standard error goes to; dropped by default.
+        File that standard error goes to; a temporary one by default.
 
     Raises
     ------
@@ -61,7 +62,7 @@
         If the process ends, or says nothing, before it is ready.
     """
     with contextlib.ExitStack() as stack:
-        errors = stack.enter_context(open(log or os.devnull, "ab"))
+        errors = stack.enter_context(_open_errors(log))
         process = subprocess.Popen(
             [sys.executable, "-m", module, *arguments],
             stdin=subprocess.DEVNULL,
@@ -70,7 +71,9 @@
             env={**os.environ, "PYTHONUNBUFFERED": "1"},
         )
         stack.callback(_end_process, process)
-        ready = _read_ready(process, module)
+        ready = _read_ready(process)
+        if ready is None:
+            raise RuntimeError(f"{module} was not ready: {_read_tail(errors.fileno())}")
         threading.Thread(target=_drain, args=(process,), daemon=True).start()
         yield ChildProcess(process, process.pid, ready)
 
@@ -92,27 +95,32 @@
         yield child
 
 
-def _read_ready(process: "subprocess.Popen[bytes]", module: str) -> dict[str, Any]:
+def _open_errors(log: Path | None) -> IO[bytes]:
+    return open(log, "a+b") if log else TemporaryFile()
+
+
+def _read_ready(process: "subprocess.Popen[bytes]") -> dict[str, Any] | None:
     deadline = read_clock() + READY_S
     stream: IO[bytes] | None = process.stdout
-    if stream is None:
-        raise RuntimeError(f"{module} has no standard output")
     text = b""
-    seen: list[bytes] = []
-    while (left := deadline - read_clock()) > 0:
+    while stream is not None and (left := deadline - read_clock()) > 0:
         readable, _, _ = select.select([stream], [], [], left)
         data = os.read(stream.fileno(), 65536) if readable else b""
-        if readable and not data:
-            break
+        if not data:
+            return None
         *lines, text = (text + data).split(b"\n")
         for line in lines:
             with contextlib.suppress(ValueError):
                 ready = json.loads(line)
                 if isinstance(ready, dict):
                     return ready
-            seen.append(line)
-    shown = b"\n".join(seen[-BAD_LINES_KEPT:]).decode(errors="replace")
-    raise RuntimeError(f"{module} was not ready in {READY_S} s: {shown}")
+    return None
+
+
+def _read_tail(descriptor: int) -> str:
+    size = os.fstat(descriptor).st_size
+    data = os.pread(descriptor, TAIL_BYTES, max(0, size - TAIL_BYTES))
+    return data.decode(errors="replace")
 
 
 def _drain(process: "subprocess.Popen[bytes]") -> None:
--- a/standins/runners.py
+++ b/standins/runners.py
@@ -54,7 +54,11 @@
 
 @dataclass
 class RunnerState:
-    """One runner and the evidence of what it was sent."""
+    """One runner and the evidence of what it was sent.
+
+    `left` is when it began to leave; `last_after_leaving_s` is how much later its
+    last request came.
+    """
 
     name: str
     slots: int
@@ -64,6 +68,8 @@
     max_in_progress: int = 0
     max_connections: int = 0
     cut_off: int = 0
+    left: float | None = None
+    last_after_leaving_s: float = 0.0
     runs: Counter[str] = field(default_factory=Counter)
     latencies_ms: deque[float] = field(
         default_factory=lambda: deque(maxlen=LATENCIES_KEPT)
@@ -82,6 +88,7 @@
             "max_in_progress": state.max_in_progress,
             "max_connections": state.max_connections,
             "cut_off": state.cut_off,
+            "last_after_leaving_s": state.last_after_leaving_s,
             "runs": dict(state.runs),
         }
 
@@ -139,6 +146,8 @@
     with state.lock:
         state.runs[request_id] += 1
         state.in_progress += 1
+        if state.left is not None:
+            state.last_after_leaving_s = begun - state.left
         state.max_in_progress = max(state.max_in_progress, state.in_progress)
         faults = state.faults
         truncated, wrong, delayed = _take_next(state)
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -3,8 +3,9 @@
 Run it with ``python -m standins.workers --workers='[{"id": ..., "capacity": ...}]'``
 or ``--count``. Each worker is at ``/workers/<id>``. ``POST /faults`` takes any of
 the fields of `MachineFaults` and ``restart``, ``leaving`` for ``workers`` (all by
-default), ``truths`` ({workload: {"true_run_s", "true_cores", "fail", "noise"}}), and
-``runners`` with the fields of `RunnerFaults`. ``GET /counts`` gives the evidence.
+default), ``runners_leaving``, ``runners`` with the fields of `RunnerFaults`, and
+``truths`` ({workload: {"true_run_s", "true_cores", "fail", "noise"}}).
+``GET /counts`` gives the evidence.
 """
 
 import contextlib
@@ -208,6 +209,7 @@
     leaving = body.pop("leaving", None)
     truths = body.pop("truths", {})
     runner_faults = body.pop("runners", {})
+    runners_leaving = body.pop("runners_leaving", False)
     for name in names:
         machine = site.machines[name]
         machine.faults = machine.faults._replace(**body)
@@ -221,6 +223,9 @@
             if runner := site.open_runners.get(id(attempt)):
                 faults = runner.state.faults._replace(**runner_faults)
                 runner.state.faults = faults
+                if runners_leaving and not attempt.leaving:
+                    attempt.leaving = True
+                    runner.state.left = now
     return build_reply({"workers": names})
 
 
