--- a/plantainyard/settings/load.py
+++ b/plantainyard/settings/load.py
@@ -143,7 +143,7 @@
 
 def _check_sections(data: Mapping[str, Any]) -> Iterator[tuple[str, str]]:
     for section in data.keys() - RULES.keys():
-        yield section, f"no such section; known are {', '.join(RULES)}"
+        yield section, f"one of the sections {', '.join(RULES)}"
     for section in RULES:
         values = data.get(section, {})
         if not isinstance(values, dict):
@@ -155,7 +155,7 @@
 def _check_keys(section: str, values: Mapping[str, Any]) -> Iterator[tuple[str, str]]:
     rules = RULES[section]
     for name in values.keys() - rules.keys():
-        yield f"{section}.{name}", f"no such key; known are {', '.join(rules)}"
+        yield f"{section}.{name}", f"one of the keys {', '.join(rules)}"
     for name in rules.keys() & values.keys():
         if not rules[name].accepts(values[name]):
             yield f"{section}.{name}", rules[name].expected
--- a/plantainyard/settings/model.py
+++ b/plantainyard/settings/model.py
@@ -28,9 +28,11 @@
     Attributes
     ----------
     id : str
-        Unique over the deployment and over restarts of the machine's name.
-    region, domain : str
-        Region and failure domain.
+        Unique in the deployment.
+    region : str
+        Region in which the instance stands.
+    domain : str
+        Failure domain in which the instance stands; it places work there only.
     address : str
         ``ip:port`` for callers; port 0 lets the system choose.
     control_address : str
@@ -49,8 +51,10 @@
 
     Attributes
     ----------
-    log, instances : str
-        Base URLs of the log and of the instance list.
+    log : str
+        Base URL of the log.
+    instances : str
+        Base URL of the instance list.
     worker_lease_s : float
         Longest lease that this instance asks of a worker, in seconds.
     clock_drift : float
@@ -78,8 +82,10 @@
         Longest body of a request or an answer.
     connections : int
         Open connections on each of the two ports.
-    caller_threads, control_threads : int
-        Requests in progress on each port.
+    caller_threads : int
+        Requests that callers can have in progress.
+    control_threads : int
+        Requests in progress from instances, operators and checks.
     queue_requests : int
         Requests that wait for a slot.
     memory_mb : int
