--- a/plantainyard/commands/command.py
+++ b/plantainyard/commands/command.py
@@ -161,9 +161,20 @@
     if failure.exit_code == ExitCode.UNKNOWN:
         hint = f"Repeat with --request_id={failure.request_id}"
         print(f"It may have been done. {hint}", file=err)
+    elif _is_repeat(invocation) and failure.exit_code != ExitCode.CONFLICT:
+        print(
+            "This call did nothing. If an earlier one with this id ended unknown, it "
+            "still is: repeat.",
+            file=err,
+        )
     return failure.exit_code
 
 
+def _is_repeat(invocation: Invocation) -> bool:
+    values = invocation.flags
+    return "request_id" in values and bool(values.request_id)
+
+
 def _describe_failure(failure: Failure) -> str:
     error = failure.error
     parts = [failure.exit_code.name.lower().replace("_", " ")]
--- a/plantainyard/commands/tests/test_run.py
+++ b/plantainyard/commands/tests/test_run.py
@@ -152,6 +152,17 @@
     assert json.loads(read(world.err).splitlines()[-1])["code"] == code
 
 
+def test_refused_repeat_by_hand_leaves_the_first_call_open():
+    """A call ended unknown; the operator repeats it by hand and is refused.
+
+    Read as "not done", the refusal would make the operator send the work anew, and
+    the first call may have been accepted.
+    """
+    world, _ = make_world(accept_jobs({}), [BUSY, BUSY])
+    assert run_command([*CREATE, "--request_id=request-9"], world) == 3
+    assert "still is: repeat" in read(world.err)
+
+
 @pytest.mark.parametrize("second", [BUSY, REJECTED])
 def test_loss_then_refusal_stays_unknown(second):
     """The first answer is lost; the second instance refuses, or sees no room ever.
