Run a rack's tasks under leases, from the log and the workers' word

Cause: the log says what should run, the workers what runs; one place must close the difference without a queue of commands that could be lost. Ruled out: sending commands from transitions (a lost answer then needs bookkeeping of its own); lengthening leases of a silent worker (its attempts would never count as ended). Change: each batch of commands is computed from the assigned attempts and the worker's last answer; the lapse of a lease is judged on the worker's clock, in one function.

--- /dev/null
+++ b/plantainyard/execution/planning.py
@@ -0,0 +1,315 @@
+"""Keeps a rack's placement policy in step with the log and the workers.
+
+The policy decides from events. Here the folded records of the log and the answers
+of the workers become those events, and the policy's actions become items for the
+log and wishes for the workers. A new owner feeds the whole rack with `learn_rack`
+and then each record with `learn_record`.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from plantainyard import placement
+from plantainyard.clients import Usage
+from plantainyard.state import (
+    AssignItem,
+    Change,
+    DomainState,
+    JobState,
+    RecordType,
+    get_assigned,
+    list_jobs,
+    list_ranges,
+)
+from plantainyard.work import TaskKey, WorkerInfo, parse_task
+
+from .rack import RackState
+from .views import AttemptKey, WorkerView
+
+__all__ = [
+    "Decision",
+    "PlanState",
+    "decide",
+    "learn_rack",
+    "learn_record",
+    "learn_usage",
+    "learn_workers",
+]
+
+_SUSPECT_AFTER = 2
+
+
+class Decision(NamedTuple):
+    """What one round of the policy asks of the log.
+
+    Attributes
+    ----------
+    assign : tuple of AssignItem
+        Attempts to be written down, then started.
+    give_up : tuple of placement.GiveUp
+        Jobs that failed everywhere; they are to be cancelled.
+    notes : tuple
+        Other actions of the policy, for the logs.
+    """
+
+    assign: tuple[AssignItem, ...] = ()
+    give_up: tuple[placement.GiveUp, ...] = ()
+    notes: tuple[placement.Action, ...] = ()
+
+
+class PlanState:
+    """The policy of one rack under one term.
+
+    Attributes
+    ----------
+    policy : placement.PlacementState
+        The policy's own state.
+    pending : dict of TaskKey to AssignItem
+        Placements whose record is not folded yet.
+    suspects : set of str
+        Workers that the policy was told not to use.
+    reasons : dict of str to placement.HoldBack
+        For each job, why its next task waits.
+    """
+
+    def __init__(self, policy: placement.PlacementState) -> None:
+        self.policy = policy
+        self.pending: dict[TaskKey, AssignItem] = {}
+        self.suspects: set[str] = set()
+        self.reasons: dict[str, placement.HoldBack] = {}
+        self.workers: tuple[WorkerInfo, ...] = ()
+
+
+def learn_rack(plan: PlanState, domain: DomainState, rack: str, now: float) -> None:
+    """Feed the policy with all that the log says of `rack`.
+
+    Notes
+    -----
+    Cost: linear in the ranges of waiting tasks and in the assigned tasks.
+    """
+    assigned = get_assigned(domain, rack)
+    for entry in list_jobs(domain):
+        if not entry.cancelled:
+            _learn_waiting(plan, entry, rack, now)
+    for task, assignment in assigned.items():
+        job = domain.jobs.get(task.job)
+        if job is not None:
+            started = placement.TaskStarted(
+                job.job, task.number, assignment.attempt, assignment.worker
+            )
+            placement.step(plan.policy, started, now)
+    placement.step(plan.policy, placement.Cancelled(tuple(domain.cancelled)), now)
+
+
+def _learn_waiting(plan: PlanState, entry: JobState, rack: str, now: float) -> None:
+    fresh = entry.fresh.get(rack)
+    for first, stop in list_ranges(fresh) if fresh else ():
+        waiting = placement.TasksWaiting(entry.job, first, stop, 1, now)
+        placement.step(plan.policy, waiting, now)
+    for number, retry in entry.retries.get(rack, {}).items():
+        failure = entry.failures.get(number)
+        again = placement.TasksWaiting(
+            entry.job,
+            number,
+            number + 1,
+            retry.attempts + 1,
+            now,
+            failure.failures if failure else 0,
+        )
+        placement.step(plan.policy, again, now)
+
+
+def learn_record(
+    plan: PlanState,
+    domain: DomainState,
+    rack: str,
+    data: Mapping[str, Any],
+    change: Change,
+    now: float,
+) -> None:
+    """Feed the policy with one record that was just folded into `domain`.
+
+    Parameters
+    ----------
+    plan : PlanState
+        Changed in place.
+    domain : DomainState
+        The state after the record.
+    rack : str
+        The rack of this plan.
+    data : Mapping
+        The record.
+    change : Change
+        Its verdict.
+    now : float
+        Owner's clock in seconds.
+    """
+    if change.parts:
+        for part, verdict in zip(data["records"], change.parts, strict=True):
+            learn_record(plan, domain, rack, part, verdict, now)
+        return
+    if change.type == RecordType.ASSIGN and data.get("rack") == rack:
+        _learn_assign(plan, domain, data, change, now)
+    elif not change.applied:
+        return
+    elif change.type == RecordType.ACCEPT:
+        entry = domain.jobs.get(data["job"]["id"])
+        if entry is not None:
+            _learn_waiting(plan, entry, rack, now)
+    elif change.type == RecordType.RESULTS and data["rack"] == rack:
+        _learn_results(plan, domain, data, change, now)
+    elif change.type == RecordType.CANCEL:
+        placement.step(plan.policy, placement.Cancelled(tuple(data["jobs"])), now)
+        for job in data["jobs"]:
+            plan.reasons.pop(job, None)
+    elif change.type == RecordType.MOVE:
+        _learn_move(plan, domain, rack, data, now)
+
+
+def _learn_assign(
+    plan: PlanState,
+    domain: DomainState,
+    data: Mapping[str, Any],
+    change: Change,
+    now: float,
+) -> None:
+    void = {AttemptKey(item.task, item.attempt) for item in change.void}
+    for text, attempt, worker in data["items"]:
+        task = parse_task(text)
+        expected = plan.pending.get(task)
+        if expected is None or expected != AssignItem(task, attempt, worker):
+            continue
+        del plan.pending[task]
+        entry = domain.jobs.get(task.job)
+        if AttemptKey(task, attempt) in void or not change.applied or entry is None:
+            _end(plan, task, attempt, worker, placement.Outcome.UNPLACED, "", now)
+        else:
+            started = placement.TaskStarted(entry.job, task.number, attempt, worker)
+            placement.step(plan.policy, started, now)
+
+
+def _learn_results(
+    plan: PlanState,
+    domain: DomainState,
+    data: Mapping[str, Any],
+    change: Change,
+    now: float,
+) -> None:
+    void = {AttemptKey(item.task, item.attempt) for item in change.void}
+    for text, attempt, outcome, detail in data["items"]:
+        task = parse_task(text)
+        if AttemptKey(task, attempt) in void:
+            continue
+        entry = domain.jobs.get(task.job)
+        cancelled = entry is None or entry.cancelled
+        if cancelled and outcome != placement.Outcome.DONE:
+            outcome = placement.Outcome.CANCELLED
+        _end(plan, task, attempt, "", outcome, detail, now)
+
+
+def _learn_move(
+    plan: PlanState,
+    domain: DomainState,
+    rack: str,
+    data: Mapping[str, Any],
+    now: float,
+) -> None:
+    tasks = [parse_task(text) for text in data["tasks"]]
+    if data["rack"] == rack:
+        for task in tasks:
+            gone = placement.TasksGone(task.job, task.number, task.number + 1)
+            placement.step(plan.policy, gone, now)
+    elif data["to_rack"] == rack:
+        for job in {task.job for task in tasks} & domain.jobs.keys():
+            _learn_waiting(plan, domain.jobs[job], rack, now)
+
+
+def _end(
+    plan: PlanState,
+    task: TaskKey,
+    attempt: int,
+    worker: str,
+    outcome: str,
+    detail: str,
+    now: float,
+) -> None:
+    ended = placement.TaskEnded(task, attempt, worker, outcome, detail)
+    placement.step(plan.policy, ended, now)
+
+
+def learn_workers(plan: PlanState, rack: RackState, now: float) -> None:
+    """Tell the policy which workers may take tasks, and which are in doubt."""
+    workers = tuple(
+        view.info
+        for view in rack.views.values()
+        if not view.gone and not view.info.leaving
+    )
+    if workers != plan.workers:
+        plan.workers = workers
+        placement.step(plan.policy, placement.WorkersChanged(workers), now)
+    suspects = {worker for worker, view in rack.views.items() if not _is_trusted(view)}
+    for worker in suspects - plan.suspects:
+        placement.step(plan.policy, placement.WorkerSuspect(worker), now)
+    for worker in plan.suspects - suspects:
+        placement.step(plan.policy, placement.WorkerBack(worker), now)
+    plan.suspects = suspects
+
+
+def _is_trusted(view: WorkerView) -> bool:
+    return view.fenced and view.failures < _SUSPECT_AFTER
+
+
+def learn_usage(
+    plan: PlanState, view: WorkerView, usage: Iterable[Usage], now: float
+) -> None:
+    """Feed a worker's late reports to the policy, at the times they are about."""
+    shift = view.heard_at - view.clock_s
+    for report in usage:
+        event = placement.UsageReported(
+            view.info.id,
+            report.task,
+            min(report.time_s + shift, now),
+            report.cores,
+            report.memory_gb,
+            report.latency_ms,
+        )
+        placement.step(plan.policy, event, now)
+
+
+def decide(plan: PlanState, rack: RackState, now: float) -> Decision:
+    """Let the policy decide, and note what it wants of running tasks.
+
+    Returns
+    -------
+    Decision
+        What has to be written to the log.
+    """
+    actions = placement.step(plan.policy, placement.Tick(), now)
+    assign = tuple(
+        AssignItem(a.task, a.attempt, a.worker)
+        for a in actions
+        if isinstance(a, placement.Place)
+    )
+    plan.pending.update({item.task: item for item in assign})
+    for action in actions:
+        _note_wish(plan, rack, action)
+    known = (placement.Place, placement.HoldBack, placement.GiveUp)
+    return Decision(
+        assign,
+        tuple(a for a in actions if isinstance(a, placement.GiveUp)),
+        tuple(a for a in actions if not isinstance(a, known)),
+    )
+
+
+def _note_wish(plan: PlanState, rack: RackState, action: placement.Action) -> None:
+    match action:
+        case placement.Throttle(task, attempt, worker, share):
+            if worker in rack.views:
+                rack.views[worker].throttles[AttemptKey(task, attempt)] = share
+        case placement.Checkpoint(task, attempt, worker, _):
+            if worker in rack.views:
+                rack.views[worker].evictions.add(AttemptKey(task, attempt))
+        case placement.Place(task, _, _, _):
+            plan.reasons.pop(task.job, None)
+        case placement.HoldBack(task, _, _):
+            plan.reasons[task.job] = action
--- /dev/null
+++ b/plantainyard/execution/rack.py
@@ -0,0 +1,397 @@
+"""Runs the tasks of one rack on its workers, under one term of ownership.
+
+`step` is the entry point. What should run is what the log assigns; what runs is
+what the workers say. The step compares the two and closes the difference: it
+starts, renews, stops and acknowledges, and reports ended attempts to the log.
+"""
+
+import itertools
+from collections.abc import Callable, Mapping, Set
+from typing import NamedTuple
+
+from plantainyard.clients import Commands, FinishedTask, WorkerAnswer
+from plantainyard.errors import CallError
+from plantainyard.state import (
+    Assignment,
+    DomainState,
+    JobState,
+    Outcome,
+    ResultItem,
+    get_assigned,
+    get_job,
+    list_cancelled_running,
+)
+from plantainyard.work import Job, TaskKey, WorkerInfo
+
+from .commands import (
+    LeaseTerms,
+    build_commands,
+    keep_only_renewals,
+    note_sent,
+    withhold_leases,
+)
+from .views import AttemptKey, WorkerView, absorb_state, has_lapsed
+
+__all__ = [
+    "AppendResults",
+    "Call",
+    "CallFailed",
+    "Fenced",
+    "RackState",
+    "Superseded",
+    "Tick",
+    "WorkerAnswered",
+    "WorkersListed",
+    "step",
+]
+
+_RESEND_S = 0.5
+_STOPPED = "stopped"
+_SILENT_AFTER = 3
+_RETRY_S = 0.5
+_RETRY_MAX_S = 4.0
+
+
+class WorkersListed(NamedTuple):
+    """The rack's workers, by the lagging list and the operators' word.
+
+    Attributes
+    ----------
+    workers : tuple of WorkerInfo
+        Workers that are live or leaving.
+    gone : frozenset of str
+        Identifiers of workers vouched to run nothing any more.
+    """
+
+    workers: tuple[WorkerInfo, ...]
+    gone: frozenset[str] = frozenset()
+
+
+class WorkerAnswered(NamedTuple):
+    """A worker answered; `sent_at` is the owner's clock before the sending."""
+
+    worker: str
+    answer: WorkerAnswer
+    sent_at: float
+    fencing: bool
+
+
+class CallFailed(NamedTuple):
+    """A call to a worker brought no answer."""
+
+    worker: str
+    error: CallError
+
+
+class Tick(NamedTuple):
+    """Time has passed or the log's view has advanced."""
+
+
+class Call(NamedTuple):
+    """Send `commands` to a worker, or read its state where they are None."""
+
+    worker: str
+    address: str
+    commands: Commands | None
+
+
+class AppendResults(NamedTuple):
+    """Write ended attempts to the log as one record."""
+
+    items: tuple[ResultItem, ...]
+
+
+class Fenced(NamedTuple):
+    """A worker accepted the epoch in a call sent at `sent_at`."""
+
+    worker: str
+    sent_at: float
+
+
+class Superseded(NamedTuple):
+    """A worker holds a newer epoch: another instance has taken the rack."""
+
+    worker: str
+    epoch: int
+    holder: str
+
+
+Event = WorkersListed | WorkerAnswered | CallFailed | Tick
+Action = Call | AppendResults | Fenced | Superseded
+
+
+class RackState:
+    """One term of one rack at its owner.
+
+    Attributes
+    ----------
+    rack, holder : str
+        The rack and this instance.
+    epoch : int
+        Fence of this term.
+    caretaker : bool
+        True while this instance only keeps a silent owner's work alive: it renews
+        and stops, and starts nothing.
+    views : dict
+        What is known of each worker.
+    reported : set of AttemptKey
+        Attempts whose end is on its way to the log.
+    """
+
+    def __init__(
+        self,
+        rack: str,
+        holder: str,
+        epoch: int,
+        terms: LeaseTerms,
+        sync_s: float,
+        caretaker: bool = False,
+    ) -> None:
+        self.rack = rack
+        self.holder = holder
+        self.epoch = epoch
+        self.terms = terms
+        self.sync_s = sync_s
+        self.caretaker = caretaker
+        self.views: dict[str, WorkerView] = {}
+        self.reported: set[AttemptKey] = set()
+
+
+def step(
+    state: RackState, domain: DomainState, event: Event, now: float
+) -> list[Action]:
+    """Advance the rack by one event.
+
+    Parameters
+    ----------
+    state : RackState
+        Changed in place.
+    domain : DomainState
+        The folded stream of the failure domain, read only. It must include the
+        record that began this term.
+    event : Event
+        What happened.
+    now : float
+        Owner's clock in seconds.
+
+    Returns
+    -------
+    list of Action
+        To be carried out in order.
+
+    Notes
+    -----
+    Cost: linear in the rack's workers and assigned tasks.
+    """
+    match event:
+        case WorkersListed(workers, gone):
+            return _take_list(state, workers, gone)
+        case WorkerAnswered(worker, answer, sent_at, fencing):
+            return _take_answer(state, worker, answer, sent_at, fencing, now)
+        case CallFailed(worker, _):
+            return _take_failure(state, worker, now)
+        case Tick():
+            return _close_difference(state, domain, now)
+
+
+def _take_list(
+    state: RackState, workers: tuple[WorkerInfo, ...], gone: frozenset[str]
+) -> list[Action]:
+    for info in workers:
+        view = state.views.setdefault(info.id, WorkerView(info))
+        view.info = info
+        view.gone = info.id in gone
+    for worker in gone & state.views.keys():
+        state.views[worker].gone = True
+    return []
+
+
+def _take_answer(
+    state: RackState,
+    worker: str,
+    answer: WorkerAnswer,
+    sent_at: float,
+    fencing: bool,
+    now: float,
+) -> list[Action]:
+    view = state.views.get(worker)
+    if view is None:
+        return []
+    view.calling = False
+    view.failures = 0
+    absorb_state(view, answer.state, now)
+    fence = (answer.state.epoch, answer.state.holder)
+    if answer.accepted and fencing:
+        view.fenced = True
+        view.accepted_at = sent_at
+        return [Fenced(worker, sent_at)]
+    if answer.state.epoch > state.epoch or (
+        fence[0] == state.epoch and fence[1] != state.holder
+    ):
+        view.fenced = False
+        return [Superseded(worker, *fence)]
+    return []
+
+
+def _take_failure(state: RackState, worker: str, now: float) -> list[Action]:
+    view = state.views.get(worker)
+    if view is None:
+        return []
+    view.calling = False
+    view.failures += 1
+    view.next_call_at = now + min(_RETRY_S * 2**view.failures, _RETRY_MAX_S)
+    return []
+
+
+def _close_difference(
+    state: RackState, domain: DomainState, now: float
+) -> list[Action]:
+    assigned = get_assigned(domain, state.rack)
+    cancelled = frozenset(list_cancelled_running(domain, state.rack))
+    by_worker = _group_by_worker(assigned)
+
+    def find_job(job: str) -> Job | None:
+        entry = get_job(domain, job)
+        return entry.job if isinstance(entry, JobState) else None
+
+    results = _collect_results(state, assigned, now)
+    calls = [
+        call
+        for view in state.views.values()
+        if (
+            call := _plan_call(
+                state,
+                view,
+                by_worker.get(view.info.id, {}),
+                cancelled,
+                find_job,
+                now,
+            )
+        )
+    ]
+    return [*results, *calls]
+
+
+def _group_by_worker(
+    assigned: Mapping[TaskKey, Assignment],
+) -> dict[str, dict[TaskKey, Assignment]]:
+    groups: dict[str, dict[TaskKey, Assignment]] = {}
+    for task, assignment in assigned.items():
+        groups.setdefault(assignment.worker, {})[task] = assignment
+    return groups
+
+
+def _collect_results(
+    state: RackState, assigned: Mapping[TaskKey, Assignment], now: float
+) -> list[Action]:
+    open_keys = {AttemptKey(task, a.attempt): a for task, a in assigned.items()}
+    state.reported &= open_keys.keys()
+    for known in state.views.values():
+        _prune_view(known, open_keys.keys())
+    items = [
+        item
+        for key, assignment in open_keys.items()
+        if key not in state.reported
+        and (view := state.views.get(assignment.worker)) is not None
+        and (item := _judge_end(state, view, key, assignment, now)) is not None
+    ]
+    state.reported |= {AttemptKey(i.task, i.attempt) for i in items}
+    return [AppendResults(tuple(items))] if items else []
+
+
+def _prune_view(view: WorkerView, open_keys: Set[AttemptKey]) -> None:
+    view.seen &= open_keys
+    view.evictions &= open_keys
+    view.untils = {k: v for k, v in view.untils.items() if k in open_keys}
+    view.throttles = {k: v for k, v in view.throttles.items() if k in open_keys}
+
+
+def _judge_end(
+    state: RackState,
+    view: WorkerView,
+    key: AttemptKey,
+    assignment: Assignment,
+    now: float,
+) -> ResultItem | None:
+    finished = view.finished.get(key)
+    if finished is not None:
+        return _translate_end(finished)
+    if has_lapsed(view, key, now, state.terms.drift):
+        return ResultItem(*key, Outcome.LAPSED, "lease over")
+    if _was_never_started(view, key):
+        return ResultItem(*key, Outcome.EVICTED, assignment.checkpoint)
+    return None
+
+
+def _translate_end(finished: FinishedTask) -> ResultItem:
+    key = AttemptKey(finished.task, finished.attempt)
+    if finished.outcome == _STOPPED:
+        return ResultItem(*key, Outcome.EVICTED, "")
+    return ResultItem(*key, finished.outcome, finished.detail)
+
+
+def _was_never_started(view: WorkerView, key: AttemptKey) -> bool:
+    return (
+        view.info.leaving
+        and view.fenced
+        and key not in view.seen
+        and key not in view.untils
+    )
+
+
+def _plan_call(
+    state: RackState,
+    view: WorkerView,
+    assigned: Mapping[TaskKey, Assignment],
+    cancelled: frozenset[TaskKey],
+    look_up: Callable[[str], Job | None],
+    now: float,
+) -> Call | None:
+    if view.calling or view.gone:
+        return None
+    if view.failures and now < view.next_call_at:
+        return None
+    if not view.known:
+        view.calling = True
+        return Call(view.info.id, view.info.address, None)
+    commands = build_commands(
+        view,
+        assigned,
+        cancelled,
+        look_up,
+        state.epoch,
+        state.holder,
+        state.terms,
+        now,
+    )
+    if state.caretaker:
+        commands = keep_only_renewals(commands)
+    if view.failures >= _SILENT_AFTER:
+        commands = withhold_leases(commands)
+    work = _summarize_work(commands)
+    is_new = bool(work) and work != view.last_work
+    if not is_new and view.fenced and now < _pick_next_call(state, view, work):
+        return None
+    view.calling = True
+    view.last_work = work
+    view.called_at = now
+    note_sent(view, commands)
+    return Call(view.info.id, view.info.address, commands)
+
+
+def _pick_next_call(
+    state: RackState, view: WorkerView, work: frozenset[object]
+) -> float:
+    return view.called_at + (min(_RESEND_S, state.sync_s) if work else state.sync_s)
+
+
+def _summarize_work(commands: Commands) -> frozenset[object]:
+    return frozenset(
+        itertools.chain(
+            (("start", s.task, s.attempt) for s in commands.start),
+            (("stop", *key) for key in commands.stop),
+            (("checkpoint", *key) for key in commands.checkpoint),
+            (("throttle", *item) for item in commands.throttle),
+            (("ack", *key) for key in commands.ack),
+        )
+    )
