Add the actors of a process around the deciding modules

Cause: the deciding modules need owners that do the input and output. Ruled out: one actor for all (a credit ask would wait behind the folding of the log); calls to the log and workers inside an actor (one frozen worker would stop all). Change: actors for the domain, the configuration, the peers and the lending; calls on pools of threads whose answers come back as messages. The heartbeat tells the age of the configuration, so that the operator's answer can tell who can't know.

--- /dev/null
+++ b/plantainyard/node/__init__.py
@@ -0,0 +1,57 @@
+"""The actors and threads of one process, around the deciding modules."""
+
+from .configuration import ConfigActor, ConfigView, ReadConfig
+from .control import build_peer_app
+from .domain import DomainActor, DomainNode, name_stream
+from .lending import DumpLenders, LenderActor, RackAuthority, RackRunners
+from .messages import (
+    ConfigChanged,
+    InstancesListed,
+    PeersHeard,
+    Query,
+    RackReply,
+    Stop,
+    SubmitRecord,
+    Tick,
+)
+from .peers import HeartbeatHeard, PeersActor, PeerView, read_peers
+from .reports import count_epochs, dump_domain, list_racks
+from .streams import StreamEvent, StreamIO, StreamState
+from .threads import run_every, run_forever
+from .workers import WorkerCaller, start_call
+
+__all__ = [
+    "ConfigActor",
+    "ConfigChanged",
+    "ConfigView",
+    "DomainActor",
+    "DomainNode",
+    "DumpLenders",
+    "HeartbeatHeard",
+    "InstancesListed",
+    "LenderActor",
+    "PeerView",
+    "PeersActor",
+    "PeersHeard",
+    "Query",
+    "RackAuthority",
+    "RackReply",
+    "RackRunners",
+    "ReadConfig",
+    "Stop",
+    "StreamEvent",
+    "StreamIO",
+    "StreamState",
+    "SubmitRecord",
+    "Tick",
+    "WorkerCaller",
+    "build_peer_app",
+    "count_epochs",
+    "dump_domain",
+    "list_racks",
+    "name_stream",
+    "read_peers",
+    "run_every",
+    "run_forever",
+    "start_call",
+]
--- /dev/null
+++ b/plantainyard/node/control.py
@@ -0,0 +1,70 @@
+"""The paths of the control port on which instances call each other."""
+
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+from wsgiref.types import StartResponse, WSGIApplication, WSGIEnvironment
+
+from result import Err, Result
+
+from plantainyard.errors import CallError
+from plantainyard.protocol import (
+    CREDITS_PATH,
+    HEARTBEAT_PATH,
+    CreditAsk,
+    Heartbeat,
+    Message,
+    decode_message,
+    encode_message,
+)
+
+__all__ = ["PeerHandlers", "build_peer_app"]
+
+PeerHandlers = dict[str, tuple[type, Callable[[Any], Message]]]
+
+
+def build_peer_app(
+    hear: Callable[[Heartbeat], Heartbeat], lend: Callable[[CreditAsk], Message]
+) -> WSGIApplication:
+    """Return the application that answers other instances.
+
+    Parameters
+    ----------
+    hear : callable
+        Takes a peer's heartbeat and returns this process's own.
+    lend : callable
+        Answers a gateway's ask for credits.
+
+    Notes
+    -----
+    The token and the body's length were checked before (`api.create_app`).
+    """
+    handlers: PeerHandlers = {
+        HEARTBEAT_PATH: (Heartbeat, hear),
+        CREDITS_PATH: (CreditAsk, lend),
+    }
+
+    def serve(environ: WSGIEnvironment, start: StartResponse) -> Iterable[bytes]:
+        path = environ.get("PATH_INFO", "")
+        if path not in handlers or environ["REQUEST_METHOD"] != "POST":
+            return _send(start, HTTPStatus.NOT_FOUND, b'{"code":"not_found"}')
+        kind, handle = handlers[path]
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length)
+        peer = environ.get("REMOTE_ADDR", "")
+        decoded: Result[Any, CallError] = decode_message(body, kind, peer)
+        if isinstance(decoded, Err):
+            detail = decoded.err_value.detail.encode()
+            return _send(start, HTTPStatus.BAD_REQUEST, detail)
+        return _send(start, HTTPStatus.OK, encode_message(handle(decoded.ok_value)))
+
+    return serve
+
+
+def _send(start: StartResponse, status: HTTPStatus, body: bytes) -> list[bytes]:
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+    ]
+    start(f"{status.value} {status.phrase}", headers)
+    return [body]
--- /dev/null
+++ b/plantainyard/node/domain.py
@@ -0,0 +1,402 @@
+"""The actor of a failure domain: its stream, its racks and their tasks.
+
+It folds the domain's stream and, for the racks that this instance owns, lets
+placement decide and the workers act. Calls to the log and to workers are made on
+other threads; their answers come back as messages.
+"""
+
+import logging
+import random
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pykka
+
+from plantainyard import execution, placement
+from plantainyard import state as log_state
+from plantainyard.clients import InstanceKind, InstanceState
+from plantainyard.clock import read_clock
+from plantainyard.routing.identity import rank_names
+from plantainyard.settings import Settings
+from plantainyard.work import Size, WorkerInfo
+
+from .authority import EPOCHS_PER_TERM, find_authority_end
+from .lending import RackAuthority, RackRunners
+from .messages import (
+    ConfigChanged,
+    InstancesListed,
+    PeersHeard,
+    Query,
+    RackReply,
+    Stop,
+    SubmitRecord,
+    Tick,
+)
+from .streams import (
+    StreamEvent,
+    StreamIO,
+    StreamState,
+    handle_stream,
+    submit_record,
+    tick_stream,
+)
+from .terms import (
+    Term,
+    begin_term,
+    feed_record,
+    iter_runners,
+    list_leaving,
+    set_policy_inputs,
+)
+from .values import list_flagged, read_shares, read_weights
+from .workers import WorkerCaller, start_call
+
+__all__ = ["DomainActor", "DomainNode", "name_stream"]
+
+_logger = logging.getLogger(__name__)
+
+
+def name_stream(domain: str) -> str:
+    """Return the name of a failure domain's stream."""
+    return f"domain.{domain}"
+
+
+class DomainNode:
+    """What a failure domain's actor owns.
+
+    Attributes
+    ----------
+    domain : DomainState
+        The folded stream.
+    terms : dict of str to Term
+        For each rack that this instance owns, its present term.
+    workers : dict of str to dict of str to WorkerInfo
+        Live and leaving workers of each rack, by the lagging list.
+    gone : frozenset of str
+        Workers vouched to run nothing.
+    name : str
+        This process as claims and fences name it; unique for each start, so that a
+        restarted instance is not taken for the owner that it was.
+    live : frozenset of str
+        Processes of the domain that are thought to live, this one included.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        name: str,
+        caller: WorkerCaller,
+        tell: Callable[[Any], object],
+        tell_lender: Callable[[Any], object],
+    ) -> None:
+        self.settings = settings
+        self.name = name
+        self.caller = caller
+        self.tell = tell
+        self.tell_lender = tell_lender
+        self.domain = log_state.DomainState()
+        self.terms: dict[str, Term] = {}
+        self.workers: dict[str, dict[str, WorkerInfo]] = {}
+        self.gone: frozenset[str] = frozenset()
+        self.live: frozenset[str] = frozenset()
+        self.weights = placement.Weights()
+        self.shares: dict[str, Size] = {}
+        self.stopped = False
+        self.stopping = False
+        self.racks = 1
+        self.listed_gone: frozenset[str] = frozenset()
+        self.fenced_off: frozenset[str] = frozenset()
+        self.draining: frozenset[str] = frozenset()
+        self.claimed: dict[str, int] = {}
+
+
+class DomainActor(pykka.ThreadingActor):
+    """Owns a `DomainNode`.
+
+    Parameters
+    ----------
+    settings : Settings
+        The instance's settings.
+    writer : str
+        Unique for this start of this process.
+    rng : random.Random
+        Spreads retries and snapshots.
+    snapshot_settings : SnapshotSettings
+        When snapshots are written.
+    make_io : callable
+        Builds the stream's input and output for a delivery function.
+    caller : WorkerCaller
+        How workers are called.
+    tell_lender : callable
+        Takes news about authority and runners.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        settings: Settings,
+        writer: str,
+        rng: random.Random,
+        snapshot_settings: log_state.SnapshotSettings,
+        make_io: Callable[[Callable[[StreamEvent], object]], StreamIO],
+        caller: WorkerCaller,
+        tell_lender: Callable[[Any], object],
+    ) -> None:
+        super().__init__()
+        self.node = DomainNode(
+            settings, writer, caller, self.actor_ref.tell, tell_lender
+        )
+        self.submitted = 0
+        self.io = make_io(self.actor_ref.tell)
+        self.stream = StreamState(
+            name_stream(settings.instance.domain),
+            writer,
+            rng,
+            log_state.ReaderSettings(),
+            snapshot_settings,
+            fold=self._fold,
+            restore=self._restore,
+            encode=lambda: log_state.encode_domain(self.node.domain),
+        )
+
+    def on_receive(self, message: Any) -> Any:
+        """Take one message in."""
+        now = read_clock()
+        match message:
+            case Tick():
+                tick_stream(self.stream, self.io, now)
+                self._tick(now)
+            case StreamEvent():
+                handle_stream(self.stream, self.io, message, now)
+            case SubmitRecord(submit, on_report):
+                submit_record(self.stream, self.io, submit, on_report, now)
+            case RackReply():
+                self._take_reply(message, now)
+            case InstancesListed():
+                _take_instances(self.node, message, now)
+            case PeersHeard(live):
+                self.node.live = live
+            case ConfigChanged(values):
+                _take_values(self.node, values, now)
+            case Stop():
+                self.node.stopped = True
+                self.node.stopping = True
+            case Query(read):
+                return read(self, now)
+        return None
+
+    def _fold(self, record: log_state.LogRecord) -> log_state.Change:
+        node, now = self.node, read_clock()
+        change = log_state.apply_record(node.domain, record.offset, record.data)
+        for term in list(node.terms.values()):
+            feed_record(term, node.domain, record.data, change, now)
+        self._follow_claims(now)
+        return change
+
+    def _restore(self, record: log_state.LogRecord) -> None:
+        restored = log_state.decode_domain(record.data["state"])
+        if restored.next_offset < self.node.domain.next_offset:
+            return
+        self.node.domain = restored
+        # The terms were fed from records that this instance never saw the end of.
+        for rack in list(self.node.terms):
+            _end_term(self.node, rack)
+        self._follow_claims(read_clock())
+
+    def _follow_claims(self, now: float) -> None:
+        node = self.node
+        for rack, claim in node.domain.claims.items():
+            term = node.terms.get(rack)
+            is_mine = claim.holder == node.name
+            if term is not None and (not is_mine or claim.term != term.offset):
+                _end_term(node, rack)
+            if is_mine and rack not in node.terms:
+                _start_term(node, rack, claim, now)
+
+    def _tick(self, now: float) -> None:
+        node = self.node
+        for record in _plan_claims(node, self.stream, now):
+            self._submit(record, now)
+        for rack, term in list(node.terms.items()):
+            self._advance_term(rack, term, now)
+
+    def _advance_term(self, rack: str, term: Term, now: float) -> None:
+        node = self.node
+        workers = tuple(
+            info._replace(leaving=info.leaving or info.id in node.draining)
+            for info in node.workers.get(rack, {}).values()
+        )
+        listed = execution.WorkersListed(workers, node.gone)
+        execution.step(term.rack, node.domain, listed, now)
+        execution.learn_workers(term.plan, term.rack, now)
+        decision = execution.decide(term.plan, term.rack, now)
+        if decision.assign:
+            record = log_state.make_assign(rack, term.offset, decision.assign)
+            self._submit(record, now)
+        for give_up in decision.give_up:
+            self._give_up_job(give_up, now)
+        for note in decision.notes:
+            _logger.info("placement: %s", note, extra={"step": "placement"})
+        self._run_rack(rack, term, now)
+
+    def _run_rack(self, rack: str, term: Term, now: float) -> None:
+        actions = execution.step(term.rack, self.node.domain, execution.Tick(), now)
+        self._act(rack, term, actions, now)
+        _tell_lender(self.node, rack, term, now)
+
+    def _act(
+        self, rack: str, term: Term, actions: list[execution.Action], now: float
+    ) -> None:
+        node, epoch = self.node, term.rack.epoch
+        for action in actions:
+            match action:
+                case execution.Call():
+                    start_call(
+                        node.caller,
+                        action,
+                        lambda event: node.tell(RackReply(rack, epoch, event)),
+                    )
+                case execution.AppendResults(items):
+                    record = log_state.make_results(rack, term.offset, items)
+                    self._submit(record, now)
+                case execution.Superseded(worker, newer, holder):
+                    _logger.warning(
+                        "superseded by %s with epoch %d",
+                        holder,
+                        newer,
+                        extra={"step": "worker.commands", "peer": worker},
+                    )
+
+    def _take_reply(self, message: RackReply, now: float) -> None:
+        term = self.node.terms.get(message.rack)
+        if term is None or term.rack.epoch != message.epoch:
+            return
+        event = message.event
+        actions = execution.step(term.rack, self.node.domain, event, now)
+        if isinstance(event, execution.WorkerAnswered):
+            view = term.rack.views.get(event.worker)
+            if view is not None:
+                usage = event.answer.state.usage
+                execution.learn_usage(term.plan, view, usage, now)
+        self._act(message.rack, term, actions, now)
+        self._run_rack(message.rack, term, now)
+
+    def _give_up_job(self, give_up: placement.GiveUp, now: float) -> None:
+        request_id = f"give-up.{give_up.job}"
+        _logger.warning("job given up: %s", give_up.error, extra={"step": "placement"})
+        self._submit(log_state.make_cancel(request_id, [give_up.job]), now)
+
+    def _submit(self, record: Any, now: float) -> None:
+        urgent = record["type"] == log_state.RecordType.CLAIM
+        self.submitted += 1
+        key = f"{record['type']}.{self.submitted}"
+        submit = log_state.Submit(record, key, urgent=urgent)
+        submit_record(self.stream, self.io, submit, _ignore_report, now)
+
+
+def _ignore_report(_: log_state.AppendReport) -> None:
+    """Take no notice: the folded record itself tells what took effect."""
+
+
+def _take_instances(node: DomainNode, message: InstancesListed, now: float) -> None:
+    workers: dict[str, dict[str, WorkerInfo]] = {}
+    gone = set()
+    for instance in message.instances:
+        if instance.kind != InstanceKind.WORKER or instance.worker is None:
+            continue
+        if instance.domain != node.settings.instance.domain:
+            continue
+        if instance.state == InstanceState.GONE:
+            gone.add(instance.id)
+            continue
+        rack = workers.setdefault(instance.worker.rack, {})
+        rack[instance.id] = instance.worker
+    node.workers = workers
+    node.racks = max(len({(w.domain, w.rack) for w in _iter_workers(message)}), 1)
+    node.listed_gone = frozenset(gone)
+    _judge_gone(node)
+
+
+def _iter_workers(message: InstancesListed) -> Iterator[WorkerInfo]:
+    return (i.worker for i in message.instances if i.worker is not None)
+
+
+def _judge_gone(node: DomainNode) -> None:
+    listed = node.listed_gone if node.settings.platform.trust_gone else frozenset()
+    node.gone = listed | node.fenced_off
+
+
+def _take_values(node: DomainNode, values: dict[str, Any], now: float) -> None:
+    node.weights = read_weights(values)
+    node.shares = read_shares(values, node.racks)
+    node.fenced_off = list_flagged(values, "workers", "fenced")
+    node.draining = list_flagged(values, "workers", "draining")
+    draining = list_flagged(values, "instances", "draining")
+    node.stopping = node.stopped or node.settings.instance.id in draining
+    _judge_gone(node)
+    for term in node.terms.values():
+        set_policy_inputs(term, node.weights, node.shares, now)
+
+
+def _start_term(
+    node: DomainNode, rack: str, claim: log_state.Claim, now: float
+) -> None:
+    epoch = claim.term * EPOCHS_PER_TERM
+    term = begin_term(
+        node.settings, node.name, node.domain, rack, claim.term, epoch, False, now
+    )
+    set_policy_inputs(term, node.weights, node.shares, now)
+    node.terms[rack] = term
+    _logger.info("rack owned", extra={"step": "ownership", "rack": rack})
+
+
+def _end_term(node: DomainNode, rack: str) -> None:
+    del node.terms[rack]
+    node.tell_lender(RackAuthority(rack, 0, 0.0))
+    _logger.info("rack given up", extra={"step": "ownership", "rack": rack})
+
+
+def _plan_claims(
+    node: DomainNode, stream: StreamState, now: float
+) -> list[log_state.ClaimRecord]:
+    if not log_state.is_current(stream.reader):
+        return []
+    return [
+        record
+        for rack in node.workers
+        if (record := _plan_claim(node, rack, now)) is not None
+    ]
+
+
+def _plan_claim(
+    node: DomainNode, rack: str, now: float
+) -> log_state.ClaimRecord | None:
+    claim = node.domain.claims.get(rack)
+    base = claim.term if claim else -1
+    holder = claim.holder if claim else ""
+    if node.claimed.get(rack) == base:
+        return None
+    if node.stopping:
+        if holder != node.name:
+            return None
+        node.claimed[rack] = base
+        return log_state.make_claim(rack, "", base)
+    if holder and holder in node.live:
+        return None
+    if not node.live or rank_names(rack, node.live)[0] != node.name:
+        return None
+    node.claimed[rack] = base
+    return log_state.make_claim(rack, node.name, base)
+
+
+def _tell_lender(node: DomainNode, rack: str, term: Term, now: float) -> None:
+    until = find_authority_end(term, now)
+    epoch = term.rack.epoch if until > now else 0
+    runners = tuple(runner for runner, _ in iter_runners(term, node.domain))
+    node.tell_lender(RackAuthority(rack, epoch, until))
+    node.tell_lender(
+        RackRunners(
+            rack, runners, list_leaving(term, node.domain), frozenset(term.fresh)
+        )
+    )
--- /dev/null
+++ b/plantainyard/node/streams.py
@@ -0,0 +1,250 @@
+"""Reading and appending of one stream, at the actor that folds it.
+
+The deciding modules of `plantainyard.state` say what to read and append; here the
+calls are made on other threads and come back to the actor as messages.
+"""
+
+import logging
+import random
+from collections.abc import Callable, Mapping
+from concurrent.futures import Executor
+from typing import Any, NamedTuple
+
+from result import Err
+
+from plantainyard import state as log_state
+from plantainyard.clients import LogClient, append, read
+from plantainyard.clock import read_clock
+from plantainyard.errors import ErrorKind, describe_error
+
+__all__ = [
+    "StreamEvent",
+    "StreamIO",
+    "StreamState",
+    "handle_stream",
+    "submit_record",
+    "tick_stream",
+    "write_due_snapshot",
+]
+
+_MS = 1000.0
+
+_logger = logging.getLogger(__name__)
+
+
+class StreamEvent(NamedTuple):
+    """What came back from the log for one stream; `asked_at` is when it was asked."""
+
+    stream: str
+    event: log_state.ReadEvent | log_state.AppendEvent
+    asked_at: float
+
+
+class StreamIO(NamedTuple):
+    """How one stream is reached.
+
+    Attributes
+    ----------
+    log : LogClient
+        The platform's log.
+    executor : Executor
+        Threads on which calls wait.
+    deliver : callable
+        Hands a `StreamEvent` to the folding actor.
+    """
+
+    log: LogClient
+    executor: Executor
+    deliver: Callable[[StreamEvent], object]
+
+
+class StreamState:
+    """One stream as its folding actor keeps it.
+
+    Attributes
+    ----------
+    name : str
+        Name of the stream.
+    fold, restore, encode : callable
+        Fold a record into the actor's state, replace that state by a snapshot, and
+        encode it for one.
+    waiters : dict
+        For each submission's key, who is told what became of it.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        writer: str,
+        rng: random.Random,
+        reader_settings: log_state.ReaderSettings,
+        snapshot_settings: log_state.SnapshotSettings,
+        fold: Callable[[log_state.LogRecord], log_state.Change],
+        restore: Callable[[log_state.LogRecord], None],
+        encode: Callable[[], Mapping[str, Any]],
+    ) -> None:
+        self.name = name
+        self.fold = fold
+        self.restore = restore
+        self.encode = encode
+        self.reader = log_state.ReaderState(reader_settings, rng)
+        self.appender = log_state.AppenderState(
+            log_state.AppenderSettings(), writer, rng
+        )
+        self.watch = log_state.SnapshotWatch(snapshot_settings, rng)
+        self.snapshot_type = reader_settings.snapshot_type
+        self.waiters: dict[str, Callable[[log_state.AppendReport], None]] = {}
+        self.appends = 0
+
+
+def tick_stream(stream: StreamState, io: StreamIO, now: float) -> None:
+    """Let reading, appending and snapshots go on."""
+    _act_on_read(
+        stream, io, log_state.step_reader(stream.reader, log_state.ReadTick(), now), now
+    )
+    _advance_appender(stream, io, log_state.AppendTick(), now)
+    write_due_snapshot(stream, io, now)
+
+
+def handle_stream(
+    stream: StreamState, io: StreamIO, message: StreamEvent, now: float
+) -> None:
+    """Take in what came back from the log."""
+    event = message.event
+    if isinstance(event, log_state.Fetched | log_state.FetchFailed):
+        # The end of the stream was read at some time after the asking; counting from
+        # the asking keeps the age of the knowledge an upper bound.
+        at = message.asked_at if isinstance(event, log_state.Fetched) else now
+        actions = log_state.step_reader(stream.reader, event, at)
+        _act_on_read(stream, io, actions, now)
+        _advance_appender(stream, io, log_state.AppendTick(), now)
+        return
+    _advance_appender(stream, io, event, now)  # type: ignore[arg-type]
+
+
+def submit_record(
+    stream: StreamState,
+    io: StreamIO,
+    submit: log_state.Submit,
+    on_report: Callable[[log_state.AppendReport], None],
+    now: float,
+) -> None:
+    """Append a record and have `on_report` told what became of it."""
+    stream.waiters[submit.key] = on_report
+    _advance_appender(stream, io, submit, now)
+
+
+def write_due_snapshot(stream: StreamState, io: StreamIO, now: float) -> None:
+    """Write a snapshot where one is due and this instance is current."""
+    covers = stream.reader.next_offset - 1
+    if covers < 0 or not log_state.is_current(stream.reader):
+        return
+    if not log_state.is_snapshot_due(stream.watch, covers + 1, now):
+        return
+    log_state.note_snapshot_tried(stream.watch, now)
+    record = log_state.make_snapshot(covers, stream.encode(), stream.snapshot_type)
+    _advance_appender(stream, io, log_state.Submit(record, "snapshot"), now)
+
+
+def _act_on_read(
+    stream: StreamState,
+    io: StreamIO,
+    actions: list[log_state.ReaderAction],
+    now: float,
+) -> None:
+    for action in actions:
+        match action:
+            case log_state.Apply(record):
+                _fold_record(stream, io, record, now)
+            case log_state.Restore(record):
+                _restore(stream, io, record, now)
+            case log_state.Restarted(wanted, first):
+                _logger.warning(
+                    "records %d to %d are no longer kept; reading starts over",
+                    wanted,
+                    first - 1,
+                    extra={"step": "log.read", "peer": stream.name},
+                )
+            case log_state.Regressed(wanted, end):
+                _logger.error(
+                    "the log ends at %d, below %d, which was read from it",
+                    end,
+                    wanted,
+                    extra={"step": "log.read", "peer": stream.name},
+                )
+            case log_state.Fetch():
+                io.executor.submit(_fetch, stream.name, io, action)
+
+
+def _fold_record(
+    stream: StreamState, io: StreamIO, record: log_state.LogRecord, now: float
+) -> None:
+    change = stream.fold(record)
+    if change.type == stream.snapshot_type:
+        covers = int(record.data.get("covers", -1))
+        log_state.note_snapshot(stream.watch, covers, record.time_s, now)
+    else:
+        log_state.note_record(stream.watch, record.time_s, now)
+    _advance_appender(
+        stream, io, log_state.Seen(record.offset, record.data, change), now
+    )
+
+
+def _restore(
+    stream: StreamState, io: StreamIO, record: log_state.LogRecord, now: float
+) -> None:
+    stream.restore(record)
+    log_state.note_snapshot(
+        stream.watch, int(record.data["covers"]), record.time_s, now
+    )
+    _advance_appender(
+        stream, io, log_state.Skipped(int(record.data["covers"]) + 1), now
+    )
+
+
+def _advance_appender(
+    stream: StreamState, io: StreamIO, event: log_state.AppendEvent, now: float
+) -> None:
+    for action in log_state.step_appender(stream.appender, event, now):
+        if isinstance(action, log_state.Append):
+            stream.appends += 1
+            io.executor.submit(_append, stream.name, io, dict(action.record))
+        else:
+            _report(stream, action)
+
+
+def _report(stream: StreamState, report: log_state.AppendReport) -> None:
+    waiter = stream.waiters.get(report.key)
+    if waiter is None:
+        return
+    if report.status != log_state.AppendStatus.UNKNOWN:
+        del stream.waiters[report.key]
+    waiter(report)
+
+
+def _fetch(name: str, io: StreamIO, action: log_state.Fetch) -> None:
+    asked_at = read_clock()
+    answer = read(io.log, name, action.offset, action.limit, action.wait_ms / _MS)
+    event: log_state.ReadEvent
+    if isinstance(answer, Err):
+        error = answer.err_value
+        _logger.info(describe_error(error), extra={"step": error.step})
+        event = log_state.FetchFailed(error.retry_after_s)
+    else:
+        page = answer.ok_value
+        records = [log_state.LogRecord(*record) for record in page.records]
+        event = log_state.Fetched(page.first, page.next, records)
+    io.deliver(StreamEvent(name, event, asked_at))
+
+
+def _append(name: str, io: StreamIO, record: dict[str, Any]) -> None:
+    asked_at = read_clock()
+    answer = append(io.log, name, record)
+    event: log_state.AppendEvent
+    if not isinstance(answer, Err):
+        event = log_state.Answered(answer.ok_value)
+    elif answer.err_value.kind in (ErrorKind.UNREACHABLE, ErrorKind.REFUSED):
+        event = log_state.Refused(answer.err_value.retry_after_s)
+    else:
+        event = log_state.Lost()
+    io.deliver(StreamEvent(name, event, asked_at))
--- /dev/null
+++ b/plantainyard/node/terms.py
@@ -0,0 +1,161 @@
+"""One rack under one term, at the instance that owns it or cares for it.
+
+A term joins what runs the tasks (`plantainyard.execution`) with what decides where
+(`plantainyard.placement`). It ends whole: a new term starts from the log and the
+workers alone.
+"""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from plantainyard import execution, placement
+from plantainyard import state as log_state
+from plantainyard.protocol import RunnerInfo
+from plantainyard.settings import Settings
+from plantainyard.work import Size, WorkerInfo
+
+__all__ = [
+    "Term",
+    "begin_term",
+    "build_lease_terms",
+    "feed_record",
+    "iter_runners",
+    "list_leaving",
+    "name_runner",
+    "set_policy_inputs",
+]
+
+_COMMAND_S = 2.0
+
+
+class Term:
+    """State of one term.
+
+    Attributes
+    ----------
+    rack : RackState
+        What runs, by the workers' word.
+    plan : PlanState
+        The policy.
+    offset : int
+        Offset of the claim that began the term.
+    fresh : set of str
+        Runners whose assignment was written under this term.
+    """
+
+    def __init__(
+        self, rack: execution.RackState, plan: execution.PlanState, offset: int
+    ) -> None:
+        self.rack = rack
+        self.plan = plan
+        self.offset = offset
+        self.fresh: set[str] = set()
+
+
+def build_lease_terms(settings: Settings) -> execution.LeaseTerms:
+    """Return the lengths of leases that the settings give."""
+    return execution.LeaseTerms(
+        settings.platform.worker_lease_s, _COMMAND_S, settings.platform.clock_drift
+    )
+
+
+def begin_term(
+    settings: Settings,
+    holder: str,
+    domain: log_state.DomainState,
+    rack: str,
+    offset: int,
+    epoch: int,
+    caretaker: bool,
+    now: float,
+) -> Term:
+    """Return a new term over `rack` with all that the log says of it."""
+    state = execution.RackState(
+        rack,
+        holder,
+        epoch,
+        build_lease_terms(settings),
+        settings.intervals.worker_s,
+        caretaker,
+    )
+    plan = execution.PlanState(placement.create_state())
+    execution.learn_rack(plan, domain, rack, now)
+    return Term(state, plan, offset)
+
+
+def set_policy_inputs(
+    term: Term, weights: placement.Weights, shares: Mapping[str, Size], now: float
+) -> None:
+    """Tell the policy the weights and the teams' quotas."""
+    placement.step(term.plan.policy, placement.WeightsChanged(weights), now)
+    placement.step(term.plan.policy, placement.QuotasChanged(dict(shares)), now)
+
+
+def feed_record(
+    term: Term,
+    domain: log_state.DomainState,
+    data: Mapping[str, Any],
+    change: log_state.Change,
+    now: float,
+) -> None:
+    """Tell the term of a record that was just folded."""
+    pending = set(term.plan.pending)
+    execution.learn_record(term.plan, domain, term.rack.rack, data, change, now)
+    assigned = log_state.get_assigned(domain, term.rack.rack)
+    for task in pending - term.plan.pending.keys():
+        if task in assigned:
+            key = execution.AttemptKey(task, assigned[task].attempt)
+            term.fresh.add(name_runner(key))
+
+
+def name_runner(key: execution.AttemptKey) -> str:
+    """Return a runner's id, unique for each start.
+
+    Examples
+    --------
+    >>> from plantainyard.work import TaskKey
+    >>> name_runner(execution.AttemptKey(TaskKey("j", 3), 2))
+    'j/3#2'
+    """
+    return f"{key.task.job}/{key.task.number}#{key.attempt}"
+
+
+def iter_runners(
+    term: Term, domain: log_state.DomainState
+) -> Iterator[tuple[RunnerInfo, WorkerInfo]]:
+    """Yield the runners that the rack's workers list, with their worker."""
+    for view in term.rack.views.values():
+        for key, task in view.running.items():
+            entry = domain.jobs.get(key.task.job)
+            if entry is None or not task.address:
+                continue
+            yield _describe_runner(key, task.address, entry.job, view.info), view.info
+
+
+def _describe_runner(
+    key: execution.AttemptKey, address: str, job: Any, worker: WorkerInfo
+) -> RunnerInfo:
+    return RunnerInfo(
+        name_runner(key),
+        job.name,
+        address,
+        worker.rack,
+        worker.domain,
+        worker.region,
+        job.slots,
+        job.connections,
+    )
+
+
+def list_leaving(term: Term, domain: log_state.DomainState) -> frozenset[str]:
+    """Return the runners that must get nothing new, by the first sign of it."""
+    cancelled = set(log_state.list_cancelled_running(domain, term.rack.rack))
+    return frozenset(
+        name_runner(key)
+        for view in term.rack.views.values()
+        for key, task in view.running.items()
+        if task.leaving
+        or view.info.leaving
+        or key in view.evictions
+        or key.task in cancelled
+    )
--- a/plantainyard/protocol/messages.py
+++ b/plantainyard/protocol/messages.py
@@ -79,6 +79,10 @@
         Next offset that the sender has read, for each stream.
     config_version : int
         Offset of the newest configuration in force at the sender.
+    config_age_s : float
+        Seconds since the sender knew that version to be the newest.
+    knows_config : bool
+        Whether the sender can tell now that its version is the newest.
     room : dict of str to int
         Free credits for each service.
     ready, draining : bool
@@ -100,6 +104,8 @@
     ready: bool = True
     draining: bool = False
     incarnation: str = ""
+    config_age_s: float = 0.0
+    knows_config: bool = False
 
 
 class CreditAsk(NamedTuple):
