Answer operators' calls and run the whole as a daemon

Cause: the parts have to be one process that an operator can drive. Ruled out: a home domain chosen by load (a repeat of the same request at another instance would be accepted in a second domain); it follows from the request id alone. Change: handlers of all methods of the schema, the process as one context manager, the daemon with its ready line, its exit codes and its end when an actor has died.

--- /dev/null
+++ b/plantainyard/daemon.py
@@ -0,0 +1,92 @@
+"""The daemon ``plantainyardd``: one entry instance.
+
+Its exit codes are 0 after a graceful shutdown, 1 where requests were cut off, 2 for
+settings that can't be used, 3 where a part of the process has died.
+"""
+
+import json
+import logging
+import signal
+import sys
+import threading
+from pathlib import Path
+
+from absl import app, flags
+from result import Err
+
+from plantainyard.logs import configure_logs
+from plantainyard.operators import find_faults
+from plantainyard.process import drain_process, run_process
+from plantainyard.settings import Settings, describe_setting_error, load_settings
+
+__all__ = ["main", "run"]
+
+EXIT_OK = 0
+EXIT_CUT_OFF = 1
+EXIT_USAGE = 2
+EXIT_FAULT = 3
+
+_WATCH_S = 1.0
+
+_logger = logging.getLogger(__name__)
+
+_SETTINGS = flags.DEFINE_string("settings", None, "TOML file with the settings.")
+_CHECK = flags.DEFINE_bool("check", False, "Check the settings, open no socket.")
+
+
+def run(settings: Settings) -> int:
+    """Run until the process is asked to stop, then stop gracefully.
+
+    Returns
+    -------
+    int
+        The exit code.
+
+    Notes
+    -----
+    Once both servers listen, one JSON line on standard output says where.
+    """
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    with run_process(settings) as process:
+        ready = {
+            "address": process.address,
+            "control_address": process.control_address,
+            "instance": settings.instance.id,
+        }
+        print(json.dumps(ready), flush=True)
+        while not stop.wait(_WATCH_S):
+            faults = find_faults(process.node)
+            if faults:
+                # A process whose actor died looks alive and does nothing; ended whole,
+                # its duties pass to others by the rules for a dead instance.
+                _logger.critical("%s", "; ".join(faults), extra={"step": "watch"})
+                return EXIT_FAULT
+        drained = drain_process(process)
+    return EXIT_OK if drained else EXIT_CUT_OFF
+
+
+def _run_with_flags(arguments: list[str]) -> int:
+    if len(arguments) > 1 or _SETTINGS.value is None:
+        print("usage: plantainyardd --settings=FILE [--check]", file=sys.stderr)
+        return EXIT_USAGE
+    loaded = load_settings(Path(_SETTINGS.value))
+    if isinstance(loaded, Err):
+        for error in loaded.err_value:
+            print(describe_setting_error(error), file=sys.stderr)
+        return EXIT_USAGE
+    if _CHECK.value:
+        print(f"{_SETTINGS.value}: the settings are sound")
+        return EXIT_OK
+    configure_logs(loaded.ok_value)
+    return run(loaded.ok_value)
+
+
+def main() -> None:
+    """Run the daemon with the flags of the command line."""
+    app.run(_run_with_flags)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/plantainyard/operators/__init__.py
@@ -0,0 +1,49 @@
+"""Answers to operators' calls, from the actors of one process."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from plantainyard.api import Handlers
+
+from .configurations import (
+    apply_configuration,
+    drain,
+    get_configuration,
+    get_configuration_history,
+    get_configuration_status,
+)
+from .creation import cancel_jobs, create_job, create_service
+from .listing import describe_job, list_jobs, list_teams
+from .node import Node, make_url
+from .standing import describe_state, dump, find_faults, find_waits, tell_status
+
+__all__ = [
+    "Node",
+    "build_handlers",
+    "describe_state",
+    "find_faults",
+    "find_waits",
+    "make_url",
+]
+
+_HANDLERS: dict[str, Callable[[Node, Any], Any]] = {
+    "ApplyConfiguration": apply_configuration,
+    "CancelJobs": cancel_jobs,
+    "CreateJob": create_job,
+    "CreateService": create_service,
+    "DescribeJob": describe_job,
+    "Drain": drain,
+    "Dump": dump,
+    "GetConfiguration": get_configuration,
+    "GetConfigurationHistory": get_configuration_history,
+    "GetConfigurationStatus": get_configuration_status,
+    "ListJobs": list_jobs,
+    "ListTeams": list_teams,
+    "Status": tell_status,
+}
+
+
+def build_handlers(node: Node) -> Handlers:
+    """Return the handler of each method of the schema."""
+    return {name: partial(handle, node) for name, handle in _HANDLERS.items()}
--- /dev/null
+++ b/plantainyard/operators/creation.py
@@ -0,0 +1,213 @@
+"""Calls that accept or cancel work."""
+
+from collections.abc import Callable, Iterable, Iterator
+from functools import partial
+from itertools import groupby
+from typing import Any
+
+from result import Err, Ok, Result
+
+from plantainyard import state as log_state
+from plantainyard.api import (
+    ApiError,
+    ErrorCode,
+    iter_service_parts,
+    read_job,
+)
+from plantainyard.api import operators_pb2 as schema
+from plantainyard.clients import InstanceState
+from plantainyard.metrics import add_count
+from plantainyard.node.values import read_shares
+from plantainyard.work import Job, Size, WorkerInfo
+
+from .homes import (
+    allot,
+    find_job_domain,
+    list_allowed,
+    make_job_id,
+    name_request,
+    pick_home,
+)
+from .node import (
+    Node,
+    call_operator,
+    explain_report,
+    find_peer,
+    list_instances,
+    query,
+    read_config,
+    submit_and_wait,
+)
+
+__all__ = ["cancel_jobs", "create_job", "create_service", "list_workers"]
+
+_DRY_OFFSET = -1
+_RETRY_S = 2.0
+
+
+def list_workers(node: Node) -> list[WorkerInfo]:
+    """Return the workers that the platform's list does not call gone."""
+    return [
+        i.worker
+        for i in list_instances(node)
+        if i.worker is not None and i.state != InstanceState.GONE
+    ]
+
+
+def create_job(
+    node: Node, request: schema.CreateJobRequest
+) -> Result[schema.CreateJobResponse, ApiError]:
+    """Accept a batch job in its home domain."""
+    job = read_job(request, make_job_id(request.request_id))
+    workers = list_workers(node)
+    home = pick_home(request.request_id, list_allowed(job, workers))
+    if home is None:
+        return Err(_refuse_infeasible("constraints", "no such failure domain"))
+    named = name_request(request.request_id, home)
+    if home != node.settings.instance.domain:
+        forwarded = schema.CreateJobRequest()
+        forwarded.CopyFrom(request)
+        forwarded.request_id = named
+        return _forward(node, home, "CreateJob", forwarded, schema.CreateJobResponse())
+    job = job._replace(id=f"{make_job_id(named)}.{home}")
+    accepted = _accept(node, named, job, workers, request.dry_run)
+    return accepted.map(lambda part: schema.CreateJobResponse(job=part))
+
+
+def create_service(
+    node: Node, request: schema.CreateServiceRequest
+) -> Result[schema.CreateServiceResponse, ApiError]:
+    """Accept a service: one part in each of its failure domains.
+
+    Notes
+    -----
+    Each part is a record of its own domain. Where one of them is refused or unknown,
+    the error says so and a repeat with the same id completes the rest.
+    """
+    workers = list_workers(node)
+    stem = make_job_id(request.request_id)
+    parts = list(iter_service_parts(request, stem))
+    unknown = {d for d in request.runners if not any(w.domain == d for w in workers)}
+    if unknown:
+        field = f"runners.{min(unknown)}"
+        return Err(_refuse_infeasible(field, "no such failure domain"))
+    accepted = []
+    for part in parts:
+        result = _accept_part(node, request, part, workers)
+        if isinstance(result, Err):
+            return result
+        accepted.append(result.ok_value)
+    return Ok(schema.CreateServiceResponse(jobs=accepted))
+
+
+def _accept_part(
+    node: Node,
+    request: schema.CreateServiceRequest,
+    part: Job,
+    workers: list[WorkerInfo],
+) -> Result[schema.AcceptedJob, ApiError]:
+    (domain,) = part.constraints.domains
+    if domain == node.settings.instance.domain:
+        named = name_request(request.request_id, domain)
+        return _accept(node, named, part, workers, request.dry_run)
+    forwarded = schema.CreateServiceRequest()
+    forwarded.CopyFrom(request)
+    for other in [d for d in forwarded.runners if d != domain]:
+        del forwarded.runners[other]
+    result = _forward(
+        node, domain, "CreateService", forwarded, schema.CreateServiceResponse()
+    )
+    return result.map(lambda response: response.jobs[0])
+
+
+def _forward(
+    node: Node, domain: str, method: str, request: Any, response: Any
+) -> Result[Any, ApiError]:
+    peer = find_peer(node, domain)
+    if peer is None:
+        detail = f"no instance of {domain} is heard from"
+        return Err(ApiError(ErrorCode.REFUSED, detail, retry_after_s=_RETRY_S))
+    return call_operator(node, peer, method, request, response)
+
+
+def _accept(
+    node: Node, request_id: str, job: Job, workers: list[WorkerInfo], dry_run: bool
+) -> Result[schema.AcceptedJob, ApiError]:
+    domain = node.settings.instance.domain
+    members = [w for w in workers if w.domain == domain]
+    allotment, failing = allot(job, members, _find_share(node, job.team, workers))
+    if failing:
+        return Err(_refuse_infeasible("size", f"no worker meets: {failing}"))
+    if dry_run:
+        return Ok(schema.AcceptedJob(domain=domain, offset=_DRY_OFFSET))
+    record = log_state.make_accept(request_id, job, allotment)
+    report = submit_and_wait(node.domain, record)
+    error = explain_report(report)
+    if error is not None:
+        return Err(error)
+    add_count(node.meter, "jobs.accepted")
+    return Ok(schema.AcceptedJob(job_id=job.id, domain=domain, offset=report.offset))
+
+
+def _find_share(node: Node, team: str, workers: Iterable[WorkerInfo]) -> Size | None:
+    racks = len({(w.domain, w.rack) for w in workers}) or 1
+    return read_shares(read_config(node).values, racks).get(team)
+
+
+def _refuse_infeasible(field: str, detail: str) -> ApiError:
+    return ApiError(ErrorCode.INFEASIBLE, detail, field)
+
+
+def cancel_jobs(
+    node: Node, request: schema.CancelJobsRequest
+) -> Result[schema.CancelJobsResponse, ApiError]:
+    """Cancel jobs, with one record in each of their home domains."""
+    groups = groupby(sorted(request.job_ids, key=find_job_domain), find_job_domain)
+    cancelled: list[schema.CancelledJob] = []
+    for domain, jobs in groups:
+        result = _cancel_in(node, request.request_id, domain, list(jobs))
+        if isinstance(result, Err):
+            return result
+        cancelled.extend(result.ok_value)
+    return Ok(schema.CancelJobsResponse(jobs=cancelled))
+
+
+def _cancel_in(
+    node: Node, request_id: str, domain: str, jobs: list[str]
+) -> Result[list[schema.CancelledJob], ApiError]:
+    if domain != node.settings.instance.domain:
+        forwarded = schema.CancelJobsRequest(request_id=request_id, job_ids=jobs)
+        result = _forward(
+            node, domain, "CancelJobs", forwarded, schema.CancelJobsResponse()
+        )
+        return result.map(lambda response: list(response.jobs))
+    over = query(node.domain, partial(_find_over, jobs))
+    missing = [job for job in jobs if over[job] is None]
+    if missing:
+        return Err(ApiError(ErrorCode.NOT_FOUND, missing[0], "job_ids"))
+    record = log_state.make_cancel(name_request(request_id, domain), jobs)
+    report = submit_and_wait(node.domain, record)
+    error = explain_report(report)
+    if error is not None:
+        return Err(error)
+    return Ok(list(_iter_cancelled(jobs, domain, report.offset, over.__getitem__)))
+
+
+def _find_over(jobs: list[str], actor: Any, _: float) -> dict[str, bool | None]:
+    state = actor.node.domain
+    found = {job: log_state.get_job(state, job) for job in jobs}
+    return {
+        job: None
+        if entry is None
+        else not isinstance(entry, log_state.JobState) or entry.cancelled
+        for job, entry in found.items()
+    }
+
+
+def _iter_cancelled(
+    jobs: list[str], domain: str, offset: int, was_over: Callable[[str], bool | None]
+) -> Iterator[schema.CancelledJob]:
+    for job in jobs:
+        yield schema.CancelledJob(
+            job_id=job, domain=domain, offset=offset, was_over=bool(was_over(job))
+        )
--- /dev/null
+++ b/plantainyard/operators/node.py
@@ -0,0 +1,208 @@
+"""What the handlers of operators' calls reach in their process."""
+
+import concurrent.futures
+import uuid
+from collections.abc import Mapping
+from typing import Any, NamedTuple, cast
+
+import pykka
+import urllib3
+from google.protobuf.message import Message
+from result import Err, Ok, Result
+
+from plantainyard import state as log_state
+from plantainyard.api import (
+    SERVICE,
+    ApiError,
+    ErrorCode,
+    build_api_error,
+    decode_error,
+)
+from plantainyard.clients import Instance, build_peer
+from plantainyard.clients.http import send_request
+from plantainyard.clock import read_clock
+from plantainyard.gateway import Gateway
+from plantainyard.metrics import Meter
+from plantainyard.node import (
+    PeerView,
+    Query,
+    ReadConfig,
+    SubmitRecord,
+    read_peers,
+)
+from plantainyard.node.configuration import ConfigView
+from plantainyard.protocol import build_authorization
+from plantainyard.settings import Settings
+
+__all__ = [
+    "Node",
+    "call_operator",
+    "explain_report",
+    "find_peer",
+    "list_instances",
+    "list_peers",
+    "make_url",
+    "query",
+    "read_config",
+    "submit_and_wait",
+]
+
+_QUERY_S = 5.0
+_SETTLE_S = 5.0
+_GIVE_UP_S = 8.0
+_RETRY_S = 2.0
+_OK = 200
+
+
+class Node(NamedTuple):
+    """The parts of a running process.
+
+    Attributes
+    ----------
+    settings : Settings
+        The instance's settings.
+    name : str
+        Name of this process in claims.
+    domain, config, peers, lender : pykka.ActorRef
+        The actors.
+    gateway : Gateway
+        The callers' side.
+    pool : urllib3.PoolManager
+        Shared connections.
+    meter : Meter
+        Metrics.
+    started_at : float
+        Clock at the start.
+    """
+
+    settings: Settings
+    name: str
+    domain: pykka.ActorRef[Any]
+    config: pykka.ActorRef[Any]
+    peers: pykka.ActorRef[Any]
+    lender: pykka.ActorRef[Any]
+    gateway: Gateway
+    pool: urllib3.PoolManager
+    meter: Meter
+    started_at: float
+
+
+def query(ref: pykka.ActorRef[Any], read: Any) -> Any:
+    """Run `read` on an actor's state and return its plain values."""
+    return ref.ask(Query(read), timeout=_QUERY_S)
+
+
+def read_config(node: Node) -> ConfigView:
+    """Return the configuration in force here."""
+    view: Any = node.config.ask(ReadConfig(), timeout=_QUERY_S)
+    return cast(ConfigView, view)
+
+
+def list_peers(node: Node) -> tuple[PeerView, ...]:
+    """Return what is known of the other instances."""
+    views: tuple[PeerView, ...] = query(node.peers, read_peers)
+    return views
+
+
+def list_instances(node: Node) -> tuple[Instance, ...]:
+    """Return the platform's list as it was last read."""
+    instances: tuple[Instance, ...] = query(node.peers, lambda a, _: a.instances)
+    return instances
+
+
+def find_peer(node: Node, domain: str) -> PeerView | None:
+    """Return an instance of `domain` to pass a call on to, the last heard first."""
+    peers = [p for p in list_peers(node) if p.domain == domain and p.is_live]
+    return max(peers, key=lambda peer: peer.heard_at, default=None)
+
+
+def make_url(address: str) -> str:
+    """Return `address` as a URL."""
+    return address if "://" in address else f"http://{address}"
+
+
+def submit_and_wait(
+    ref: pykka.ActorRef[Any], record: Mapping[str, Any]
+) -> log_state.AppendReport:
+    """Append `record` and wait for what becomes of it.
+
+    Returns
+    -------
+    AppendReport
+        Of status ``unknown`` where that isn't settled in time. Nothing is said to be
+        "not run" that may still take effect.
+    """
+    settled: concurrent.futures.Future[log_state.AppendReport] = (
+        concurrent.futures.Future()
+    )
+
+    def take(report: log_state.AppendReport) -> None:
+        final = report.status != log_state.AppendStatus.UNKNOWN
+        if final and not settled.done():
+            settled.set_result(report)
+
+    key = uuid.uuid4().hex
+    give_up_at = read_clock() + _SETTLE_S
+    submit = log_state.Submit(record, key, give_up_at)
+    ref.tell(SubmitRecord(submit, take))
+    try:
+        return settled.result(_GIVE_UP_S)
+    except concurrent.futures.TimeoutError:
+        return log_state.AppendReport(key, log_state.AppendStatus.UNKNOWN)
+
+
+def explain_report(report: log_state.AppendReport) -> ApiError | None:
+    """Return the error that an append's report means, None where it took effect."""
+    match report.status:
+        case log_state.AppendStatus.APPLIED:
+            return None
+        case log_state.AppendStatus.VOID:
+            return ApiError(
+                ErrorCode.CONFLICT,
+                "another change came first",
+                winning_version=report.offset,
+            )
+        case log_state.AppendStatus.NOT_RUN:
+            pause = report.retry_after_s or _RETRY_S
+            return ApiError(
+                ErrorCode.REFUSED, "the log took no record", retry_after_s=pause
+            )
+    return ApiError(
+        ErrorCode.UNKNOWN, "the log has not said yet", retry_after_s=_RETRY_S
+    )
+
+
+def call_operator(
+    node: Node, peer: PeerView, method: str, request: Message, response: Message
+) -> Result[Any, ApiError]:
+    """Pass an operator's call on to another instance, once.
+
+    Parameters
+    ----------
+    node : Node
+        This process.
+    peer : PeerView
+        The instance that is to answer.
+    method : str
+        Name of the method.
+    request : Message
+        The call.
+    response : Message
+        An empty response, filled from the answer.
+    """
+    target = build_peer(make_url(peer.control_address), node.pool, _GIVE_UP_S + 1.0)
+    headers = {
+        "Authorization": build_authorization(node.settings.security.token.reveal()),
+        "Content-Type": "application/x-protobuf",
+    }
+    step = f"operator.{method}"
+    body = request.SerializeToString()
+    answer = send_request(target, step, "POST", f"/{SERVICE}/{method}", body, headers)
+    if isinstance(answer, Err):
+        return Err(build_api_error(answer.err_value))
+    if answer.ok_value.status != _OK:
+        error = decode_error(answer.ok_value.body)
+        unreadable = ApiError(ErrorCode.UNKNOWN, step=step, peer=peer.instance)
+        return Err(error or unreadable)
+    response.ParseFromString(answer.ok_value.body)
+    return Ok(response)
