--- /dev/null
+++ b/plantainyard/state/configuration.py
@@ -0,0 +1,231 @@
+"""Folding of the ``config`` stream: values, their versions and what they replaced.
+
+The offset of the record that set a key is the key's version. Versions only grow:
+an offset that was folded before is ignored, so no instance ever goes back to an
+older value.
+"""
+
+from collections import deque
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from plantainyard.state.changes import Change, Reason, Verdict, VerdictKind
+from plantainyard.state.checks import Validity, check_record
+from plantainyard.state.records import RecordType
+from plantainyard.state.requests import (
+    RequestMemory,
+    judge_request,
+    remember_request,
+)
+
+__all__ = [
+    "MAX_DELETED",
+    "MAX_HISTORY",
+    "ConfigState",
+    "ConfigValue",
+    "HistoryEntry",
+    "apply_config",
+    "get_value",
+    "get_version",
+    "list_history",
+    "list_values",
+]
+
+# Constants and not settings: what is forgotten decides verdicts.
+MAX_DELETED = 1024
+MAX_HISTORY = 256
+
+
+class ConfigValue(NamedTuple):
+    """A value and the version that set it."""
+
+    value: Any
+    version: int
+
+
+class HistoryEntry(NamedTuple):
+    """An accepted change.
+
+    Attributes
+    ----------
+    version : int
+        Offset of the change.
+    request_id : str
+        Id of the changing call.
+    changes : Mapping of str to JSON value
+        What it set; None for a deleted key.
+    """
+
+    version: int
+    request_id: str
+    changes: Mapping[str, Any]
+
+
+class ConfigState:
+    """What the ``config`` stream says up to an offset.
+
+    Attributes
+    ----------
+    next_offset : int
+        Offset of the first record that is not yet folded.
+    version : int
+        Offset of the newest accepted change, -1 for none.
+    values : dict of str to ConfigValue
+        The values in force.
+    deleted : dict of str to int
+        Versions that deleted a key, the oldest first, at most `MAX_DELETED`.
+    floor : int
+        Newest version of a forgotten deletion, -1 for none.
+    requests : RequestMemory
+        Decided request ids.
+    history : deque of HistoryEntry
+        The newest accepted changes, at most `MAX_HISTORY`.
+    skipped : int
+        Number of skipped records of unknown type.
+    """
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.version = -1
+        self.values: dict[str, ConfigValue] = {}
+        self.deleted: dict[str, int] = {}
+        self.floor = -1
+        self.requests = RequestMemory()
+        self.history: deque[HistoryEntry] = deque(maxlen=MAX_HISTORY)
+        self.skipped = 0
+
+
+def get_value(state: ConfigState, key: str, default: Any = None) -> Any:
+    """Return the value in force for `key`, `default` where it has none."""
+    entry = state.values.get(key)
+    return default if entry is None else entry.value
+
+
+def get_version(state: ConfigState, key: str) -> int:
+    """Return the version that last set or deleted `key`.
+
+    Notes
+    -----
+    A key whose deletion is forgotten counts as deleted at the newest forgotten one:
+    a change may then be refused without need, but never wins wrongly.
+    """
+    entry = state.values.get(key)
+    if entry is not None:
+        return entry.version
+    return state.deleted.get(key, state.floor)
+
+
+def list_values(state: ConfigState, prefix: str = "") -> dict[str, Any]:
+    """Return the values in force whose key begins with `prefix`, sorted by key."""
+    return {
+        key: state.values[key].value
+        for key in sorted(state.values)
+        if key.startswith(prefix)
+    }
+
+
+def list_history(state: ConfigState) -> list[HistoryEntry]:
+    """Return the newest accepted changes, the oldest first."""
+    return list(state.history)
+
+
+def apply_config(state: ConfigState, offset: int, data: Any) -> Change:
+    """Fold the record at `offset` of the ``config`` stream into `state`.
+
+    Parameters
+    ----------
+    state : ConfigState
+        Changed in place.
+    offset : int
+        The record's offset; one that was folded before is ignored.
+    data : JSON value
+        The record, well formed or not.
+
+    Returns
+    -------
+    Change
+        Whether the change was accepted; if it conflicts, `winner` is the version
+        that set one of its keys since the operator looked.
+
+    Raises
+    ------
+    ValueError
+        If offsets are missing between the state and `offset`.
+    """
+    kind = data.get("type", "") if isinstance(data, dict) else ""
+    if offset < state.next_offset:
+        return Change(str(kind), offset, False, Reason.STALE)
+    if offset > state.next_offset:
+        raise ValueError(f"offsets {state.next_offset} to {offset - 1} are missing")
+    state.next_offset = offset + 1
+    return _apply_one(state, offset, data, str(kind))
+
+
+def _apply_one(state: ConfigState, offset: int, data: Any, kind: str) -> Change:
+    check = check_record(data)
+    if check.kind == Validity.MALFORMED:
+        return Change(kind, offset, False, Reason.MALFORMED, detail=check.detail)
+    if kind == RecordType.CONFIG:
+        return _apply_changes(state, offset, data)
+    if kind == RecordType.ABANDON:
+        return _apply_abandon(state, offset, data)
+    if kind == RecordType.CONFIG_SNAPSHOT:
+        return Change(kind, offset, True)
+    if kind == RecordType.GROUP:
+        return _apply_group(state, offset, data)
+    state.skipped += 1
+    return Change(kind, offset, False, Reason.UNKNOWN)
+
+
+def _apply_group(state: ConfigState, offset: int, data: Mapping[str, Any]) -> Change:
+    # All parts have the group's offset: the second of two changes of one key must
+    # still conflict, so a part may not build on the group's own offset.
+    parts = tuple(
+        _apply_one(state, offset, part, part["type"])
+        if isinstance(part, dict)
+        and part.get("type") in (RecordType.CONFIG, RecordType.ABANDON)
+        else Change("", offset, False, Reason.MALFORMED)
+        for part in data["records"]
+    )
+    applied = any(part.applied for part in parts)
+    return Change(RecordType.GROUP, offset, applied, parts=parts)
+
+
+def _apply_abandon(state: ConfigState, offset: int, data: Mapping[str, Any]) -> Change:
+    judged = judge_request(state.requests, offset, data)
+    if judged is not None:
+        return judged
+    verdict = Verdict(VerdictKind.ABANDON, offset, True)
+    remember_request(state.requests, data["request_id"], verdict)
+    return Change(RecordType.ABANDON, offset, True)
+
+
+def _apply_changes(state: ConfigState, offset: int, data: Mapping[str, Any]) -> Change:
+    judged = judge_request(state.requests, offset, data)
+    if judged is not None:
+        return judged
+    changes = data["changes"]
+    winner = max(get_version(state, key) for key in changes)
+    # Two operators change the same key without knowing of each other: the second
+    # one in the log would silently undo the first, so it is told of the winner.
+    applied = winner <= data["base"] < offset
+    verdict = Verdict(VerdictKind.CONFIG, offset, applied)
+    remember_request(state.requests, data["request_id"], verdict)
+    if not applied:
+        return Change(RecordType.CONFIG, offset, False, Reason.BASE, winner)
+    for key, value in changes.items():
+        _set_value(state, offset, key, value)
+    state.version = offset
+    state.history.append(HistoryEntry(offset, data["request_id"], changes))
+    return Change(RecordType.CONFIG, offset, True)
+
+
+def _set_value(state: ConfigState, offset: int, key: str, value: Any) -> None:
+    state.deleted.pop(key, None)
+    if value is not None:
+        state.values[key] = ConfigValue(value, offset)
+        return
+    state.values.pop(key, None)
+    state.deleted[key] = offset
+    if len(state.deleted) > MAX_DELETED:
+        state.floor = max(state.floor, state.deleted.pop(next(iter(state.deleted))))
--- /dev/null
+++ b/plantainyard/state/folding.py
@@ -0,0 +1,180 @@
+"""Folding of a failure domain's records into its state.
+
+The log accepts every append, so conditions are judged here, by every reader in
+the same way: the first record that stands in the log wins, and a later one that
+builds on a past state is void and names the record that prevailed. Each condition
+makes a record that arrives late or twice harmless.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from plantainyard.state.changes import Change, Reason, Verdict, VerdictKind
+from plantainyard.state.checks import Validity, check_record
+from plantainyard.state.domain import Claim, DomainState
+from plantainyard.state.jobs import JobState, allot_tasks, count_waiting
+from plantainyard.state.records import RecordType
+from plantainyard.state.requests import judge_request, remember_request
+from plantainyard.state.tasks import (
+    apply_assign,
+    apply_move,
+    apply_results,
+    complete_job,
+    forget_waiting,
+)
+from plantainyard.work import decode_job
+
+__all__ = ["apply_record"]
+
+
+def apply_record(state: DomainState, offset: int, data: Any) -> Change:
+    """Fold the record at `offset` into `state`.
+
+    Parameters
+    ----------
+    state : DomainState
+        Changed in place.
+    offset : int
+        The record's offset; one that was folded before is ignored.
+    data : JSON value
+        The record, well formed or not.
+
+    Returns
+    -------
+    Change
+        Whether it took effect, and if not, why and which offset prevailed.
+
+    Raises
+    ------
+    ValueError
+        If offsets are missing between the state and `offset`. A reader must never
+        skip any; see `plantainyard.state.reader`.
+
+    Notes
+    -----
+    Costs time in the number of items, for an ``accept`` in the number of racks, for
+    a ``cancel`` in the number of its jobs' tried tasks.
+    """
+    if offset < state.next_offset:
+        return Change(_get_type(data), offset, False, Reason.STALE)
+    if offset > state.next_offset:
+        raise ValueError(f"offsets {state.next_offset} to {offset - 1} are missing")
+    state.next_offset = offset + 1
+    return _apply_one(state, offset, data)
+
+
+def _apply_one(state: DomainState, offset: int, data: Any) -> Change:
+    check = check_record(data)
+    if check.kind == Validity.UNKNOWN:
+        # An instance of a newer version runs beside this one: its records pass.
+        state.skipped += 1
+        return Change(check.detail, offset, False, Reason.UNKNOWN)
+    if check.kind == Validity.MALFORMED:
+        kind = _get_type(data)
+        return Change(kind, offset, False, Reason.MALFORMED, detail=check.detail)
+    fold = _FOLDS.get(data["type"])
+    if fold is None:
+        return Change(data["type"], offset, False, Reason.UNKNOWN)
+    return fold(state, offset, data)
+
+
+def _get_type(data: Any) -> str:
+    kind = data.get("type", "") if isinstance(data, dict) else ""
+    return kind if isinstance(kind, str) else ""
+
+
+def _apply_group(state: DomainState, offset: int, data: Mapping[str, Any]) -> Change:
+    nested = (RecordType.GROUP, RecordType.SNAPSHOT)
+    parts = tuple(
+        Change(_get_type(part), offset, False, Reason.MALFORMED)
+        if _get_type(part) in nested
+        else _apply_one(state, offset, part)
+        for part in data["records"]
+    )
+    applied = any(part.applied for part in parts)
+    return Change(RecordType.GROUP, offset, applied, parts=parts)
+
+
+def _apply_snapshot(state: DomainState, offset: int, data: Mapping[str, Any]) -> Change:
+    return Change(RecordType.SNAPSHOT, offset, True)
+
+
+def _apply_accept(state: DomainState, offset: int, data: Mapping[str, Any]) -> Change:
+    judged = judge_request(state.requests, offset, data)
+    if judged is not None:
+        return judged
+    job = decode_job(data["job"])
+    known = state.jobs.get(job.id)
+    done = state.completed.get(job.id)
+    fresh_id = known is None and done is None
+    verdict = Verdict(VerdictKind.ACCEPT, offset, fresh_id, job.id)
+    remember_request(state.requests, data["request_id"], verdict)
+    if known is not None or done is not None:
+        winner = known.offset if known else done.accepted if done else -1
+        return Change(RecordType.ACCEPT, offset, False, Reason.DUPLICATE, winner)
+    entry = JobState(job, offset)
+    entry.fresh = allot_tasks(data["allotment"])
+    state.jobs[job.id] = entry
+    for rack in entry.fresh:
+        state.waiting.setdefault(rack, set()).add(job.id)
+    return Change(RecordType.ACCEPT, offset, True)
+
+
+def _apply_abandon(state: DomainState, offset: int, data: Mapping[str, Any]) -> Change:
+    judged = judge_request(state.requests, offset, data)
+    if judged is not None:
+        return judged
+    verdict = Verdict(VerdictKind.ABANDON, offset, True)
+    remember_request(state.requests, data["request_id"], verdict)
+    return Change(RecordType.ABANDON, offset, True)
+
+
+def _apply_cancel(state: DomainState, offset: int, data: Mapping[str, Any]) -> Change:
+    judged = judge_request(state.requests, offset, data)
+    if judged is not None:
+        return judged
+    live = [state.jobs[job] for job in data["jobs"] if job in state.jobs]
+    targets = [job for job in live if not job.cancelled]
+    for job in targets:
+        _cancel_job(state, offset, job)
+    verdict = Verdict(VerdictKind.CANCEL, offset, bool(targets))
+    remember_request(state.requests, data["request_id"], verdict)
+    reason = "" if targets else Reason.NO_JOB
+    return Change(RecordType.CANCEL, offset, bool(targets), reason)
+
+
+def _cancel_job(state: DomainState, offset: int, job: JobState) -> None:
+    job.cancelled = True
+    for rack in {*job.fresh, *job.retries}:
+        job.dropped += count_waiting(job, rack)
+        forget_waiting(state, rack, job.job.id)
+    job.fresh.clear()
+    job.retries.clear()
+    job.failures.clear()
+    state.cancelled.add(job.job.id)
+    complete_job(state, offset, job)
+
+
+def _apply_claim(state: DomainState, offset: int, data: Mapping[str, Any]) -> Change:
+    present = state.claims.get(data["rack"])
+    term = present.term if present else -1
+    # Two rivals build on the same claim; the second one in the log must lose, and
+    # so must a claim that was held back until after another owner's.
+    if data["base"] != term:
+        return Change(RecordType.CLAIM, offset, False, Reason.BASE, term)
+    handed_over = present is not None and not present.holder
+    state.claims[data["rack"]] = Claim(data["holder"], offset, handed_over)
+    return Change(RecordType.CLAIM, offset, True)
+
+
+_FOLDS: Mapping[str, Callable[[DomainState, int, Mapping[str, Any]], Change]] = {
+    RecordType.ABANDON: _apply_abandon,
+    RecordType.ACCEPT: _apply_accept,
+    RecordType.ASSIGN: apply_assign,
+    RecordType.CANCEL: _apply_cancel,
+    RecordType.CLAIM: _apply_claim,
+    RecordType.GROUP: _apply_group,
+    RecordType.MOVE: apply_move,
+    RecordType.RESULTS: apply_results,
+    RecordType.SNAPSHOT: _apply_snapshot,
+}
--- /dev/null
+++ b/plantainyard/state/jobs.py
@@ -0,0 +1,235 @@
+"""The folded state of one job, kept compact whatever its number of tasks.
+
+A task is in one of five places: waiting and never tried (in a range), waiting
+for another attempt, assigned, done, or cancelled. Only tried and assigned tasks
+cost memory each; done and cancelled ones are counted.
+"""
+
+from collections.abc import Iterator, Mapping
+from itertools import accumulate
+from typing import NamedTuple
+
+from plantainyard.state.ranges import Ranges, iter_numbers, remove_number
+from plantainyard.work import Job, TaskKey
+
+__all__ = [
+    "Assignment",
+    "Failure",
+    "JobState",
+    "JobSummary",
+    "Retry",
+    "TaskCounts",
+    "Waiting",
+    "allot_tasks",
+    "count_waiting",
+    "iter_job_waiting",
+    "take_waiting",
+]
+
+
+class Assignment(NamedTuple):
+    """An attempt given to a worker; it may run there, and nowhere else.
+
+    Attributes
+    ----------
+    attempt : int
+        Number of the attempt, from one.
+    worker : str
+        Id of the worker.
+    checkpoint : str
+        Checkpoint that this attempt resumes from; empty for none.
+    """
+
+    attempt: int
+    worker: str
+    checkpoint: str = ""
+
+
+class Retry(NamedTuple):
+    """A task that waits for another attempt after `attempts` of them ended.
+
+    `failed` tells that the last one failed.
+    """
+
+    attempts: int
+    checkpoint: str = ""
+    failed: bool = False
+
+
+class Failure(NamedTuple):
+    """How often a task failed, and the last error."""
+
+    failures: int
+    error: str
+
+
+class Waiting(NamedTuple):
+    """A task that may be assigned.
+
+    Attributes
+    ----------
+    task : TaskKey
+        The task.
+    attempt : int
+        Number of the next attempt, from one.
+    checkpoint : str
+        Checkpoint to resume from; empty for none.
+    error : str
+        Error of the last failed attempt; empty for none.
+    failures : int
+        Number of failed attempts.
+    """
+
+    task: TaskKey
+    attempt: int
+    checkpoint: str
+    error: str
+    failures: int
+
+
+class TaskCounts(NamedTuple):
+    """Where the tasks of a job are; the five sum to its task count.
+
+    `failed` counts those whose last attempt failed and that wait for another.
+    """
+
+    waiting: int
+    assigned: int
+    done: int
+    failed: int
+    cancelled: int
+
+
+class JobSummary(NamedTuple):
+    """What is kept of a completed job.
+
+    Attributes
+    ----------
+    id, name, team : str
+        As declared.
+    task_count, done, cancelled : int
+        Numbers of tasks.
+    accepted, completed : int
+        Offsets of the accepting and of the completing record.
+    """
+
+    id: str
+    name: str
+    team: str
+    task_count: int
+    done: int
+    cancelled: int
+    accepted: int
+    completed: int
+
+
+class JobState:
+    """A job that is not complete.
+
+    Attributes
+    ----------
+    job : Job
+        As declared.
+    offset : int
+        Offset of the accepting record.
+    fresh : dict of str to Ranges
+        For each rack, the waiting tasks that were never assigned.
+    retries : dict of str to dict of int to Retry
+        For each rack, the tasks that wait for another attempt.
+    failures : dict of int to Failure
+        For the tasks that failed at least once and are not done.
+    assigned, done, dropped : int
+        Numbers of assigned, done and cancelled tasks.
+    cancelled : bool
+        True once the job was cancelled.
+    """
+
+    __slots__ = (
+        "assigned",
+        "cancelled",
+        "done",
+        "dropped",
+        "failures",
+        "fresh",
+        "job",
+        "offset",
+        "retries",
+    )
+
+    def __init__(self, job: Job, offset: int) -> None:
+        self.job = job
+        self.offset = offset
+        self.fresh: dict[str, Ranges] = {}
+        self.retries: dict[str, dict[int, Retry]] = {}
+        self.failures: dict[int, Failure] = {}
+        self.assigned = 0
+        self.done = 0
+        self.dropped = 0
+        self.cancelled = False
+
+
+def allot_tasks(allotment: Mapping[str, int]) -> dict[str, Ranges]:
+    """Return each rack's contiguous range of task numbers.
+
+    Parameters
+    ----------
+    allotment : Mapping of str to int
+        Number of tasks for each rack.
+
+    Examples
+    --------
+    >>> {r: list(iter_numbers(n)) for r, n in allot_tasks({"b": 2, "a": 1}).items()}
+    {'a': [0], 'b': [1, 2]}
+    """
+    racks = sorted(rack for rack, count in allotment.items() if count)
+    stops = list(accumulate(allotment[rack] for rack in racks))
+    starts = [0, *stops]
+    return {
+        rack: Ranges([(start, stop)])
+        for rack, start, stop in zip(racks, starts, stops, strict=False)
+    }
+
+
+def count_waiting(state: JobState, rack: str) -> int:
+    """Return the number of tasks of the job that wait in `rack`."""
+    fresh = state.fresh.get(rack)
+    return (fresh.count if fresh else 0) + len(state.retries.get(rack, ()))
+
+
+def take_waiting(state: JobState, rack: str, number: int) -> Retry | None:
+    """Take a waiting task out of `rack`.
+
+    Returns
+    -------
+    Retry or None
+        The task's attempts so far and its checkpoint; None where the task does not
+        wait in this rack.
+    """
+    fresh = state.fresh.get(rack)
+    if fresh is not None and remove_number(fresh, number):
+        if not fresh.count:
+            del state.fresh[rack]
+        return Retry(0)
+    retries = state.retries.get(rack)
+    if retries is None or number not in retries:
+        return None
+    retry = retries.pop(number)
+    if not retries:
+        del state.retries[rack]
+    return retry
+
+
+def iter_job_waiting(state: JobState, rack: str) -> Iterator[Waiting]:
+    """Yield the tasks of the job that wait in `rack`, retries first, lazily."""
+    for number, retry in state.retries.get(rack, {}).items():
+        failure = state.failures.get(number, Failure(0, ""))
+        yield Waiting(
+            TaskKey(state.job.id, number),
+            retry.attempts + 1,
+            retry.checkpoint,
+            failure.error,
+            failure.failures,
+        )
+    fresh = state.fresh.get(rack)
+    for number in iter_numbers(fresh) if fresh else ():
+        yield Waiting(TaskKey(state.job.id, number), 1, "", "", 0)
--- /dev/null
+++ b/plantainyard/state/records.py
@@ -0,0 +1,319 @@
+"""Records of the log's streams: their shapes and functions that make them.
+
+A record is one JSON object in a stream, told apart by its ``type``. Every record
+may carry an ``append_id``, unique for each submitted record, by which a writer
+whose answer was lost finds it again, and an ``as_of``, the next offset that the
+writer knew when it submitted the record.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, Literal, NamedTuple, NotRequired, TypedDict
+
+from plantainyard.work import Job, TaskKey, encode_job, format_task
+
+__all__ = [
+    "AbandonRecord",
+    "AcceptRecord",
+    "AssignItem",
+    "AssignRecord",
+    "CancelRecord",
+    "ClaimRecord",
+    "ConfigRecord",
+    "GroupRecord",
+    "MoveRecord",
+    "Outcome",
+    "Record",
+    "RecordType",
+    "ResultItem",
+    "ResultsRecord",
+    "SnapshotRecord",
+    "make_abandon",
+    "make_accept",
+    "make_assign",
+    "make_cancel",
+    "make_claim",
+    "make_config",
+    "make_group",
+    "make_move",
+    "make_results",
+    "make_snapshot",
+]
+
+
+class RecordType:
+    """Values of a record's ``type``."""
+
+    ABANDON = "abandon"
+    ACCEPT = "accept"
+    ASSIGN = "assign"
+    CANCEL = "cancel"
+    CLAIM = "claim"
+    CONFIG = "config"
+    CONFIG_SNAPSHOT = "config_snapshot"
+    GROUP = "group"
+    MOVE = "move"
+    RESULTS = "results"
+    SNAPSHOT = "snapshot"
+
+
+class Outcome:
+    """How an attempt ended, as a ``results`` record tells it.
+
+    Notes
+    -----
+    ``EVICTED``
+        Stopped by a command; the detail is the checkpoint, empty where there is
+        none. An attempt that provably never started also ends so, and gives back
+        the checkpoint that it was assigned with.
+    ``LAPSED``
+        The lease is over for certain and the worker said nothing; the checkpoint
+        that the attempt was assigned with is lost, for it may have been resumed.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    EVICTED = "evicted"
+    LAPSED = "lapsed"
+
+
+class AssignItem(NamedTuple):
+    """One task's attempt given to a worker; attempts are numbered from one."""
+
+    task: TaskKey
+    attempt: int
+    worker: str
+
+
+class ResultItem(NamedTuple):
+    """How one attempt ended; `outcome` is a name in `Outcome`."""
+
+    task: TaskKey
+    attempt: int
+    outcome: str
+    detail: str = ""
+
+
+class _Common(TypedDict):
+    append_id: NotRequired[str]
+    as_of: NotRequired[int]
+
+
+class AcceptRecord(_Common):
+    """An accepted job; `allotment` counts its tasks for each rack."""
+
+    type: Literal["accept"]
+    request_id: str
+    job: dict[str, Any]
+    allotment: dict[str, int]
+
+
+class AbandonRecord(_Common):
+    """Makes a later record with the same request id void."""
+
+    type: Literal["abandon"]
+    request_id: str
+
+
+class CancelRecord(_Common):
+    """Stops jobs: no further starts, running tasks are stopped."""
+
+    type: Literal["cancel"]
+    request_id: str
+    jobs: list[str]
+
+
+class ClaimRecord(_Common):
+    """Claims a rack on top of the claim at `base`; an empty holder gives it up."""
+
+    type: Literal["claim"]
+    rack: str
+    holder: str
+    base: int
+
+
+class AssignRecord(_Common):
+    """Attempts that the rack's owner is about to start."""
+
+    type: Literal["assign"]
+    rack: str
+    term: int
+    items: list[list[Any]]
+
+
+class ResultsRecord(_Common):
+    """Ended attempts, as workers told them; a lapse counts only in its `term`."""
+
+    type: Literal["results"]
+    rack: str
+    term: int
+    items: list[list[Any]]
+
+
+class MoveRecord(_Common):
+    """Unassigned tasks that the rack's owner gives to another rack."""
+
+    type: Literal["move"]
+    rack: str
+    term: int
+    tasks: list[str]
+    to_rack: str
+
+
+class ConfigRecord(_Common):
+    """A change of configuration on top of version `base`; null deletes a key."""
+
+    type: Literal["config"]
+    request_id: str
+    base: int
+    changes: dict[str, Any]
+
+
+class SnapshotRecord(_Common):
+    """The folded state up to and including offset `covers`."""
+
+    type: Literal["snapshot", "config_snapshot"]
+    covers: int
+    state: dict[str, Any]
+
+
+class GroupRecord(_Common):
+    """Several records in one append, folded in order at the same offset."""
+
+    type: Literal["group"]
+    records: list[dict[str, Any]]
+
+
+Record = (
+    AbandonRecord
+    | AcceptRecord
+    | AssignRecord
+    | CancelRecord
+    | ClaimRecord
+    | ConfigRecord
+    | GroupRecord
+    | MoveRecord
+    | ResultsRecord
+    | SnapshotRecord
+)
+
+
+def make_accept(
+    request_id: str, job: Job, allotment: Mapping[str, int]
+) -> AcceptRecord:
+    """Return the record that accepts `job`.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the accepting call; the same id is accepted once.
+    job : Job
+        The accepted job.
+    allotment : Mapping of str to int
+        Number of tasks for each rack; the sum is the job's task count. Racks get
+        contiguous ranges of task numbers in the order of their sorted names.
+    """
+    return {
+        "type": "accept",
+        "request_id": request_id,
+        "job": encode_job(job),
+        "allotment": dict(allotment),
+    }
+
+
+def make_abandon(request_id: str) -> AbandonRecord:
+    """Return the record that makes a later one with `request_id` void."""
+    return {"type": "abandon", "request_id": request_id}
+
+
+def make_cancel(request_id: str, jobs: Iterable[str]) -> CancelRecord:
+    """Return the record that cancels `jobs`."""
+    return {"type": "cancel", "request_id": request_id, "jobs": list(jobs)}
+
+
+def make_claim(rack: str, holder: str, base: int) -> ClaimRecord:
+    """Return the record by which `holder` claims `rack`.
+
+    Parameters
+    ----------
+    rack, holder : str
+        The rack, and the claiming instance; an empty holder gives the rack up.
+    base : int
+        Offset of the rack's present claim, -1 for none.
+    """
+    return {"type": "claim", "rack": rack, "holder": holder, "base": base}
+
+
+def make_assign(rack: str, term: int, items: Iterable[AssignItem]) -> AssignRecord:
+    """Return the record that assigns `items` under the rack's `term`."""
+    return {
+        "type": "assign",
+        "rack": rack,
+        "term": term,
+        "items": [[format_task(i.task), i.attempt, i.worker] for i in items],
+    }
+
+
+def make_results(rack: str, term: int, items: Iterable[ResultItem]) -> ResultsRecord:
+    """Return the record that ends the attempts in `items`.
+
+    Parameters
+    ----------
+    rack : str
+        The rack to which the attempts were assigned.
+    term : int
+        The writer's term. What a worker told is a fact in any term; that a lease
+        lapsed is a conclusion of the rack's owner and void in another term.
+    items : iterable of ResultItem
+        The ended attempts.
+    """
+    return {
+        "type": "results",
+        "rack": rack,
+        "term": term,
+        "items": [[format_task(i.task), i.attempt, i.outcome, i.detail] for i in items],
+    }
+
+
+def make_move(
+    rack: str, term: int, tasks: Iterable[TaskKey], to_rack: str
+) -> MoveRecord:
+    """Return the record by which the owner of `rack` gives `tasks` to `to_rack`."""
+    return {
+        "type": "move",
+        "rack": rack,
+        "term": term,
+        "tasks": [format_task(task) for task in tasks],
+        "to_rack": to_rack,
+    }
+
+
+def make_config(request_id: str, base: int, changes: Mapping[str, Any]) -> ConfigRecord:
+    """Return the record that changes configuration on top of version `base`.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the changing call; the same id is applied once.
+    base : int
+        Version that the operator saw, -1 for none.
+    changes : Mapping of str to JSON value
+        New values; None deletes a key.
+    """
+    return {
+        "type": "config",
+        "request_id": request_id,
+        "base": base,
+        "changes": dict(changes),
+    }
+
+
+def make_snapshot(
+    covers: int, state: Mapping[str, Any], type: str = RecordType.SNAPSHOT
+) -> SnapshotRecord:
+    """Return the record that holds an encoded `state` up to offset `covers`."""
+    return {"type": type, "covers": covers, "state": dict(state)}  # type: ignore[typeddict-item]
+
+
+def make_group(records: Sequence[Mapping[str, Any]]) -> GroupRecord:
+    """Return one record that carries `records`."""
+    return {"type": "group", "records": [dict(record) for record in records]}
