Take an instance's gauges from what it tells operators

Gauges set in many places drift from what the command line shows.

An age of something that never was is infinite: statsd gets a large number, and people read "never".

--- a/plantainyard/api/__init__.py
+++ b/plantainyard/api/__init__.py
@@ -28,6 +28,7 @@
     decode_error,
     encode_error,
 )
+from plantainyard.api.gauges import record_process, record_status
 
 __all__ = [
     "METHODS",
@@ -51,6 +52,8 @@
     "read_job",
     "read_size",
     "read_value",
+    "record_process",
+    "record_status",
     "serve_call",
     "write_constraints",
     "write_size",
--- /dev/null
+++ b/plantainyard/api/gauges.py
@@ -0,0 +1,57 @@
+"""Gauges of an instance, taken from what it tells operators of itself."""
+
+import resource
+import time
+from pathlib import Path
+
+from plantainyard.api import operators_pb2 as schema
+from plantainyard.metrics import Meter, add_count, set_gauge
+
+__all__ = ["record_process", "record_status"]
+
+LIVE = "live"
+MS_IN_S = 1_000
+LONGEST_S = 1e9
+STATM = Path("/proc/self/statm")
+RESIDENT_FIELD = 1
+
+
+def record_status(meter: Meter, status: schema.StatusResponse) -> None:
+    """Set the gauges that follow from an instance's status.
+
+    Parameters
+    ----------
+    meter : Meter
+        Where they are set.
+    status : StatusResponse
+        What the instance tells of itself; the figures of a dashboard and those of
+        the command line then can't contradict each other.
+    """
+    racks = status.racks
+    owned = sum(rack.authority for rack in racks)
+    set_gauge(meter, "racks.owned", owned)
+    set_gauge(meter, "racks.pending", len(racks) - owned)
+    set_gauge(meter, "workers.silent", sum(rack.workers_silent for rack in racks))
+    set_gauge(meter, "tasks.assigned", sum(rack.tasks_assigned for rack in racks))
+    set_gauge(meter, "tasks.waiting", sum(rack.tasks_waiting for rack in racks))
+    set_gauge(meter, "requests.queued", status.requests_queued)
+    set_gauge(meter, "requests.in_progress", status.requests_in_progress)
+    set_gauge(meter, "config.version", status.configuration_version)
+    set_gauge(meter, "config.age", _clip(status.configuration_age_s))
+    ages = [age.age_s for age in status.streams]
+    set_gauge(meter, "log.age", _clip(max(ages, default=0.0)))
+    set_gauge(meter, "peers.live", sum(peer.state == LIVE for peer in status.peers))
+    set_gauge(meter, "process.ready", status.ready)
+
+
+def _clip(age_s: float) -> float:
+    """Return an age that a gauge can have, also where something never was."""
+    return min(age_s, LONGEST_S)
+
+
+def record_process(meter: Meter) -> None:
+    """Record the processor time since the last call, and the resident memory."""
+    spent_ms = int(time.process_time() * MS_IN_S)
+    add_count(meter, "process.cpu", spent_ms - meter.counts.get("process.cpu", 0))
+    pages = int(STATM.read_text("ascii").split()[RESIDENT_FIELD])
+    set_gauge(meter, "process.memory", pages * resource.getpagesize())
--- a/plantainyard/commands/configurations.py
+++ b/plantainyard/commands/configurations.py
@@ -24,10 +24,7 @@
 )
 from plantainyard.commands.declare import read_text
 from plantainyard.commands.exits import ExitCode
-from plantainyard.commands.render import (
-    format_value,
-    write_json,
-)
+from plantainyard.commands.render import format_age, format_value, write_json
 from plantainyard.configuration import flatten_changes
 
 __all__ = ["COMMANDS", "change_configuration", "define_change"]
@@ -154,7 +151,8 @@
 def _format_configuration(answer: schema.GetConfigurationResponse) -> str:
     rows = ((key, write_json(answer.values[key])) for key in sorted(answer.values))
     table = format_table(("key", "value"), rows)
-    return f"{table}\nversion {answer.version}, known current {answer.age_s:.0f} s ago"
+    age = format_age(answer.age_s)
+    return f"{table}\nversion {answer.version}, known current {age}"
 
 
 def _define_history(values: flags.FlagValues) -> None:
@@ -200,8 +198,8 @@
             i.domain,
             i.version,
             "yes" if i.version >= newest else "no",
-            "yes" if i.knows_current else f"no, last {i.age_s:.0f} s ago",
-            f"{i.report_age_s:.0f} s ago",
+            "yes" if i.knows_current else f"no, last {format_age(i.age_s)}",
+            format_age(i.report_age_s),
         )
         for i in answer.instances
     ]
--- a/plantainyard/commands/instances.py
+++ b/plantainyard/commands/instances.py
@@ -19,7 +19,7 @@
     show_json,
 )
 from plantainyard.commands.exits import ExitCode
-from plantainyard.commands.render import format_ages
+from plantainyard.commands.render import format_age, format_ages
 
 __all__ = ["COMMANDS"]
 
@@ -71,7 +71,7 @@
         (
             "configuration",
             f"version {answer.configuration_version}, "
-            f"known current {answer.configuration_age_s:.0f} s ago",
+            f"known current {format_age(answer.configuration_age_s)}",
         ),
         (
             "requests",
@@ -91,7 +91,7 @@
         for r in answer.racks
     )
     peers = (
-        (p.instance, p.domain, p.state, f"{p.heard_s:.1f} s ago", p.address)
+        (p.instance, p.domain, p.state, format_age(p.heard_s), p.address)
         for p in answer.peers
     )
     rack_names = (
--- a/plantainyard/commands/render.py
+++ b/plantainyard/commands/render.py
@@ -12,6 +12,7 @@
 from plantainyard.commands.command import format_table
 
 __all__ = [
+    "format_age",
     "format_ages",
     "format_counts",
     "format_job",
@@ -23,6 +24,7 @@
 ]
 
 STALE_S = 30.0
+NEVER_S = 1e9
 STATE_PREFIX = "JOB_STATE_"
 
 
@@ -83,10 +85,21 @@
     return "\n".join([format_table(headers, rows), *format_ages(answer.ages)])
 
 
+def format_age(age_s: float) -> str:
+    """Return how long ago something was.
+
+    Examples
+    --------
+    >>> format_age(2.04), format_age(float("inf"))
+    ('2.0 s ago', 'never')
+    """
+    return f"{age_s:.1f} s ago" if age_s < NEVER_S else "never"
+
+
 def format_ages(ages: Iterable[schema.DomainAge]) -> list[str]:
     """Return a line for each failure domain not read for some time."""
     return [
-        f"{age.domain}: not read for {age.age_s:.0f} s; what is told of it is old"
+        f"{age.domain}: last read {format_age(age.age_s)}; what is told of it is old"
         for age in ages
         if age.age_s > STALE_S
     ]
--- a/plantainyard/metrics.py
+++ b/plantainyard/metrics.py
@@ -78,7 +78,7 @@
     "tasks.evicted": _counter("tasks", "Checkpointed and stopped to make room."),
     "tasks.lapsed": _counter("tasks", "Lost with their worker; they run again."),
     "tasks.throttled": _gauge("tasks", "Slowed down now for a service's sake."),
-    "tasks.running": _gauge("tasks", "Running now on racks owned here."),
+    "tasks.assigned": _gauge("tasks", "Assigned to workers now, on racks owned here."),
     "tasks.waiting": _gauge(
         "tasks", "Accepted, not yet assigned, on racks owned here."
     ),
@@ -109,6 +109,7 @@
     "actors.mailbox": _gauge("messages", "In the longest mailbox."),
     "process.cpu": _counter("milliseconds", "Processor time used."),
     "process.memory": _gauge("bytes", "Resident memory."),
+    "process.ready": _gauge("0 or 1", "Whether the balancer may send callers."),
 }
 
 
--- a/plantainyard/tests/test_logs.py
+++ b/plantainyard/tests/test_logs.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from plantainyard.api import operators_pb2 as schema
+from plantainyard.api import record_process, record_status
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.logs import configure_logs, get_logger, log_call_error, log_step
 from plantainyard.metrics import (
@@ -69,6 +71,25 @@
     assert described["timers"]["requests.latency"]["count"] == 1
 
 
+def test_status_and_process_become_gauges():
+    meter = create_meter(Metrics())
+    rack = schema.RackStatus(authority=True, tasks_waiting=3, workers_silent=1)
+    peers = [schema.PeerStatus(state="live"), schema.PeerStatus(state="silent")]
+    status = schema.StatusResponse(
+        racks=[rack, schema.RackStatus(tasks_waiting=4)],
+        peers=peers,
+        streams=[schema.DomainAge(age_s=7)],
+    )
+    record_status(meter, status)
+    record_process(meter)
+    record_process(meter)
+    gauges = describe_meter(meter)["gauges"]
+    assert (gauges["racks.owned"], gauges["racks.pending"]) == (1, 1)
+    assert (gauges["tasks.waiting"], gauges["workers.silent"]) == (7, 1)
+    assert (gauges["peers.live"], gauges["log.age"]) == (1, 7)
+    assert gauges["process.memory"] > 1_000_000
+
+
 def test_meter_without_server_only_keeps():
     meter = create_meter(Metrics())
     add_count(meter, "tasks.done")
