--- a/plantainyard/commands/configurations.py
+++ b/plantainyard/commands/configurations.py
@@ -130,13 +130,11 @@
         (c.key, format_value(c, "before"), format_value(c, "after"))
         for c in answer.changes
     )
-    return "\n".join(
-        [
-            format_table(("key", "before", "after"), rows),
-            f"version {answer.version}, "
-            f"known in force on {answer.in_force_on} of {answer.instances} instances",
-        ]
-    )
+    table = format_table(("key", "before", "after"), rows)
+    if not answer.instances:
+        return f"{table}\nnothing is changed; version {answer.version} is in force"
+    force = f"in force on {answer.in_force_on} of {answer.instances} instances by now"
+    return f"{table}\nversion {answer.version}, {force}"
 
 
 def _define_show(values: flags.FlagValues) -> None:
--- a/plantainyard/commands/instances.py
+++ b/plantainyard/commands/instances.py
@@ -120,9 +120,10 @@
         ("drain",),
         "",
         "Empty an entry instance or a worker ahead of a planned stop.",
-        "The order is a change of configuration, so it reaches the target through "
-        "the log. An instance stops taking requests, gives its racks up and "
-        "finishes what it has; a worker gets no new tasks. --undo takes it back.",
+        "The order is a change of configuration, so it takes effect through the log. "
+        "An instance tells the balancer that it isn't ready and gives its racks up. A "
+        "worker gets no new tasks and its runners no new requests; what runs there "
+        "goes on to its end. --undo takes the target back into use.",
         (
             "plantainyard drain --instance=addis-kality-2",
             "plantainyard drain --worker=w17",
--- a/plantainyard/commands/render.py
+++ b/plantainyard/commands/render.py
@@ -1,7 +1,7 @@
 """Messages of the schema as tables for people."""
 
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from google.protobuf.message import Message
@@ -120,8 +120,9 @@
         ("state", format_state(job.state)),
         ("home domain", job.domain),
         ("tasks", format_counts(job.counts)),
-        ("size of one", format_size(answer.size)),
     ]
+    if answer.HasField("size"):
+        rows.append(("size of one", format_size(answer.size)))
     if answer.run_s:
         rows.append(("declared run time", f"{answer.run_s:g} s"))
     if answer.slots:
@@ -130,16 +131,22 @@
     lines = [f"{name + ':':<20} {value}" for name, value in rows]
     lines += [f"{'because:':<20} {_format_reason(reason)}" for reason in answer.reasons]
     lines += format_ages([schema.DomainAge(domain=job.domain, age_s=answer.age_s)])
-    racks = (
+    return "\n".join([*lines, *_iter_tables(answer)])
+
+
+def _iter_tables(answer: schema.DescribeJobResponse) -> Iterator[str]:
+    racks = [
         (r.rack, r.tasks, r.waiting, r.place or "-", r.owner or "nobody yet")
         for r in answer.racks
-    )
-    places = ((p.number, p.attempt, p.worker, p.rack, p.domain) for p in answer.places)
-    rack_names = ("rack", "tasks", "waiting", "place", "decided by")
-    lines += ["", format_table(rack_names, racks)]
-    place_names = ("task", "attempt", "worker", "rack", "domain")
-    lines += ["", format_table(place_names, places)]
-    return "\n".join(lines)
+    ]
+    places = [(p.number, p.attempt, p.worker, p.rack, p.domain) for p in answer.places]
+    if racks:
+        headers = ("rack", "tasks", "waiting", "place", "decided by")
+        yield "\n" + format_table(headers, racks)
+    if places:
+        yield "\n" + format_table(
+            ("task", "attempt", "worker", "rack", "domain"), places
+        )
 
 
 def _format_reason(reason: schema.Reason) -> str:
--- a/plantainyard/configuration.py
+++ b/plantainyard/configuration.py
@@ -117,14 +117,14 @@
         "workers.<name>.draining",
         _is_boolean,
         _BOOLEAN,
-        "The worker is to be emptied.",
+        "The worker gets no new tasks, its runners no new requests.",
         DOTTED_NAME,
     ),
     ConfigurationKey(
         "instances.<name>.draining",
         _is_boolean,
         _BOOLEAN,
-        "The entry instance is to be emptied.",
+        "The entry instance is not ready any more and gives its racks up.",
         DOTTED_NAME,
     ),
 )
--- a/plantainyard/settings/model.py
+++ b/plantainyard/settings/model.py
@@ -61,6 +61,8 @@
         Greatest relative error between two clocks; 0.01 is 1 %.
     trust_gone : bool
         Whether a worker that the list calls ``gone`` has certainly stopped its tasks.
+    log_retention_s : float
+        How long the log keeps a record at least; snapshots are written well within.
     timeout_s : float
         Longest wait for an answer of the platform beyond any asked-for wait.
     """
@@ -70,6 +72,7 @@
     worker_lease_s: float = 10.0
     clock_drift: float = 0.01
     trust_gone: bool = False
+    log_retention_s: float = 3_600.0
     timeout_s: float = 2.0
 
 
@@ -147,8 +150,6 @@
         Between two reads of the instance list.
     worker_s : float
         Between two reads of an owned worker's state.
-    snapshot_s : float
-        Age of a stream's newest snapshot after which another is written.
     stop_s : float
         Longest graceful shutdown.
     """
@@ -159,7 +160,6 @@
     log_wait_s: float = 2.0
     instances_s: float = 2.0
     worker_s: float = 1.0
-    snapshot_s: float = 300.0
     stop_s: float = 60.0
 
 
--- a/plantainyard/settings/rules.py
+++ b/plantainyard/settings/rules.py
@@ -119,6 +119,7 @@
         "worker_lease_s": _number(0.5, 600, "seconds"),
         "clock_drift": _number(0, 0.2, "a fraction"),
         "trust_gone": _BOOLEAN,
+        "log_retention_s": _number(10, 31_536_000, "seconds"),
         "timeout_s": _number(0, 60, "seconds", open_low=True),
     },
     "limits": {
@@ -145,7 +146,6 @@
         "log_wait_s": _number(0, 60, "seconds"),
         "instances_s": _number(0.05, 60, "seconds"),
         "worker_s": _number(0.05, 60, "seconds"),
-        "snapshot_s": _number(1, 86_400, "seconds"),
         "stop_s": _number(0, 3_600, "seconds", open_low=True),
     },
     "security": {"token": _TOKEN, "token_file": _PATH},
