Let one relay speak for each failure domain, and read the list once

Ruled out: longer intervals alone (a dead owner would be noticed later by as much). Change: within a domain all speak to all; between domains one relay of each, which hands on what changed since the other confirmed. The relay reads the platform's list; the others are told its digest and fetch it when it differs. Messages leave out fields at their default. A relay that does not answer is passed over.

--- a/plantainyard/clients/__init__.py
+++ b/plantainyard/clients/__init__.py
@@ -7,6 +7,9 @@
     InstancesClient,
     InstanceState,
     build_instances_client,
+    decode_instance,
+    digest_instances,
+    encode_instance,
     read_instances,
 )
 from plantainyard.clients.log import (
@@ -69,6 +72,9 @@
     "WorkerState",
     "append",
     "build_instances_client",
+    "decode_instance",
+    "digest_instances",
+    "encode_instance",
     "build_log_client",
     "build_peer",
     "build_pool",
--- a/plantainyard/clients/instances.py
+++ b/plantainyard/clients/instances.py
@@ -1,9 +1,11 @@
 """Client of the platform's lagging list of instances."""
 
-from collections.abc import Mapping
+import json
+from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
 import urllib3
+import xxhash
 from result import Err, Ok, Result
 
 from plantainyard.clients.http import DEFAULT_TIMEOUT_S, HttpPeer, build_peer, call_json
@@ -16,6 +18,9 @@
     "InstanceState",
     "InstancesClient",
     "build_instances_client",
+    "decode_instance",
+    "digest_instances",
+    "encode_instance",
     "read_instances",
 ]
 
@@ -92,6 +97,28 @@
         )
 
 
+def encode_instance(instance: Instance) -> dict[str, Any]:
+    """Return `instance` as the JSON object that the list has for it."""
+    shown: dict[str, Any] = {k: v for k, v in instance._asdict().items() if v}
+    worker = shown.pop("worker", None)
+    if worker is None:
+        return shown
+    size = worker.capacity._asdict()
+    more = {"rack": worker.rack, "accelerator": worker.accelerator, "capacity": size}
+    return {**shown, **more}
+
+
+def decode_instance(item: Mapping[str, Any]) -> Instance:
+    """Return the instance that `encode_instance` wrote."""
+    return _parse_instance(item)
+
+
+def digest_instances(instances: Iterable[Instance]) -> str:
+    """Return a short digest of a list, the same whatever its order."""
+    items = sorted(json.dumps(encode_instance(i), sort_keys=True) for i in instances)
+    return xxhash.xxh3_64_hexdigest("\n".join(items).encode())
+
+
 def _parse_instance(item: Mapping[str, Any]) -> Instance:
     is_worker = item["kind"] == InstanceKind.WORKER
     return Instance(
--- a/plantainyard/node/control.py
+++ b/plantainyard/node/control.py
@@ -11,8 +11,10 @@
 from plantainyard.protocol import (
     CREDITS_PATH,
     HEARTBEAT_PATH,
+    INSTANCES_PATH,
     CreditAsk,
     Heartbeat,
+    InstancesAsk,
     Message,
     decode_message,
     encode_message,
@@ -24,7 +26,9 @@
 
 
 def build_peer_app(
-    hear: Callable[[Heartbeat], Heartbeat], lend: Callable[[CreditAsk], Message]
+    hear: Callable[[Heartbeat], Heartbeat],
+    lend: Callable[[CreditAsk], Message],
+    list_instances: Callable[[InstancesAsk], Message],
 ) -> WSGIApplication:
     """Return the application that answers other instances.
 
@@ -34,6 +38,8 @@
         Takes a peer's heartbeat and returns this process's own.
     lend : callable
         Answers a gateway's ask for credits.
+    list_instances : callable
+        Answers with the platform's list as it was last read.
 
     Notes
     -----
@@ -42,6 +48,7 @@
     handlers: PeerHandlers = {
         HEARTBEAT_PATH: (Heartbeat, hear),
         CREDITS_PATH: (CreditAsk, lend),
+        INSTANCES_PATH: (InstancesAsk, list_instances),
     }
 
     def serve(environ: WSGIEnvironment, start: StartResponse) -> Iterable[bytes]:
--- a/plantainyard/node/messages.py
+++ b/plantainyard/node/messages.py
@@ -45,9 +45,10 @@
 
 
 class InstancesListed(NamedTuple):
-    """The platform's list was read."""
+    """The platform's list was read, here or by the domain's relay."""
 
     instances: tuple[Instance, ...]
+    digest: str = ""
 
 
 class PeersHeard(NamedTuple):
--- a/plantainyard/node/peers.py
+++ b/plantainyard/node/peers.py
@@ -15,15 +15,38 @@
     InstanceState,
     build_instances_client,
     build_peer,
+    decode_instance,
+    digest_instances,
+    encode_instance,
     read_instances,
 )
 from plantainyard.clock import read_clock
 from plantainyard.gateway import call_peer
-from plantainyard.protocol import HEARTBEAT_PATH, Heartbeat
+from plantainyard.protocol import (
+    HEARTBEAT_PATH,
+    INSTANCES_PATH,
+    Heartbeat,
+    InstancesAnswer,
+    InstancesAsk,
+)
+from plantainyard.relay import (
+    PeerAddress,
+    RelayState,
+    Sending,
+    choose_targets,
+    confirm_sending,
+    forget_confirmations,
+    is_relay,
+    list_news,
+    note_word,
+)
 from plantainyard.settings import Settings
 
 from .messages import InstancesListed, PeersHeard, Query, Tick
 
+_LIST_PATIENCE = 2.5
+_RELAYED_SILENCES = 2.0
+
 __all__ = ["HeartbeatHeard", "PeerView", "PeersActor", "read_peers"]
 
 
@@ -33,6 +56,14 @@
     heartbeat: Heartbeat
 
 
+class HeartbeatEnded(NamedTuple):
+    """A heartbeat to `peer`, with words up to `version`, arrived or not."""
+
+    peer: str
+    version: int
+    arrived: bool
+
+
 class PeerView(NamedTuple):
     """What is known of another instance.
 
@@ -77,6 +108,8 @@
         The instance's settings.
     name : str
         Name of this process.
+    rng : random.Random
+        Spreads rounds, so that instances do not speak all at once.
     pool : urllib3.PoolManager
         Shared connections.
     executor : Executor
@@ -84,7 +117,7 @@
     describe : callable
         Returns this process's own heartbeat with a given sequence number.
     publish : callable
-        Told `InstancesListed`, `PeersHeard` and the views on each change.
+        Told `InstancesListed`, `PeersHeard` and `RelayRole`.
     """
 
     use_daemon_thread = True
@@ -109,7 +142,13 @@
         self.publish = publish
         self.listed: dict[str, Instance] = {}
         self.instances: tuple[Instance, ...] = ()
+        self.list_digest = ""
+        self.list_read_at = float("-inf")
         self.heard: dict[str, tuple[Heartbeat, float]] = {}
+        self.domain_heard: dict[str, float] = {}
+        self.silent: dict[str, int] = {}
+        self.relay = RelayState()
+        self.is_relay = False
         self.sequence = 0
         self.next_list_at = float("-inf")
         self.next_beat_at = float("-inf")
@@ -122,75 +161,219 @@
                 self._tick(now)
             case HeartbeatHeard(heartbeat):
                 self._hear(heartbeat, now)
-            case InstancesListed(instances):
-                self.instances = instances
-                self.listed = {
-                    i.id: i
-                    for i in instances
-                    if i.kind == InstanceKind.ENTRY
-                    and i.id != self.settings.instance.id
-                }
-                self.publish(message)
+            case HeartbeatEnded():
+                self._end_heartbeat(message)
+            case InstancesListed(instances, digest):
+                self._take_list(instances, digest, now)
+            case InstancesAsk(digest):
+                return self._answer_list(digest)
             case Query(read):
                 return read(self, now)
         return None
 
     def _tick(self, now: float) -> None:
         intervals = self.settings.intervals
+        live = self._list_near(now)
+        instance = self.settings.instance
+        self.is_relay = is_relay(instance.id, instance.domain, live)
         if now >= self.next_list_at:
             self.next_list_at = now + intervals.instances_s * self.rng.uniform(0.9, 1.1)
-            self.executor.submit(self._read_list)
+            self._refresh_list(now)
         if now >= self.next_beat_at:
             self.next_beat_at = now + intervals.heartbeat_s * self.rng.uniform(0.9, 1.1)
-            self._send_heartbeats()
-        self._publish_live(now)
+            self._send_heartbeats(now)
+        self._publish_roles(now)
 
-    def _read_list(self) -> None:
-        platform = self.settings.platform
-        client = build_instances_client(
-            platform.instances, self.pool, platform.timeout_s
-        )
-        answer = read_instances(client)
-        if isinstance(answer, Ok):
-            self.actor_ref.tell(InstancesListed(answer.ok_value))
+    def _list_near(self, now: float) -> list[str]:
+        oldest = now - self.settings.intervals.silence_s
+        domain = self.settings.instance.domain
+        return [
+            name
+            for name, (beat, heard_at) in self.heard.items()
+            if beat.domain == domain and heard_at >= oldest and not beat.draining
+        ]
+
+    def _refresh_list(self, now: float) -> None:
+        """Read the platform's list where this instance relays or nobody else does."""
+        patience = _LIST_PATIENCE * self.settings.intervals.instances_s
+        if self.is_relay or now - self.list_read_at > patience:
+            self.executor.submit(_read_list, self.settings, self.pool, self.actor_ref)
+
+    def _take_list(
+        self, instances: tuple[Instance, ...], digest: str, now: float
+    ) -> None:
+        self.list_read_at = now
+        if digest == self.list_digest:
+            return
+        self.list_digest = digest
+        self.instances = instances
+        self.listed = {
+            i.id: i
+            for i in instances
+            if i.kind == InstanceKind.ENTRY and i.id != self.settings.instance.id
+        }
+        self.publish(InstancesListed(instances, digest))
 
-    def _send_heartbeats(self) -> None:
+    def _answer_list(self, digest: str) -> InstancesAnswer:
+        if digest == self.list_digest:
+            return InstancesAnswer(digest)
+        items = tuple(encode_instance(item) for item in self.instances)
+        return InstancesAnswer(self.list_digest, items)
+
+    def _send_heartbeats(self, now: float) -> None:
         self.sequence += 1
-        beat = self.describe(self.sequence)
-        for peer in self.listed.values():
-            if peer.state != InstanceState.GONE and peer.control_address:
-                self.executor.submit(self._send_heartbeat, peer, beat)
-
-    def _send_heartbeat(self, peer: Instance, beat: Heartbeat) -> None:
-        url = _make_url(peer.control_address)
-        answer = call_peer(
-            build_peer(url, self.pool),
-            self.settings.security.token.reveal(),
-            HEARTBEAT_PATH,
-            beat,
-            Heartbeat,
-            self.settings.intervals.silence_s / 2,
+        own = self.describe(self.sequence)._replace(
+            list_digest=self.list_digest, is_relay=self.is_relay
+        )
+        self._judge_silence(now)
+        for name in self._choose_targets():
+            peer = self.listed[name]
+            near = peer.domain == own.domain
+            sending = self._list_news(name, near)
+            ages = self._list_ages(now) if near and self.is_relay else {}
+            beat = own._replace(members=sending.words, domain_ages=ages)
+            self.executor.submit(
+                _send_heartbeat,
+                self.settings,
+                self.pool,
+                self.actor_ref,
+                peer,
+                beat,
+                sending.version,
+            )
+
+    def _choose_targets(self) -> list[str]:
+        instance = self.settings.instance
+        return choose_targets(
+            PeerAddress(instance.id, instance.domain),
+            (
+                PeerAddress(peer.id, peer.domain)
+                for peer in self.listed.values()
+                if peer.state != InstanceState.GONE and peer.control_address
+            ),
+            self.silent,
+            self.is_relay,
         )
-        if isinstance(answer, Ok):
-            self.actor_ref.tell(HeartbeatHeard(answer.ok_value))
+
+    def _list_news(self, peer: str, near: bool) -> Sending:
+        if not self.is_relay:
+            return Sending((), 0)
+        own = self.settings.instance.domain
+        others = {word.domain for word in self.relay.words.values()} - {own}
+        return list_news(self.relay, peer, others if near else {own})
+
+    def _list_ages(self, now: float) -> dict[str, float]:
+        return {domain: now - heard for domain, heard in self.domain_heard.items()}
+
+    def _judge_silence(self, now: float) -> None:
+        """Say of the own domain's silent instances that they are not live."""
+        oldest = now - self.settings.intervals.silence_s
+        for beat, heard_at in self.heard.values():
+            if beat.domain == self.settings.instance.domain:
+                note_word(self.relay, beat._replace(live=heard_at >= oldest))
+
+    def _end_heartbeat(self, message: "HeartbeatEnded") -> None:
+        if not message.arrived:
+            self.silent[message.peer] = self.silent.get(message.peer, 0) + 1
+            return
+        self.silent.pop(message.peer, None)
+        confirm_sending(self.relay, message.peer, message.version)
 
     def _hear(self, heartbeat: Heartbeat, now: float) -> None:
         earlier = self.heard.get(heartbeat.instance)
         if earlier is not None and _is_older(heartbeat, earlier[0]):
             return
-        self.heard[heartbeat.instance] = (heartbeat, now)
-
-    def _publish_live(self, now: float) -> None:
-        oldest = now - self.settings.intervals.silence_s
-        domain = self.settings.instance.domain
-        live = {
-            beat.incarnation
-            for beat, heard_at in self.heard.values()
-            if heard_at >= oldest and beat.domain == domain and not beat.draining
-        }
+        if earlier is None or earlier[0].incarnation != heartbeat.incarnation:
+            # A peer that was started anew knows nothing of what it had confirmed.
+            forget_confirmations(self.relay, heartbeat.instance)
+        own = self.settings.instance.domain
+        if heartbeat.domain != own:
+            self.domain_heard[heartbeat.domain] = now
+        for word in heartbeat.members:
+            if word.domain != own:
+                self.heard[word.instance] = (word, now)
+                note_word(self.relay, word)
+        for domain, age_s in heartbeat.domain_ages.items():
+            heard = self.domain_heard.get(domain, float("-inf"))
+            self.domain_heard[domain] = max(heard, now - age_s)
+        kept = heartbeat._replace(members=(), domain_ages={})
+        self.heard[heartbeat.instance] = (kept, now)
+        note_word(self.relay, kept)
+        self._follow_list(heartbeat, now)
+
+    def _follow_list(self, heartbeat: Heartbeat, now: float) -> None:
+        if not heartbeat.is_relay or heartbeat.domain != self.settings.instance.domain:
+            return
+        if heartbeat.list_digest == self.list_digest:
+            self.list_read_at = now
+        elif heartbeat.instance in self.listed and not self.is_relay:
+            peer = self.listed[heartbeat.instance]
+            self.executor.submit(
+                _ask_list,
+                self.settings,
+                self.pool,
+                self.actor_ref,
+                peer,
+                self.list_digest,
+            )
+
+    def _publish_roles(self, now: float) -> None:
+        live = {self.heard[name][0].incarnation for name in self._list_near(now)}
         self.publish(PeersHeard(frozenset(live | {self.name})))
 
 
+def _read_list(
+    settings: Settings, pool: urllib3.PoolManager, ref: pykka.ActorRef[Any]
+) -> None:
+    platform = settings.platform
+    client = build_instances_client(platform.instances, pool, platform.timeout_s)
+    answer = read_instances(client)
+    if isinstance(answer, Ok):
+        instances = answer.ok_value
+        ref.tell(InstancesListed(instances, digest_instances(instances)))
+
+
+def _ask_list(
+    settings: Settings,
+    pool: urllib3.PoolManager,
+    ref: pykka.ActorRef[Any],
+    peer: Instance,
+    digest: str,
+) -> None:
+    answer = call_peer(
+        build_peer(_make_url(peer.control_address), pool),
+        settings.security.token.reveal(),
+        INSTANCES_PATH,
+        InstancesAsk(digest),
+        InstancesAnswer,
+        settings.platform.timeout_s,
+    )
+    if isinstance(answer, Ok) and answer.ok_value.instances:
+        items = tuple(decode_instance(item) for item in answer.ok_value.instances)
+        ref.tell(InstancesListed(items, answer.ok_value.digest))
+
+
+def _send_heartbeat(
+    settings: Settings,
+    pool: urllib3.PoolManager,
+    ref: pykka.ActorRef[Any],
+    peer: Instance,
+    beat: Heartbeat,
+    version: int,
+) -> None:
+    answer = call_peer(
+        build_peer(_make_url(peer.control_address), pool),
+        settings.security.token.reveal(),
+        HEARTBEAT_PATH,
+        beat,
+        Heartbeat,
+        settings.intervals.silence_s / 2,
+    )
+    if isinstance(answer, Ok):
+        ref.tell(HeartbeatHeard(answer.ok_value))
+    ref.tell(HeartbeatEnded(peer.id, version, isinstance(answer, Ok)))
+
+
 def _is_older(heartbeat: Heartbeat, earlier: Heartbeat) -> bool:
     same = heartbeat.incarnation == earlier.incarnation
     return same and heartbeat.sequence < earlier.sequence
@@ -223,5 +406,13 @@
         beat,
         heard_at,
         now - heard_at,
-        now - heard_at <= actor.settings.intervals.silence_s,
+        beat is not None and _is_live(actor, beat, heard_at, now),
     )
+
+
+def _is_live(actor: PeersActor, beat: Heartbeat, heard_at: float, now: float) -> bool:
+    silence_s = actor.settings.intervals.silence_s
+    if beat.domain == actor.settings.instance.domain:
+        return now - heard_at <= silence_s
+    last = actor.domain_heard.get(beat.domain, float("-inf"))
+    return beat.live and now - last <= _RELAYED_SILENCES * silence_s
--- a/plantainyard/process.py
+++ b/plantainyard/process.py
@@ -340,7 +340,7 @@
             lambda: describe_state(node),
         ),
         node.meter,
-        build_peer_app(hear, lend),
+        build_peer_app(hear, lend, lambda ask: cast(Message, _ask(node.peers, ask))),
     )
     with serve_app(
         app,
--- a/plantainyard/protocol/codec.py
+++ b/plantainyard/protocol/codec.py
@@ -25,7 +25,7 @@
 
 
 def encode_message(message: Message) -> bytes:
-    """Return `message` as a JSON object in UTF-8."""
+    """Return `message` as a JSON object in UTF-8, without fields at their default."""
     fields = _flatten(message)
     envelope = {"version": PROTOCOL_VERSION, "type": type(message).__name__}
     return json.dumps({**envelope, **fields}, separators=(",", ":")).encode()
@@ -81,7 +81,12 @@
 
 def _flatten(value: Any) -> Any:
     if hasattr(value, "_asdict"):
-        return {name: _flatten(item) for name, item in value._asdict().items()}
+        defaults = value._field_defaults
+        return {
+            name: _flatten(item)
+            for name, item in value._asdict().items()
+            if name not in defaults or defaults[name] != item
+        }
     if isinstance(value, dict):
         return {key: _flatten(item) for key, item in value.items()}
     if isinstance(value, tuple | list):
--- a/plantainyard/protocol/constants.py
+++ b/plantainyard/protocol/constants.py
@@ -6,6 +6,7 @@
     "FORWARD_PATH",
     "HEARTBEAT_PATH",
     "IDEMPOTENT_HEADER",
+    "INSTANCES_PATH",
     "MAX_HOPS",
     "OUTCOME_HEADER",
     "PROTOCOL_VERSION",
@@ -21,6 +22,7 @@
 PROTOCOL_VERSION = 1
 
 HEARTBEAT_PATH = "/peer/heartbeat"
+INSTANCES_PATH = "/peer/instances"
 CREDITS_PATH = "/peer/credits"
 RECORDS_PATH = "/peer/records"
 FORWARD_PATH = "/peer/forward"
--- a/plantainyard/protocol/messages.py
+++ b/plantainyard/protocol/messages.py
@@ -14,6 +14,8 @@
     "ForwardAsk",
     "Heartbeat",
     "Holding",
+    "InstancesAnswer",
+    "InstancesAsk",
     "Message",
     "RecordsAnswer",
     "RecordsAsk",
@@ -83,6 +85,17 @@
         Seconds since the sender knew that version to be the newest.
     knows_config : bool
         Whether the sender can tell now that its version is the newest.
+    live : bool
+        False in a word passed on about an instance that has fallen silent.
+    list_digest : str
+        Digest of the platform's list as the sender last read it, or was told.
+    is_relay : bool
+        Whether the sender relays for its domain.
+    members : tuple of Heartbeat
+        Words about others that are passed on.
+    domain_ages : dict of str to float
+        For each other domain that the sender knows of, the seconds since its relay
+        was heard.
     room : dict of str to int
         Free credits for each service.
     ready, draining : bool
@@ -106,6 +119,24 @@
     incarnation: str = ""
     config_age_s: float = 0.0
     knows_config: bool = False
+    live: bool = True
+    list_digest: str = ""
+    is_relay: bool = False
+    members: tuple["Heartbeat", ...] = ()
+    domain_ages: dict[str, float] = {}
+
+
+class InstancesAsk(NamedTuple):
+    """A question for the platform's list as a relay read it."""
+
+    digest: str
+
+
+class InstancesAnswer(NamedTuple):
+    """The list, one JSON object for each instance; empty where nothing is newer."""
+
+    digest: str
+    instances: tuple[dict[str, Any], ...] = ()
 
 
 class CreditAsk(NamedTuple):
@@ -252,6 +283,8 @@
 
 Message = (
     Heartbeat
+    | InstancesAsk
+    | InstancesAnswer
     | CreditAsk
     | CreditAnswer
     | RecordsAsk
