Hand log records on from the domain's relay

Cause: every instance asked the log for both streams each second or two. Ruled out: relaying the reads themselves (a long wait would hold a control thread of the relay for each peer and stream). Change: the relay reads as records appear and hands them on; the others ask the log every 4 s, and at once where a gap shows. One relay of a region reads the configuration.

--- a/plantainyard/node/__init__.py
+++ b/plantainyard/node/__init__.py
@@ -1,6 +1,6 @@
 """The actors and threads of one process, around the deciding modules."""
 
-from .configuration import ConfigActor, ConfigView, ReadConfig
+from .configuration import CONFIG_STREAM, ConfigActor, ConfigView, ReadConfig
 from .control import build_peer_app
 from .domain import DomainActor, DomainNode, name_stream
 from .lending import DumpLenders, LenderActor, RackAuthority, RackRunners
@@ -16,11 +16,12 @@
 )
 from .peers import HeartbeatHeard, PeersActor, PeerView, read_peers
 from .reports import count_epochs, dump_domain, list_racks
-from .streams import StreamEvent, StreamIO, StreamState
+from .streams import StreamEvent, StreamIO, StreamRole, StreamState
 from .threads import run_every, run_forever
 from .workers import WorkerCaller, start_call
 
 __all__ = [
+    "CONFIG_STREAM",
     "ConfigActor",
     "ConfigChanged",
     "ConfigView",
@@ -41,6 +42,7 @@
     "Stop",
     "StreamEvent",
     "StreamIO",
+    "StreamRole",
     "StreamState",
     "SubmitRecord",
     "Tick",
--- a/plantainyard/node/configuration.py
+++ b/plantainyard/node/configuration.py
@@ -13,9 +13,11 @@
 from .streams import (
     StreamEvent,
     StreamIO,
+    StreamRole,
     StreamState,
     handle_stream,
     submit_record,
+    take_role,
     tick_stream,
 )
 
@@ -115,6 +117,8 @@
                 tick_stream(self.stream, self.io, now)
             case StreamEvent():
                 handle_stream(self.stream, self.io, message, now)
+            case StreamRole():
+                take_role(self.stream, message)
             case SubmitRecord(submit, on_report):
                 submit_record(self.stream, self.io, submit, on_report, now)
             case ReadConfig():
--- a/plantainyard/node/control.py
+++ b/plantainyard/node/control.py
@@ -12,10 +12,12 @@
     CREDITS_PATH,
     HEARTBEAT_PATH,
     INSTANCES_PATH,
+    RECORDS_PATH,
     CreditAsk,
     Heartbeat,
     InstancesAsk,
     Message,
+    RecordsAnswer,
     decode_message,
     encode_message,
 )
@@ -29,6 +31,7 @@
     hear: Callable[[Heartbeat], Heartbeat],
     lend: Callable[[CreditAsk], Message],
     list_instances: Callable[[InstancesAsk], Message],
+    take_records: Callable[[RecordsAnswer], Message],
 ) -> WSGIApplication:
     """Return the application that answers other instances.
 
@@ -40,6 +43,8 @@
         Answers a gateway's ask for credits.
     list_instances : callable
         Answers with the platform's list as it was last read.
+    take_records : callable
+        Takes log records that a relay hands on.
 
     Notes
     -----
@@ -49,6 +54,7 @@
         HEARTBEAT_PATH: (Heartbeat, hear),
         CREDITS_PATH: (CreditAsk, lend),
         INSTANCES_PATH: (InstancesAsk, list_instances),
+        RECORDS_PATH: (RecordsAnswer, take_records),
     }
 
     def serve(environ: WSGIEnvironment, start: StartResponse) -> Iterable[bytes]:
--- a/plantainyard/node/domain.py
+++ b/plantainyard/node/domain.py
@@ -35,9 +35,11 @@
 from .streams import (
     StreamEvent,
     StreamIO,
+    StreamRole,
     StreamState,
     handle_stream,
     submit_record,
+    take_role,
     tick_stream,
 )
 from .terms import (
@@ -169,6 +171,8 @@
                 self._tick(now)
             case StreamEvent():
                 handle_stream(self.stream, self.io, message, now)
+            case StreamRole():
+                take_role(self.stream, message)
             case SubmitRecord(submit, on_report):
                 submit_record(self.stream, self.io, submit, on_report, now)
             case RackReply():
--- a/plantainyard/node/streams.py
+++ b/plantainyard/node/streams.py
@@ -16,18 +16,23 @@
 from plantainyard.clients import LogClient, append, read
 from plantainyard.clock import read_clock
 from plantainyard.errors import ErrorKind, describe_error
+from plantainyard.protocol import RecordsAnswer, RelayedRecord
 
 __all__ = [
     "StreamEvent",
     "StreamIO",
+    "StreamRole",
     "StreamState",
     "handle_stream",
     "submit_record",
+    "take_role",
     "tick_stream",
     "write_due_snapshot",
 ]
 
 _MS = 1000.0
+_WAIT_MS = 2000
+_SLOW_S = 4.0
 
 _logger = logging.getLogger(__name__)
 
@@ -40,6 +45,22 @@
     asked_at: float
 
 
+class StreamRole(NamedTuple):
+    """Part of an instance in the reading of a stream.
+
+    Attributes
+    ----------
+    reads : bool
+        Whether it reads the log as records appear; if not, a relay hands them on and
+        the log is only asked now and then.
+    targets : tuple of str
+        Control URLs of the instances to which it hands new records on.
+    """
+
+    reads: bool = True
+    targets: tuple[str, ...] = ()
+
+
 class StreamIO(NamedTuple):
     """How one stream is reached.
 
@@ -51,11 +72,14 @@
         Threads on which calls wait.
     deliver : callable
         Hands a `StreamEvent` to the folding actor.
+    hand_on : callable
+        Sends records to the instance at a control URL, without waiting.
     """
 
     log: LogClient
     executor: Executor
     deliver: Callable[[StreamEvent], object]
+    hand_on: Callable[[str, RecordsAnswer], object]
 
 
 class StreamState:
@@ -68,6 +92,10 @@
     fold, restore, encode : callable
         Fold a record into the actor's state, replace that state by a snapshot, and
         encode it for one.
+    role : StreamRole
+        Whether it is read from the log, and who is told.
+    folded : list of LogRecord
+        Records folded in the present step, to be handed on.
     waiters : dict
         For each submission's key, who is told what became of it.
     """
@@ -95,6 +123,8 @@
         self.snapshot_type = reader_settings.snapshot_type
         self.waiters: dict[str, Callable[[log_state.AppendReport], None]] = {}
         self.appends = 0
+        self.role = StreamRole()
+        self.folded: list[log_state.LogRecord] = []
 
 
 def tick_stream(stream: StreamState, io: StreamIO, now: float) -> None:
@@ -111,6 +141,12 @@
 ) -> None:
     """Take in what came back from the log."""
     event = message.event
+    if isinstance(event, log_state.Relayed):
+        _act_on_read(stream, io, log_state.step_reader(stream.reader, event, now), now)
+        _hurry_when_behind(stream)
+        tick_stream(stream, io, now)
+        _hand_on(stream, io)
+        return
     if isinstance(event, log_state.Fetched | log_state.FetchFailed):
         # The end of the stream was read at some time after the asking; counting from
         # the asking keeps the age of the knowledge an upper bound.
@@ -118,10 +154,46 @@
         actions = log_state.step_reader(stream.reader, event, at)
         _act_on_read(stream, io, actions, now)
         _advance_appender(stream, io, log_state.AppendTick(), now)
+        _hand_on(stream, io)
         return
     _advance_appender(stream, io, event, now)  # type: ignore[arg-type]
 
 
+def take_role(stream: StreamState, role: StreamRole) -> None:
+    """Read the log as records appear, or leave that to a relay."""
+    if role.reads != stream.role.reads:
+        pause_s = 0.0 if role.reads else _SLOW_S
+        stream.reader.settings = stream.reader.settings._replace(
+            pause_s=pause_s, wait_ms=_WAIT_MS if role.reads else 0
+        )
+        stream.reader.ask_at = float("-inf")
+    stream.role = role
+
+
+def _hurry_when_behind(stream: StreamState) -> None:
+    """Ask the log at once where a relay's records left a gap.
+
+    A hand-on that was lost would otherwise leave this instance behind until the next
+    slow question.
+    """
+    if not log_state.is_current(stream.reader):
+        stream.reader.ask_at = float("-inf")
+
+
+def _hand_on(stream: StreamState, io: StreamIO) -> None:
+    records, stream.folded = stream.folded, []
+    if not records or not stream.role.targets:
+        return
+    message = RecordsAnswer(
+        stream.name,
+        records[0].offset,
+        records[-1].offset + 1,
+        tuple(RelayedRecord(*record) for record in records),
+    )
+    for target in stream.role.targets:
+        io.hand_on(target, message)
+
+
 def submit_record(
     stream: StreamState,
     io: StreamIO,
@@ -180,6 +252,7 @@
     stream: StreamState, io: StreamIO, record: log_state.LogRecord, now: float
 ) -> None:
     change = stream.fold(record)
+    stream.folded.append(record)
     if change.type == stream.snapshot_type:
         covers = int(record.data.get("covers", -1))
         log_state.note_snapshot(stream.watch, covers, record.time_s, now)
--- a/plantainyard/operators/configurations.py
+++ b/plantainyard/operators/configurations.py
@@ -159,7 +159,7 @@
             instance=peer.instance,
             domain=peer.domain,
             version=peer.heartbeat.config_version,
-            age_s=peer.heartbeat.config_age_s,
+            age_s=peer.heartbeat.config_age_s + peer.age_s,
             knows_current=peer.is_live and peer.heartbeat.knows_config,
             report_age_s=peer.age_s,
         )
--- a/plantainyard/process.py
+++ b/plantainyard/process.py
@@ -20,6 +20,7 @@
 from plantainyard.gateway import (
     Gateway,
     ask_owner,
+    call_peer,
     drain_gateway,
     read_room,
     run_gateway,
@@ -30,6 +31,7 @@
 from plantainyard.gateway.tuning import build_routing_settings
 from plantainyard.metrics import Meter, create_meter, flush_meter
 from plantainyard.node import (
+    CONFIG_STREAM,
     ConfigActor,
     ConfigChanged,
     ConfigView,
@@ -46,10 +48,12 @@
     Stop,
     StreamEvent,
     StreamIO,
+    StreamRole,
     Tick,
     WorkerCaller,
     build_peer_app,
     count_epochs,
+    name_stream,
     read_peers,
     run_every,
 )
@@ -61,7 +65,14 @@
     find_waits,
     make_url,
 )
-from plantainyard.protocol import CreditAsk, Heartbeat, Message
+from plantainyard.protocol import (
+    RECORDS_PATH,
+    CreditAsk,
+    Heartbeat,
+    Message,
+    RecordsAnswer,
+    RecordsAsk,
+)
 from plantainyard.routing import (
     AskCredits,
     AuthorityChanged,
@@ -219,8 +230,11 @@
     snapshots = log_state.SnapshotSettings(_RETENTION_S)
     rng = random.Random(name)
 
+    def hand_on(target: str, message: RecordsAnswer) -> None:
+        threads.peers.submit(_hand_on, settings, pool, target, message)
+
     def make_io(deliver: Callable[[StreamEvent], object]) -> StreamIO:
-        return StreamIO(log, threads.log, deliver)
+        return StreamIO(log, threads.log, deliver, hand_on)
 
     lender = _start(stack, LenderActor, build_routing_settings(settings))
     domain = _start(
@@ -280,6 +294,20 @@
     return ref
 
 
+def _hand_on(
+    settings: Settings, pool: urllib3.PoolManager, target: str, message: RecordsAnswer
+) -> None:
+    # An answer that is lost does no harm: who is behind asks the log itself.
+    call_peer(
+        build_peer(target, pool),
+        settings.security.token.reveal(),
+        RECORDS_PATH,
+        message,
+        RecordsAsk,
+        _ASK_TIMEOUT_S,
+    )
+
+
 def _make_lender_teller(
     lender: pykka.ActorRef[Any], gateway: Gateway
 ) -> Callable[[Any], None]:
@@ -340,7 +368,12 @@
             lambda: describe_state(node),
         ),
         node.meter,
-        build_peer_app(hear, lend, lambda ask: cast(Message, _ask(node.peers, ask))),
+        build_peer_app(
+            hear,
+            lend,
+            lambda ask: cast(Message, _ask(node.peers, ask)),
+            lambda records: _take_records(node, records),
+        ),
     )
     with serve_app(
         app,
@@ -352,6 +385,17 @@
         yield address
 
 
+def _take_records(node: Node, message: RecordsAnswer) -> RecordsAsk:
+    """Hand a relay's records to the actor that folds their stream."""
+    own = name_stream(node.settings.instance.domain)
+    ref = {CONFIG_STREAM: node.config, own: node.domain}.get(message.stream)
+    if ref is not None:
+        records = [log_state.LogRecord(*record) for record in message.records]
+        event = log_state.Relayed(message.next, records)
+        ref.tell(StreamEvent(message.stream, event, read_clock()))
+    return RecordsAsk(message.stream, message.next)
+
+
 def _run_ticks(stack: contextlib.ExitStack, own: _Own, node: Node) -> None:
     intervals = node.settings.intervals
 
@@ -381,6 +425,30 @@
     live = [view for view in views if view.is_live and view.heartbeat is not None]
     tell_event(node.gateway, PeersChanged(tuple(_make_peer(v) for v in live)))
     tell_event(node.gateway, OwnersChanged(_find_owners(own, live)))
+    _assign_roles(node, live)
+
+
+def _assign_roles(node: Node, live: list[PeerView]) -> None:
+    """Say which streams this instance reads itself and to whom it hands them on."""
+    instance = node.settings.instance
+    relays = bool(_ask(node.peers, Query(lambda actor, _: actor.is_relay)))
+    near = [view for view in live if view.domain == instance.domain]
+    near_urls = tuple(make_url(view.control_address) for view in near)
+    others = [
+        view
+        for view in live
+        if view.region == instance.region
+        and view.domain != instance.domain
+        and view.heartbeat is not None
+        and view.heartbeat.is_relay
+    ]
+    # Of a region's relays one reads the configuration, so that its records cross the
+    # link between the regions once.
+    leads = relays and all(instance.domain < view.domain for view in others)
+    far_urls = tuple(make_url(view.control_address) for view in others)
+    node.domain.tell(StreamRole(relays, near_urls if relays else ()))
+    targets = near_urls + (far_urls if leads else ())
+    node.config.tell(StreamRole(leads, targets if relays else ()))
 
 
 def _make_peer(view: PeerView) -> Peer:
