--- a/plantainyard/state/reader.py
+++ b/plantainyard/state/reader.py
@@ -303,7 +303,7 @@
     covers = _read_covers(state, record)
     # The records between what a snapshot covers and the snapshot itself were read
     # already; they are asked for again, so they must still be kept.
-    if covers is None:
+    if covers is None or covers + 1 < first:
         state.next_offset = record.offset + 1
         return True
     actions.append(Restore(record))
--- /dev/null
+++ b/plantainyard/state/tests/test_reader.py
@@ -0,0 +1,198 @@
+"""The reading of a stream of which the log forgets the beginning."""
+
+import random
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from plantainyard.state import (
+    Apply,
+    Fetch,
+    Fetched,
+    FetchFailed,
+    LogRecord,
+    ReaderSettings,
+    ReaderState,
+    ReadTick,
+    Regressed,
+    Relayed,
+    Restarted,
+    Restore,
+    SnapshotSettings,
+    SnapshotWatch,
+    Told,
+    is_current,
+    is_snapshot_due,
+    note_record,
+    note_snapshot,
+    read_age,
+    step_reader,
+)
+
+
+class FakeLog:
+    """A log that keeps its newest records only."""
+
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[LogRecord] = []
+
+    def append(self, data: Any) -> None:
+        self.records.append(LogRecord(len(self.records), 0.0, data))
+
+    def read(self, offset: int, limit: int) -> Fetched:
+        start = max(offset, self.first)
+        return Fetched(
+            self.first, len(self.records), self.records[start : start + limit]
+        )
+
+
+def make_reader(limit: int = 3) -> ReaderState:
+    return ReaderState(ReaderSettings(limit=limit), random.Random(1))
+
+
+class Reading:
+    """A reader with the state that it folds: the list of the offsets it covers."""
+
+    def __init__(self, limit: int = 3) -> None:
+        self.reader = make_reader(limit)
+        self.folded = 0
+        self.fetch: Fetch | None = None
+        self.restarts = 0
+
+    def step(self, event: Any, now: float) -> None:
+        for action in step_reader(self.reader, event, now):
+            match action:
+                case Apply(record):
+                    assert record.offset == self.folded, "a record was skipped"
+                    self.folded += 1
+                case Restore(record):
+                    self.folded = record.data["covers"] + 1
+                case Restarted(wanted, first):
+                    assert wanted == self.folded < first
+                    self.restarts += 1
+                case Fetch():
+                    self.fetch = action
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.just("append"),
+        st.tuples(st.just("snapshot"), st.integers(0, 3)),
+        st.tuples(st.just("forget"), st.integers(1, 6)),
+        st.just("read"),
+        st.just("read"),
+        st.just("fail"),
+        st.just("relay"),
+    ),
+    max_size=60,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=400)
+@given(steps=STEPS, limit=st.integers(1, 5))
+def test_no_record_is_skipped(steps, limit) -> None:
+    """An instance that was cut off for long misses jobs, and never says so.
+
+    The log forgets the records that the instance did not read yet. On its return
+    it reads on from the earliest one kept, as if nothing were missing.
+    """
+    log, reading, peer = FakeLog(), Reading(limit), 0
+    for now, step in enumerate(steps):
+        match step:
+            case "append":
+                log.append({"type": "x"})
+            case "snapshot", back if len(log.records) > back:
+                covers = len(log.records) - 1 - back
+                log.append({"type": "snapshot", "covers": covers, "state": {}})
+            case "forget", count:
+                log.first = min(log.first + count, len(log.records))
+            case "fail" if reading.fetch:
+                reading.step(FetchFailed(), now * 100.0)
+            case "relay":
+                newest = log.records[peer : peer + 4]
+                peer += len(newest)
+                reading.step(Relayed(peer, newest), now * 100.0)
+            case "read":
+                if reading.fetch is None:
+                    reading.step(ReadTick(), now * 100.0)
+                else:
+                    asked, reading.fetch = reading.fetch, None
+                    answer = log.read(asked.offset, asked.limit)
+                    reading.step(answer, now * 100.0)
+        if is_current(reading.reader) and step == "read":
+            assert reading.folded >= reading.reader.end
+    covers = len(log.records) - 1
+    if covers >= 0:
+        log.append({"type": "snapshot", "covers": covers, "state": {}})
+    while not is_current(reading.reader) or reading.folded < len(log.records):
+        if reading.fetch is None:
+            reading.step(ReadTick(), 1e9)
+            continue
+        asked, reading.fetch = reading.fetch, None
+        reading.step(log.read(asked.offset, asked.limit), 1e9)
+    assert reading.folded == len(log.records)
+
+
+def test_fresh_instance_is_not_current_before_it_knows_the_end() -> None:
+    """A restarted instance allows what an operator has just forbidden.
+
+    It starts while the log is out, holds no configuration and takes that for the
+    newest one. A peer that holds more is reachable.
+    """
+    reader = make_reader()
+    assert step_reader(reader, ReadTick(), 0.0) == [Fetch(0, 3, 1000)]
+    step_reader(reader, FetchFailed(), 1.0)
+    assert not is_current(reader) and read_age(reader, 1.0) == float("inf")
+    step_reader(reader, Told(2), 2.0)
+    assert not is_current(reader)
+    records = [LogRecord(n, 0.0, {"type": "x"}) for n in range(2)]
+    step_reader(reader, Relayed(2, records), 3.0)
+    assert is_current(reader) and read_age(reader, 5.0) == 2.0
+    step_reader(reader, Told(3), 6.0)
+    assert not is_current(reader) and read_age(reader, 7.0) == 4.0
+
+
+def test_log_set_back_reverts_nothing() -> None:
+    reader = make_reader(9)
+    step_reader(reader, ReadTick(), 0.0)
+    records = [LogRecord(n, 0.0, {"type": "x"}) for n in range(4)]
+    step_reader(reader, Fetched(0, 4, records), 1.0)
+    assert is_current(reader)
+    actions = step_reader(reader, Fetched(0, 2, []), 2.0)
+    assert actions[0] == Regressed(4, 2) and not is_current(reader)
+
+
+def test_failures_are_spread_and_bounded() -> None:
+    reader = make_reader()
+    now, pauses = 0.0, []
+    step_reader(reader, ReadTick(), now)
+    for _ in range(12):
+        assert step_reader(reader, FetchFailed(), now) == []
+        pauses.append(reader.ask_at - now)
+        now = reader.ask_at
+        assert step_reader(reader, ReadTick(), now)
+    assert pauses[0] < pauses[-1] <= 1.5 * ReaderSettings().retry_max_s
+
+
+def test_snapshots_stand_in_time_and_not_all_at_once() -> None:
+    """After a quiet week no instance can start: the log has forgotten everything.
+
+    Nothing was appended for longer than the retention, so that nobody counted
+    records, and the only snapshot expired.
+    """
+    watches = [
+        SnapshotWatch(SnapshotSettings(1000.0), random.Random(seed))
+        for seed in range(8)
+    ]
+    assert not is_snapshot_due(watches[0], 0, 1e6)
+    due = []
+    for skew, watch in enumerate(watches):
+        note_record(watch, 0.0, -1e5 * skew)
+        note_snapshot(watch, 41, 10.0, 10.0 - 1e5 * skew)
+        times = (n for n in range(1000) if is_snapshot_due(watch, 42, n - 1e5 * skew))
+        due.append(next(times))
+        assert is_snapshot_due(watch, 42 + 20_000, 10.0 - 1e5 * skew)
+    assert 200 < min(due) < max(due) <= 411
+    assert len(set(due)) == len(due)
