Mend what runs with a log outage showed

With the log out, each instance waits for it before it refuses, and the tool asked all of them: 20 s for one answer in a site of four. Two refusals are now enough.

A drain of a worker whose name can't be part of a key was told as "the log took no record; come back", for ever. The name is now checked like a key.

The table of "config status" shows when each instance last knew that its version was the newest, in place of a yes that was still said 47 s into the outage.

Seen to fail without the guard: the drain's name unchecked; all instances asked.

--- a/plantainyard/api/checks.py
+++ b/plantainyard/api/checks.py
@@ -11,13 +11,22 @@
 
 from plantainyard.api import operators_pb2 as schema
 from plantainyard.api.convert import read_value
-from plantainyard.configuration import check_change
+from plantainyard.configuration import (
+    check_change,
+    find_key,
+    name_instance_draining,
+    name_worker_draining,
+)
 
 __all__ = ["CHECKS", "BadField", "check_request"]
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,63}")
 # Callers are told 128; instances put the home domain in front when they pass one on.
 REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{8,200}")
+DRAINING_KEYS = {
+    "instance": name_instance_draining,
+    "worker": name_worker_draining,
+}
 MAX_TITLE = 200
 MAX_TASKS = 1_000_000
 MAX_RUNNERS = 100_000
@@ -168,8 +177,10 @@
 def _drain(request: schema.DrainRequest) -> Iterator[BadField]:
     yield from _request_id(request)
     target = request.WhichOneof("target")
-    if target is None or not getattr(request, target):
+    if target is None:
         yield BadField("instance", "an instance or a worker")
+    elif find_key(DRAINING_KEYS[target](getattr(request, target))) is None:
+        yield BadField(target, "letters, digits, '.', '-' and '_'")
 
 
 CHECKS: dict[str, Callable[[Any], Iterable[BadField]]] = {
--- a/plantainyard/api/tests/test_calls.py
+++ b/plantainyard/api/tests/test_calls.py
@@ -105,6 +105,7 @@
         ("ApplyConfiguration", {**apply, "base_version": 2}, "changes.teams.a"),
         ("CancelJobs", {"request_id": "0190f3c2-0001"}, "job_ids"),
         ("Drain", {"request_id": "0190f3c2-0001"}, "instance"),
+        ("Drain", {"request_id": "0190f3c2-0001", "worker": "no such"}, "worker"),
         ("ListJobs", {"state": "RUNNING"}, "state"),
         ("DescribeJob", {}, "job_id"),
         ("Nope", {}, "method"),
--- a/plantainyard/commands/caller.py
+++ b/plantainyard/commands/caller.py
@@ -17,6 +17,7 @@
 
 STATUS_OK = 200
 ROUNDS = 3
+MAX_REFUSALS = 2
 PAUSE_S = 1.0
 GO_ON = (
     ExitCode.REFUSED,
@@ -69,9 +70,9 @@
 
     Notes
     -----
-    The next instance is asked where the one before could not be reached or refused.
-    A call that changes something and whose answer was lost is repeated with the
-    same request id only, for a few rounds.
+    The next instance is asked where the one before could not be reached or refused,
+    up to two refusals. A call that changes something and whose answer was lost is
+    repeated with the same request id only, for a few rounds.
     """
     request_id = getattr(request, "request_id", "")
     try:
@@ -101,6 +102,8 @@
             if _is_settled(failure, lost is not None):
                 return Err(failure)
             failures.append(failure)
+            if lost is None and _is_refused_enough(failures):
+                return Err(failure)
             if changes and failure.exit_code == ExitCode.UNKNOWN:
                 lost = failure
                 note = "no answer; repeating with the same request id"
@@ -120,6 +123,12 @@
     return failure.exit_code not in GO_ON
 
 
+def _is_refused_enough(failures: list[Failure]) -> bool:
+    """Return whether asking on is idle: what two refuse is not their own matter."""
+    codes = [failure.exit_code for failure in failures]
+    return codes.count(ExitCode.REFUSED) >= MAX_REFUSALS
+
+
 def _pick_failure(failures: list[Failure]) -> Failure:
     """Return the failure that tells the operator most."""
     return min(failures, key=lambda failure: GO_ON.index(failure.exit_code))
--- a/plantainyard/commands/configurations.py
+++ b/plantainyard/commands/configurations.py
@@ -196,12 +196,19 @@
             i.domain,
             i.version,
             "yes" if i.version >= newest else "no",
-            "yes" if i.knows_current else f"no, last {format_age(i.age_s)}",
+            format_age(i.age_s),
             format_age(i.report_age_s),
         )
         for i in answer.instances
     ]
-    headers = ("instance", "domain", "version", "in force", "knows it", "heard from")
+    headers = (
+        "instance",
+        "domain",
+        "version",
+        "in force",
+        "known current",
+        "heard from",
+    )
     count = sum(i.version >= newest for i in answer.instances)
     summary = f"version {newest} in force on {count} of {len(rows)} instances"
     return f"{format_table(headers, rows)}\n{summary}"
--- a/plantainyard/commands/tests/test_run.py
+++ b/plantainyard/commands/tests/test_run.py
@@ -130,6 +130,14 @@
         assert "--request_id=request-0" in read(world.err)
 
 
+def test_two_refusals_are_enough():
+    """The log is out, and every instance waits for it before it refuses."""
+    world, sent = make_world({}, [BUSY] * 4)
+    environ = {**ENVIRON, "PLANTAINYARD_ADDRESSES": "127.0.0.1:1,127.0.0.1:2,[::1]:3"}
+    assert run_command(CREATE, world._replace(environ=environ)) == 3
+    assert len(sent) == 2
+
+
 @pytest.mark.parametrize(
     ("code", "expected"),
     [
