Empty leaving workers and cancelled services without cutting off requests

Cause: a worker that drains took no new tasks but went on with what ran; a cancelled service's runners were stopped at once, with requests in progress; a domain cut off for long went on placing by an old configuration; a wrong flag ended with 1. Change: batch tasks of a leaving worker are checkpointed; runners are first taken from the gateways and stopped once the last credit and the longest request are over. A domain whose configuration is older than cut_off.max_config_age_s places nothing new, if the settings say so. The log's retention and the wait of its reads come from the settings. Ruled out: stopping what runs on suspicion, since work is lost and it was checked when it was started.

--- a/plantainyard/daemon.py
+++ b/plantainyard/daemon.py
@@ -11,7 +11,7 @@
 import threading
 from pathlib import Path
 
-from absl import app, flags
+from absl import flags
 from result import Err
 
 from plantainyard.logs import configure_logs
@@ -85,7 +85,13 @@
 
 def main() -> None:
     """Run the daemon with the flags of the command line."""
-    app.run(_run_with_flags)
+    # `app.run` would end with 1 for a wrong flag: "requests were cut off".
+    try:
+        arguments = flags.FLAGS(sys.argv)
+    except flags.Error as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    sys.exit(_run_with_flags(arguments))
 
 
 if __name__ == "__main__":
--- a/plantainyard/execution/rack.py
+++ b/plantainyard/execution/rack.py
@@ -136,6 +136,8 @@
         What is known of each worker.
     reported : set of AttemptKey
         Attempts whose end is on its way to the log.
+    spared : frozenset of TaskKey
+        Runners of cancelled services that still have requests; not yet stopped.
     """
 
     def __init__(
@@ -155,6 +157,7 @@
         self.caretaker = caretaker
         self.views: dict[str, WorkerView] = {}
         self.reported: set[AttemptKey] = set()
+        self.spared: frozenset[TaskKey] = frozenset()
 
 
 def step(
@@ -247,7 +250,7 @@
     state: RackState, domain: DomainState, now: float
 ) -> list[Action]:
     assigned = get_assigned(domain, state.rack)
-    cancelled = frozenset(list_cancelled_running(domain, state.rack))
+    cancelled = frozenset(list_cancelled_running(domain, state.rack)) - state.spared
     by_worker = _group_by_worker(assigned)
 
     def find_job(job: str) -> Job | None:
--- a/plantainyard/node/__init__.py
+++ b/plantainyard/node/__init__.py
@@ -6,6 +6,7 @@
 from .lending import DumpLenders, LenderActor, RackAuthority, RackRunners
 from .messages import (
     ConfigChanged,
+    ConfigKnown,
     InstancesListed,
     PeersHeard,
     Query,
@@ -24,6 +25,7 @@
     "CONFIG_STREAM",
     "ConfigActor",
     "ConfigChanged",
+    "ConfigKnown",
     "ConfigView",
     "DomainActor",
     "DomainNode",
--- a/plantainyard/node/domain.py
+++ b/plantainyard/node/domain.py
@@ -24,6 +24,7 @@
 from .lending import RackAuthority, RackRunners
 from .messages import (
     ConfigChanged,
+    ConfigKnown,
     InstancesListed,
     PeersHeard,
     Query,
@@ -45,16 +46,21 @@
 from .terms import (
     Term,
     begin_term,
+    empty_workers,
     feed_record,
+    find_patience,
     iter_runners,
     list_leaving,
     set_policy_inputs,
+    spare_runners,
 )
 from .values import list_flagged, read_shares, read_weights
 from .workers import WorkerCaller, start_call
 
 __all__ = ["DomainActor", "DomainNode", "name_stream"]
 
+_STOP = "stop"
+
 _logger = logging.getLogger(__name__)
 
 
@@ -110,6 +116,11 @@
         self.fenced_off: frozenset[str] = frozenset()
         self.draining: frozenset[str] = frozenset()
         self.claimed: dict[str, int] = {}
+        self.config_known_at = float("-inf")
+        stops = settings.cut_off.new_starts == _STOP
+        self.config_patience_s = (
+            settings.cut_off.max_config_age_s if stops else float("inf")
+        )
 
 
 class DomainActor(pykka.ThreadingActor):
@@ -183,6 +194,8 @@
                 self.node.live = live
             case ConfigChanged(values):
                 _take_values(self.node, values, now)
+            case ConfigKnown(known_at):
+                self.node.config_known_at = known_at
             case Stop():
                 self.node.stopped = True
                 self.node.stopping = True
@@ -234,7 +247,10 @@
         listed = execution.WorkersListed(workers, node.gone)
         execution.step(term.rack, node.domain, listed, now)
         execution.learn_workers(term.plan, term.rack, now)
-        decision = execution.decide(term.plan, term.rack, now)
+        patience_s = find_patience(node.settings)
+        empty_workers(term, node.domain, patience_s, now)
+        spare_runners(term, node.domain, patience_s, now)
+        decision = self._decide(term, now)
         if decision.assign:
             record = log_state.make_assign(rack, term.offset, decision.assign)
             self._submit(record, now)
@@ -244,6 +260,13 @@
             _logger.info("placement: %s", note, extra={"step": "placement"})
         self._run_rack(rack, term, now)
 
+    def _decide(self, term: Term, now: float) -> execution.Decision:
+        if now - self.node.config_known_at > self.node.config_patience_s:
+            # The configuration may have narrowed where work may run since this domain
+            # was cut off; what runs goes on, nothing new is placed on its strength.
+            return execution.Decision()
+        return execution.decide(term.plan, term.rack, now)
+
     def _run_rack(self, rack: str, term: Term, now: float) -> None:
         actions = execution.step(term.rack, self.node.domain, execution.Tick(), now)
         self._act(rack, term, actions, now)
--- a/plantainyard/node/messages.py
+++ b/plantainyard/node/messages.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "ConfigChanged",
+    "ConfigKnown",
     "InstancesListed",
     "PeersHeard",
     "Query",
@@ -63,6 +64,12 @@
     values: dict[str, Any]
 
 
+class ConfigKnown(NamedTuple):
+    """The configuration was last known to be the newest at `known_at`."""
+
+    known_at: float
+
+
 class RackReply(NamedTuple):
     """A worker's reply under one term of a rack."""
 
--- a/plantainyard/node/streams.py
+++ b/plantainyard/node/streams.py
@@ -30,8 +30,6 @@
     "write_due_snapshot",
 ]
 
-_MS = 1000.0
-_WAIT_MS = 2000
 _SLOW_S = 4.0
 
 _logger = logging.getLogger(__name__)
@@ -74,12 +72,15 @@
         Hands a `StreamEvent` to the folding actor.
     hand_on : callable
         Sends records to the instance at a control URL, without waiting.
+    wait_s : float
+        How long a read at the end of the stream waits for a record.
     """
 
     log: LogClient
     executor: Executor
     deliver: Callable[[StreamEvent], object]
     hand_on: Callable[[str, RecordsAnswer], object]
+    wait_s: float
 
 
 class StreamState:
@@ -163,9 +164,7 @@
     """Read the log as records appear, or leave that to a relay."""
     if role.reads != stream.role.reads:
         pause_s = 0.0 if role.reads else _SLOW_S
-        stream.reader.settings = stream.reader.settings._replace(
-            pause_s=pause_s, wait_ms=_WAIT_MS if role.reads else 0
-        )
+        stream.reader.settings = stream.reader.settings._replace(pause_s=pause_s)
         stream.reader.ask_at = float("-inf")
     stream.role = role
 
@@ -245,7 +244,8 @@
                     extra={"step": "log.read", "peer": stream.name},
                 )
             case log_state.Fetch():
-                io.executor.submit(_fetch, stream.name, io, action)
+                wait_s = io.wait_s if stream.role.reads else 0.0
+                io.executor.submit(_fetch, stream.name, io, action, wait_s)
 
 
 def _fold_record(
@@ -295,9 +295,9 @@
     waiter(report)
 
 
-def _fetch(name: str, io: StreamIO, action: log_state.Fetch) -> None:
+def _fetch(name: str, io: StreamIO, action: log_state.Fetch, wait_s: float) -> None:
     asked_at = read_clock()
-    answer = read(io.log, name, action.offset, action.limit, action.wait_ms / _MS)
+    answer = read(io.log, name, action.offset, action.limit, wait_s)
     event: log_state.ReadEvent
     if isinstance(answer, Err):
         error = answer.err_value
--- a/plantainyard/node/terms.py
+++ b/plantainyard/node/terms.py
@@ -12,17 +12,20 @@
 from plantainyard import state as log_state
 from plantainyard.protocol import RunnerInfo
 from plantainyard.settings import Settings
-from plantainyard.work import Size, WorkerInfo
+from plantainyard.work import Size, TaskKey, WorkerInfo
 
 __all__ = [
     "Term",
     "begin_term",
+    "empty_workers",
+    "find_patience",
     "build_lease_terms",
     "feed_record",
     "iter_runners",
     "list_leaving",
     "name_runner",
     "set_policy_inputs",
+    "spare_runners",
 ]
 
 _COMMAND_S = 2.0
@@ -41,6 +44,10 @@
         Offset of the claim that began the term.
     fresh : set of str
         Runners whose assignment was written under this term.
+    leaving : dict of str to float
+        Leaving workers and when that was noticed.
+    cancelled : dict of TaskKey to float
+        Runners of cancelled services and when that was noticed.
     """
 
     def __init__(
@@ -50,6 +57,8 @@
         self.plan = plan
         self.offset = offset
         self.fresh: set[str] = set()
+        self.leaving: dict[str, float] = {}
+        self.cancelled: dict[TaskKey, float] = {}
 
 
 def build_lease_terms(settings: Settings) -> execution.LeaseTerms:
@@ -108,6 +117,61 @@
             term.fresh.add(name_runner(key))
 
 
+def spare_runners(
+    term: Term, domain: log_state.DomainState, patience_s: float, now: float
+) -> None:
+    """Let the runners of cancelled services serve what they have, then stop them.
+
+    Notes
+    -----
+    Guards a planned stop: a runner that is stopped at once cuts off the requests that
+    gateways sent it under credits that still hold.
+    """
+    runners = [
+        task
+        for task in log_state.list_cancelled_running(domain, term.rack.rack)
+        if domain.jobs[task.job].job.latency_critical
+    ]
+    term.cancelled = {task: term.cancelled.get(task, now) for task in runners}
+    term.rack.spared = frozenset(
+        task for task, since in term.cancelled.items() if now - since <= patience_s
+    )
+
+
+def find_patience(settings: Settings) -> float:
+    """Return the seconds after which a leaving runner has no request any more."""
+    return settings.requests.credit_s + settings.requests.request_max_s
+
+
+def empty_workers(
+    term: Term, domain: log_state.DomainState, patience_s: float, now: float
+) -> None:
+    """Evict what runs on workers that are leaving.
+
+    Parameters
+    ----------
+    term : Term
+        Changed: the attempts to be checkpointed are noted.
+    domain : DomainState
+        The folded stream.
+    patience_s : float
+        Seconds for which a runner goes on after its gateways were told. Until then
+        it serves what it has, so that the planned stop cuts off no request.
+    now : float
+        Owner's clock in seconds.
+    """
+    leaving = {w for w, view in term.rack.views.items() if view.info.leaving}
+    term.leaving = {w: term.leaving.get(w, now) for w in leaving}
+    for worker, since in term.leaving.items():
+        view = term.rack.views[worker]
+        view.evictions.update(
+            key
+            for key in view.running
+            if (entry := domain.jobs.get(key.task.job)) is not None
+            and (not entry.job.latency_critical or now - since > patience_s)
+        )
+
+
 def name_runner(key: execution.AttemptKey) -> str:
     """Return a runner's id, unique for each start.
 
--- a/plantainyard/process.py
+++ b/plantainyard/process.py
@@ -34,6 +34,7 @@
     CONFIG_STREAM,
     ConfigActor,
     ConfigChanged,
+    ConfigKnown,
     ConfigView,
     DomainActor,
     HeartbeatHeard,
@@ -92,7 +93,6 @@
 _QUERY_S = 5.0
 _ASK_TIMEOUT_S = 2.0
 _FLUSH_S = 1.0
-_RETENTION_S = 3600.0
 _POLL_S = 0.05
 _LONG_S = 1e9
 
@@ -227,14 +227,16 @@
     settings, name = own.settings, own.name
     platform = settings.platform
     log = build_log_client(platform.log, pool, platform.timeout_s)
-    snapshots = log_state.SnapshotSettings(_RETENTION_S)
+    snapshots = log_state.SnapshotSettings(platform.log_retention_s)
     rng = random.Random(name)
 
     def hand_on(target: str, message: RecordsAnswer) -> None:
         threads.peers.submit(_hand_on, settings, pool, target, message)
 
     def make_io(deliver: Callable[[StreamEvent], object]) -> StreamIO:
-        return StreamIO(log, threads.log, deliver, hand_on)
+        return StreamIO(
+            log, threads.log, deliver, hand_on, settings.intervals.log_wait_s
+        )
 
     lender = _start(stack, LenderActor, build_routing_settings(settings))
     domain = _start(
@@ -414,7 +416,8 @@
 
 def _gather_own(own: _Own, node: Node) -> None:
     own.epochs = _ask(node.domain, Query(count_epochs))
-    own.config = _ask(node.config, ReadConfig())
+    own.config = cast(ConfigView, _ask(node.config, ReadConfig()))
+    node.domain.tell(ConfigKnown(read_clock() - own.config.age_s))
     own.room = read_room(node.gateway)
     own.ready = not find_waits(node)
     own.draining = _ask(node.domain, Query(lambda actor, _: actor.node.stopping))
