--- a/plantainyard/node/domain.py
+++ b/plantainyard/node/domain.py
@@ -20,7 +20,7 @@
 from plantainyard.settings import Settings
 from plantainyard.work import Size, WorkerInfo
 
-from .authority import EPOCHS_PER_TERM, find_authority_end
+from .authority import find_authority_end, make_epoch
 from .lending import RackAuthority, RackRunners
 from .messages import (
     ConfigChanged,
@@ -369,7 +369,7 @@
 def _start_term(
     node: DomainNode, rack: str, claim: log_state.Claim, now: float
 ) -> None:
-    epoch = claim.term * EPOCHS_PER_TERM
+    epoch = make_epoch(claim.term)
     term = begin_term(
         node.settings, node.name, node.domain, rack, claim.term, epoch, False, now
     )
