Explain one task's place: why this worker, and why not that one

A dump tells what an instance holds, but not why a task went where it did. The new method ExplainTask, and "jobs explain" in the tool, list every worker of the rack with what keeps the task off it, or the cost of going there by its parts; the rack's owner is asked.

Such a call, and DescribeJob before it, is passed on to the rack's owner. Two instances that each took the other for the owner would have passed it to and fro until neither had a thread left for heartbeats: a relayed call is now answered from what is known.

Quotas that limit only some resources are told as such; the others read as zero.

--- a/plantainyard/api/checks.py
+++ b/plantainyard/api/checks.py
@@ -132,6 +132,12 @@
     yield from _integer("tasks_limit", request.tasks_limit, 0, MAX_PLACES)
 
 
+def _explain_task(request: schema.ExplainTaskRequest) -> Iterator[BadField]:
+    if not request.job_id:
+        yield BadField("job_id", "the id of a job")
+    yield from _integer("number", request.number, 0, MAX_TASKS)
+
+
 def _cancel_jobs(request: schema.CancelJobsRequest) -> Iterator[BadField]:
     yield from _request_id(request)
     if not 0 < len(request.job_ids) <= MAX_CANCELLED:
@@ -188,6 +194,7 @@
     "CreateJobRequest": _create_job,
     "ListJobsRequest": _list_jobs,
     "DescribeJobRequest": _describe_job,
+    "ExplainTaskRequest": _explain_task,
     "CancelJobsRequest": _cancel_jobs,
     "ApplyConfigurationRequest": _apply_configuration,
     "GetConfigurationHistoryRequest": _history,
--- a/plantainyard/commands/jobs.py
+++ b/plantainyard/commands/jobs.py
@@ -9,6 +9,7 @@
     Invocation,
     UsageError,
     ask,
+    define_nothing,
     define_request_id,
     format_table,
     pick_request_id,
@@ -23,7 +24,12 @@
     read_work,
 )
 from plantainyard.commands.exits import ExitCode
-from plantainyard.commands.render import STATE_PREFIX, format_job, format_jobs
+from plantainyard.commands.render import (
+    STATE_PREFIX,
+    format_explanation,
+    format_job,
+    format_jobs,
+)
 from plantainyard.commands.waiting import wait_for_job
 
 __all__ = [
@@ -36,6 +42,7 @@
 ]
 
 PAGE = 1_000
+MAX_NUMBER = 2**31 - 1
 UNSPECIFIED = "unspecified"
 STATES = [
     name.removeprefix(STATE_PREFIX).lower()
@@ -133,6 +140,14 @@
     return run_call(invocation, "DescribeJob", request, format_job)
 
 
+def _explain(invocation: Invocation) -> ExitCode:
+    job_id, number = invocation.arguments
+    if not number.isdecimal() or int(number) > MAX_NUMBER:
+        raise UsageError(f"expected the number of a task, got {number!r}")
+    request = schema.ExplainTaskRequest(job_id=job_id, number=int(number))
+    return run_call(invocation, "ExplainTask", request, format_explanation)
+
+
 def _define_cancel(values: flags.FlagValues) -> None:
     define_request_id(values)
     flags.DEFINE_string(
@@ -208,19 +223,32 @@
         "JOB_ID",
         "Show a job: its state, why it waits, and where it runs.",
         "Takes the id of a service's part too.",
-        ("plantainyard jobs describe j0190f3c2",),
+        ("plantainyard jobs describe 5b0c7a9e1f23.addis-kality",),
         _define_describe,
         describe_job,
         1,
         1,
     ),
+    Command(
+        ("jobs", "explain"),
+        "JOB_ID NUMBER",
+        "Tell why a task is on its worker, or waits, and why not elsewhere.",
+        "Lists every worker of the rack that answers for the task: what keeps the task "
+        "off it now, or what it would cost there, by the parts of the cost. Costs have "
+        "no unit; less is better.",
+        ("plantainyard jobs explain 5b0c7a9e1f23.addis-kality 0",),
+        define_nothing,
+        _explain,
+        2,
+        2,
+    ),
     Command(
         ("jobs", "cancel"),
         "JOB_ID...",
         "Cancel jobs: nothing more starts, running tasks are stopped.",
         "All ids go in one call, which is made at most once under its request id.",
         (
-            "plantainyard jobs cancel j0190f3c2 j0190f3c3",
+            "plantainyard jobs cancel 5b0c7a9e1f23.addis-kality 77e01b2c.addis-akaki",
             "plantainyard jobs cancel --ids_file=wave.txt",
         ),
         _define_cancel,
@@ -235,7 +263,7 @@
         "Exits with 0 when every task is done, 10 when the job was cancelled or can "
         "never run, 11 when --wait_s is over. Ctrl-C ends the wait only: the job goes "
         "on.",
-        ("plantainyard jobs wait j0190f3c2 --wait_s=600",),
+        ("plantainyard jobs wait 5b0c7a9e1f23.addis-kality --wait_s=600",),
         _define_wait,
         wait_for_job,
         1,
--- a/plantainyard/commands/render.py
+++ b/plantainyard/commands/render.py
@@ -1,7 +1,7 @@
 """Messages of the schema as tables for people."""
 
 import json
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 from google.protobuf.message import Message
@@ -16,6 +16,7 @@
     "format_ages",
     "format_counts",
     "format_job",
+    "format_explanation",
     "format_jobs",
     "format_size",
     "format_state",
@@ -134,6 +135,24 @@
     return "\n".join([*lines, *_iter_tables(answer)])
 
 
+def format_explanation(answer: schema.ExplainTaskResponse) -> str:
+    """Return why a task is where it is, and a line for each worker."""
+    where = f" on {answer.worker}" if answer.worker else ""
+    place = f", place {answer.place} in the order" if answer.place else ""
+    headline = f"{answer.status}{where}: {answer.reason}{place}"
+    decider = f"decided for {answer.rack} by {answer.decided_by or 'nobody yet'}"
+    rows = (
+        (w.worker, w.failing or "possible", f"{w.cost:.3g}", _format_parts(w.parts))
+        for w in answer.workers
+    )
+    headers = ("worker", "now", "cost", "parts of the cost")
+    return "\n".join([headline, decider, "", format_table(headers, rows)])
+
+
+def _format_parts(parts: Mapping[str, float]) -> str:
+    return ", ".join(f"{name} {parts[name]:.3g}" for name in sorted(parts))
+
+
 def _iter_tables(answer: schema.DescribeJobResponse) -> Iterator[str]:
     racks = [
         (r.rack, r.tasks, r.waiting, r.place or "-", r.owner or "nobody yet")
--- a/plantainyard/commands/teams.py
+++ b/plantainyard/commands/teams.py
@@ -24,11 +24,18 @@
     return run_call(invocation, "ListTeams", schema.ListTeamsRequest(), _format_teams)
 
 
+def _format_quota(team: schema.Team) -> str:
+    if not team.has_quota:
+        return "not limited"
+    limited = ((name, getattr(team.quota, name)) for name in team.limited)
+    return ", ".join(f"{name} {value:g}" for name, value in limited)
+
+
 def _format_teams(answer: schema.ListTeamsResponse) -> str:
     rows = (
         (
             team.name,
-            format_size(team.quota) if team.has_quota else "not limited",
+            _format_quota(team),
             format_size(team.used),
             team.tasks_assigned,
             team.tasks_waiting,
@@ -66,8 +73,10 @@
     Command(
         ("teams", "list"),
         "",
-        "List teams with their quotas and what they use.",
-        "Quotas are configuration: keys teams.<name>.cores and so on.",
+        "List teams with their quotas and what they use in one domain.",
+        "Quotas hold over all failure domains and are configuration: keys "
+        "teams.<name>.cores and so on. What is used is told for the failure domain of "
+        "the answering instance; name one with --address.",
         ("plantainyard teams list",),
         define_nothing,
         _list_teams,
--- a/plantainyard/commands/tests/test_run.py
+++ b/plantainyard/commands/tests/test_run.py
@@ -206,6 +206,7 @@
         "drain",
         "drain --worker=a --instance=b",
         "jobs cancel",
+        "jobs explain j0 x",
         "status --output=xml",
     ],
 )
@@ -342,6 +343,7 @@
 EVERY_READ = {
     "jobs list": "ListJobs",
     "jobs describe j0": "DescribeJob",
+    "jobs explain j0 3": "ExplainTask",
     "services list": "ListJobs",
     "config show": "GetConfiguration",
     "config history": "GetConfigurationHistory",
--- a/plantainyard/operators/__init__.py
+++ b/plantainyard/operators/__init__.py
@@ -14,6 +14,7 @@
     get_configuration_status,
 )
 from .creation import cancel_jobs, create_job, create_service
+from .explaining import explain_task
 from .listing import describe_job, list_jobs, list_teams
 from .node import Node, make_url
 from .standing import describe_state, dump, find_faults, find_waits, tell_status
@@ -34,6 +35,7 @@
     "CreateService": create_service,
     "DescribeJob": describe_job,
     "Drain": drain,
+    "ExplainTask": explain_task,
     "Dump": dump,
     "GetConfiguration": get_configuration,
     "GetConfigurationHistory": get_configuration_history,
--- a/plantainyard/operators/listing.py
+++ b/plantainyard/operators/listing.py
@@ -155,12 +155,19 @@
     if response is None:
         return Err(ApiError(ErrorCode.NOT_FOUND, "no such job", "job_id"))
     owners = {share.owner for share in response.racks if share.waiting}
-    if not owners or node.name in owners:
+    # Two instances may each take the other for the owner, one having read further in
+    # the log: they would pass the call to and fro until neither had a thread left.
+    if not owners or node.name in owners or request.relayed:
         return Ok(response)
     owner = next(
         (p for p in list_peers(node) if p.is_live and p.process in owners), None
     )
-    return Ok(response) if owner is None else _pass_on(node, owner, request)
+    if owner is None:
+        return Ok(response)
+    relayed = schema.DescribeJobRequest()
+    relayed.CopyFrom(request)
+    relayed.relayed = True
+    return _pass_on(node, owner, relayed)
 
 
 def _pass_on(
@@ -297,6 +304,11 @@
         used=write_size(size),
         tasks_assigned=assigned,
         tasks_waiting=waiting,
+        limited=[
+            field
+            for field, value in zip(Size._fields, quota or (), strict=False)
+            if math.isfinite(value)
+        ],
     )
 
 
