Learn harm with a joint filter and choose the workload that fits the room

The first estimate took the undisturbed latency and the harm in turns. One Kalman filter for each victim now estimates both together.

Choice was limited to the workers with room, one or two under load. A turn now offers the heads of all workloads of the teams with about the least share, and the task with the least marginal cost for each core goes first. Cost is the marginal loss of batch progress and of squared relative latency; work that would lose more than it gains waits. Runners sit together, up to a share of the service, and evenly over racks, so that whole workers are left to batch.

Urgent work evicts for its team's quota too, and counts the observed use when it prices the room.

--- a/plantainyard/placement/accounting.py
+++ b/plantainyard/placement/accounting.py
@@ -41,6 +41,10 @@
     worker.services += owner.job.latency_critical
     for i in range(3):
         worker.used[i] += owner.reserved[i]
+    worker.expected += owner.expected.cores
+    worker.profile = None
+    rack = worker.info.rack
+    owner.racks[rack] = owner.racks.get(rack, 0) + 1
     worker.spans[placement.key] = Span(state.now, placement.key, owner.workload)
     _charge_team(state, owner, 1)
     if worker.probing and worker.probe is None:
@@ -59,6 +63,8 @@
     worker = state.workers.get(placement.worker)
     if worker is None or worker.placed.pop(placement.key, None) is None:
         return
+    worker.profile = None
+    owner.racks[worker.info.rack] = owner.racks.get(worker.info.rack, 1) - 1
     worker.services -= owner.job.latency_critical
     worker.pressure.pop(placement.key, None)
     worker.recount()
@@ -80,9 +86,12 @@
         used[i] += sign * owner.job.size[i]
 
 
-def set_reserved(state: PlacementState, owner: JobState, size: Size) -> None:
-    """Set aside `size` for each task of a job, on its workers too."""
-    owner.reserved = size
+def set_reserved(
+    state: PlacementState, owner: JobState, reserved: Size, expected: Size
+) -> None:
+    """Reckon with new sizes for each task of a job, on its workers too."""
+    owner.reserved = reserved
+    owner.expected = expected
     state.room_version += 1
     hosts = {placement.worker for placement in owner.placed.values()}
     for worker in filter(None, map(state.workers.get, hosts)):
--- a/plantainyard/placement/decision.py
+++ b/plantainyard/placement/decision.py
@@ -1,18 +1,26 @@
 """One round of decisions: which waiting task goes where, and which waits for what."""
 
+from typing import NamedTuple
+
 from plantainyard.placement.accounting import occupy
 from plantainyard.placement.actions import Action, HoldBack, Place
 from plantainyard.placement.eviction import act_on_harm, hold_worker, make_room
 from plantainyard.placement.filters import check_worker, find_candidates
 from plantainyard.placement.gangs import place_gang, roll_back_gangs
 from plantainyard.placement.order import (
+    Order,
     return_job,
     start_order,
-    take_job,
+    take_turn,
 )
 from plantainyard.placement.quarantine import open_probes
 from plantainyard.placement.quotas import check_quota
-from plantainyard.placement.state import JobState, PlacementState, WorkerState
+from plantainyard.placement.state import (
+    JobState,
+    PlacementState,
+    Waiting,
+    WorkerState,
+)
 
 __all__ = ["decide"]
 
@@ -45,25 +53,60 @@
             holder.holds += 1
 
 
+class _Choice(NamedTuple):
+    value: float
+    owner: JobState
+    worker: WorkerState
+    task: Waiting
+
+
 def _place_waiting(state: PlacementState, now: float) -> list[Action]:
     order = start_order(state, now)
     actions: list[Action] = []
-    rank = placed = 0
+    waiting = placed = 0
     while placed < state.settings.places_max:
-        owner = take_job(state, order)
-        if owner is None:
+        heads = take_turn(state, order)
+        if not heads:
             break
-        made, reason = _place_job(state, owner, now)
+        made, held = _play_turn(state, order, heads, now)
+        placed += sum(isinstance(action, Place) for action in made)
         actions += made
-        places = sum(isinstance(action, Place) for action in made)
-        placed += places
-        return_job(state, order, owner, now, places > 0)
-        if reason:
-            rank += 1
-            actions += _hold_back(owner, reason, rank, now)
+        for owner, reason in held:
+            waiting += 1
+            actions += _hold_back(owner, reason, waiting, now)
     return actions
 
 
+def _play_turn(
+    state: PlacementState, order: Order, heads: list[JobState], now: float
+) -> tuple[list[Action], list[tuple[JobState, str]]]:
+    """Place a task of that one of `heads` which suits the room best."""
+    held: list[tuple[JobState, str]] = []
+    actions: list[Action] = []
+    choices: list[_Choice] = []
+    for owner in heads:
+        if owner.job.gang and not owner.placed:
+            made, reason = place_gang(state, owner, now)
+            actions += made
+            return_job(state, order, owner, now, bool(made))
+            if made:
+                return actions, held
+            held.append((owner, reason))
+            continue
+        choice = _choose(state, owner, now)
+        if isinstance(choice, _Choice):
+            choices.append(choice)
+            continue
+        actions += choice[0]
+        held.append((owner, choice[1]))
+        return_job(state, order, owner, now, False)
+    if choices:
+        best = min(choices, key=lambda choice: (choice.value, choice.owner.job.id))
+        actions.append(_commit(state, best, now))
+        return_job(state, order, best.owner, now, True)
+    return actions, held
+
+
 def _hold_back(owner: JobState, reason: str, rank: int, now: float) -> list[Action]:
     owner.place = rank
     if reason == owner.reason:
@@ -75,18 +118,17 @@
     return [HoldBack(owner.key(task.number), reason, rank)]
 
 
-def _place_job(
+def _choose(
     state: PlacementState, owner: JobState, now: float
-) -> tuple[list[Action], str]:
-    if owner.job.gang and not owner.placed:
-        return place_gang(state, owner, now)
-    if not check_quota(state, owner):
-        return [], "team quota"
+) -> _Choice | tuple[list[Action], str]:
+    """Return the best worker for the job's next task, or why it waits."""
     task = owner.next_waiting(now)
-    candidates = find_candidates(state, owner)
     if task is None:
         return [], "backing off"
-    candidates = avoid_failed(owner, candidates)
+    if not check_quota(state, owner):
+        made = make_room(state, owner, now) if owner.job.urgent else []
+        return made, "team quota"
+    candidates = avoid_failed(owner, find_candidates(state, owner))
     if not candidates:
         return _claim_room(state, owner, task.since, now), "no room"
     costs = [
@@ -94,12 +136,25 @@
         for worker in candidates
     ]
     cost, _, worker = min(costs, key=lambda item: item[:2])
-    owner.take(task)
-    placement = occupy(state, owner, task, worker)
+    if cost > 0.0 and _may_wait(state, owner, task.since, now):
+        return [], "would harm more than it gains"
+    return _Choice(cost / max(owner.expected.cores, 1e-3), owner, worker, task)
+
+
+def _commit(state: PlacementState, choice: _Choice, now: float) -> Place:
+    owner = choice.owner
+    owner.take(choice.task)
+    placement = occupy(state, owner, choice.task, choice.worker)
     owner.placed_last = now
     owner.reason = ""
-    reason = f"least cost {cost:.3f} of {len(costs)}"
-    return [Place(placement.key, task.attempt, worker.info.id, reason)], ""
+    reason = f"cost {choice.value:.3f} a core"
+    return Place(placement.key, choice.task.attempt, choice.worker.info.id, reason)
+
+
+def _may_wait(state: PlacementState, owner: JobState, since: float, now: float) -> bool:
+    if not state.rules.acts or owner.job.urgent or owner.job.latency_critical:
+        return False
+    return now - max(since, owner.placed_last) < 2.0 * state.settings.starve_s
 
 
 def avoid_failed(owner: JobState, candidates: list[WorkerState]) -> list[WorkerState]:
--- a/plantainyard/placement/eviction.py
+++ b/plantainyard/placement/eviction.py
@@ -8,6 +8,7 @@
 from plantainyard.placement.actions import Action, Checkpoint, Throttle
 from plantainyard.placement.filters import check_worker
 from plantainyard.placement.harm import predict_harm
+from plantainyard.placement.quotas import get_excess
 from plantainyard.placement.state import (
     JobState,
     Placement,
@@ -15,10 +16,18 @@
     WorkerState,
 )
 
-__all__ = ["act_on_harm", "compute_loss", "evict", "hold_worker", "make_room"]
+__all__ = [
+    "act_on_harm",
+    "compute_loss",
+    "evict",
+    "get_ratio_limit",
+    "hold_worker",
+    "make_room",
+]
 
 _LEAST_SHARE = 0.25
 _HOLD_S = 15.0
+_SLACK = 1e-6
 
 
 def compute_loss(placement: Placement, now: float) -> float:
@@ -75,16 +84,24 @@
     return actions
 
 
+def get_ratio_limit(state: PlacementState) -> float:
+    """Return the relative latency above which harm is acted upon, by the weights."""
+    weights = state.weights
+    favour = weights.throughput / max(weights.tail, 1e-9)
+    return 1.0 + max(0.3, min(5.0, state.settings.tolerance * favour))
+
+
 def _act_on_worker(
     state: PlacementState, worker: WorkerState, now: float
 ) -> list[Action]:
     settings = state.settings
+    limit = get_ratio_limit(state)
     patience = settings.patience_s if state.rules.hysteresis else 0.0
     if now - worker.acted_at < patience:
         return []
     ratio = max(worker.pressure.values())
-    calm = settings.calm_ratio if state.rules.hysteresis else settings.throttle_ratio
-    if ratio > settings.throttle_ratio:
+    calm = 1.0 + (limit - 1.0) * (0.5 if state.rules.hysteresis else 1.0)
+    if ratio > limit:
         return _relieve(state, worker, now)
     if ratio < calm:
         return _lift_limits(worker, now)
@@ -106,6 +123,7 @@
         if placement.share > _LEAST_SHARE:
             placement.share = max(_LEAST_SHARE, placement.share / 2.0)
             placement.limited_at = now
+            worker.profile = None
             return [Throttle(key, placement.attempt, placement.worker, placement.share)]
     pause = state.settings.evict_pause_s if state.rules.hysteresis else 0.0
     if now - worker.evicted_at < pause:
@@ -128,6 +146,7 @@
         return []
     placement = min(limited, key=lambda p: (p.share, p.key))
     placement.share = min(1.0, placement.share * 2.0)
+    worker.profile = None
     worker.acted_at = now
     return [
         Throttle(placement.key, placement.attempt, placement.worker, placement.share)
@@ -135,25 +154,30 @@
 
 
 def make_room(state: PlacementState, owner: JobState, now: float) -> list[Action]:
-    """Evict the cheapest batch tasks that let one urgent task in.
+    """Evict the cheapest batch tasks that let the waiting urgent tasks of a job in.
 
     Notes
     -----
-    The worker is held for the urgent job until the evicted tasks are gone, so that
-    other work can't slip into the room and cause a second round of evictions.
+    Each worker is held for the job until the evicted tasks are gone, so that other work
+    can't slip into the room and cause a second round of evictions. Where the team's
+    quota is what lacks, only tasks of the team are evicted.
     """
-    if owner.holds:
+    held = sum(worker.reserved_for == owner.job.id for worker in state.ring)
+    lacking = owner.waiting - held
+    if lacking <= 0:
         return []
+    excess = get_excess(state, owner)
     choices = [
         choice
         for worker in state.ring
-        if (choice := _price_room(owner, worker, now)) is not None
+        if (choice := _price_room(state, owner, worker, excess, now)) is not None
     ]
-    if not choices:
-        return []
-    _, _, worker, victims = min(choices, key=lambda choice: choice[:2])
-    hold_worker(owner, worker, now + _HOLD_S)
-    return [evict(victim, f"room for urgent {owner.job.id}") for victim in victims]
+    choices.sort(key=lambda choice: choice[:2])
+    actions: list[Action] = []
+    for _, _, worker, victims in choices[:lacking]:
+        hold_worker(owner, worker, now + _HOLD_S)
+        actions += [evict(p, f"room for urgent {owner.job.id}") for p in victims]
+    return actions
 
 
 def hold_worker(owner: JobState, worker: WorkerState, until: float) -> None:
@@ -164,7 +188,11 @@
 
 
 def _price_room(
-    owner: JobState, worker: WorkerState, now: float
+    state: PlacementState,
+    owner: JobState,
+    worker: WorkerState,
+    excess: list[float],
+    now: float,
 ) -> tuple[float, str, WorkerState, list[Placement]] | None:
     blocked = (
         worker.suspect
@@ -176,21 +204,32 @@
     if blocked:
         return None
     capacity = worker.info.capacity
-    lacking = [worker.used[i] + owner.reserved[i] - capacity[i] for i in range(3)]
-    losses = sorted(
-        ((compute_loss(p, now), p.key, p) for p in _list_evictable(worker)),
-        key=lambda item: item[:2],
-    )
+    lacking = [
+        *(worker.used[i] + owner.reserved[i] - capacity[i] for i in range(3)),
+        worker.expected
+        + owner.expected.cores
+        - capacity.cores * state.settings.crowd_max,
+        *excess,
+    ]
+    own_team = max(excess) > _SLACK
     victims: list[Placement] = []
     price = 0.0
-    for loss, _, placement in losses:
-        if max(lacking) <= 0:
+    for loss, placement in _list_losses(worker, now):
+        other = placement.owner
+        if max(lacking) <= _SLACK:
             break
-        size = placement.owner.reserved
-        if any(lack > 0 and size[i] > 0 for i, lack in enumerate(lacking)):
+        if own_team and other.job.team != owner.job.team:
+            continue
+        freed = (*other.reserved, other.expected.cores, *other.job.size)
+        if any(lack > _SLACK < size for lack, size in zip(lacking, freed, strict=True)):
             victims.append(placement)
             price += loss
-            lacking = [lack - size[i] for i, lack in enumerate(lacking)]
-    if max(lacking) > 1e-6:
+            lacking = [a - b for a, b in zip(lacking, freed, strict=True)]
+    if max(lacking) > _SLACK:
         return None
     return price, worker.info.id, worker, victims
+
+
+def _list_losses(worker: WorkerState, now: float) -> list[tuple[float, Placement]]:
+    losses = [(compute_loss(p, now), p) for p in _list_evictable(worker)]
+    return sorted(losses, key=lambda item: (item[0], item[1].key))
--- a/plantainyard/placement/explanation.py
+++ b/plantainyard/placement/explanation.py
@@ -96,7 +96,7 @@
     state: PlacementState, owner: JobState, worker: WorkerState
 ) -> WorkerVerdict:
     parts = compute_parts(state, owner, worker, state.now)
-    failing = check_now(owner, worker) or ""
+    failing = check_now(owner, worker, state.settings.crowd_max) or ""
     return WorkerVerdict(worker.info.id, failing, sum(parts), parts._asdict())
 
 
--- a/plantainyard/placement/filters.py
+++ b/plantainyard/placement/filters.py
@@ -111,7 +111,7 @@
     )
 
 
-def check_now(owner: JobState, worker: WorkerState) -> str | None:
+def check_now(owner: JobState, worker: WorkerState, crowd: float = 1.0) -> str | None:
     """Return why a task of the job can't start on `worker` now, or None.
 
     Notes
@@ -136,6 +136,7 @@
         used[0] + need[0] <= info.capacity[0] + _SLACK
         and used[1] + need[1] <= info.capacity[1] + _SLACK
         and used[2] + need[2] <= info.capacity[2]
+        and worker.expected + owner.expected.cores <= info.capacity[0] * crowd
     )
     if not room and (worker.placed or check_worker(owner.job, info)):
         return "no room"
@@ -151,14 +152,19 @@
     ``candidates_max``, so that a decision costs no more on many workers than on few.
     A search that found nothing is not repeated for the same shape until room is made.
     """
-    shape = (owner.reserved, owner.job.size, owner.job.constraints)
+    shape = (
+        owner.reserved,
+        owner.expected.cores,
+        owner.job.size,
+        owner.job.constraints,
+    )
     if not owner.holds and state.full.get(shape) == state.room_version:
         return []
     found: list[WorkerState] = []
     count = len(state.ring)
     for offset in range(count):
         worker = state.ring[(state.cursor + offset) % count]
-        if check_now(owner, worker) is None:
+        if check_now(owner, worker, state.settings.crowd_max) is None:
             found.append(worker)
             if len(found) == state.settings.candidates_max:
                 state.cursor = (state.cursor + offset + 1) % count
--- a/plantainyard/placement/observation.py
+++ b/plantainyard/placement/observation.py
@@ -8,7 +8,7 @@
     set_reserved,
 )
 from plantainyard.placement.events import UsageReported
-from plantainyard.placement.harm import learn_harm, predict_harm
+from plantainyard.placement.harm import learn_harm, predict_time
 from plantainyard.placement.state import (
     JobState,
     Placement,
@@ -18,7 +18,7 @@
 from plantainyard.work import Size
 
 __all__ = [
-    "estimate_size",
+    "estimate_sizes",
     "is_credible",
     "measure_exposures",
     "observe_run",
@@ -27,6 +27,7 @@
 
 _TRUST = 6.0
 _CHANGE = 0.05
+_RUN_NOISE = 0.3
 
 
 def is_credible(report: UsageReported, worker: WorkerState) -> bool:
@@ -45,27 +46,34 @@
     )
 
 
-def estimate_size(owner: JobState, floor: float) -> Size:
-    """Return the size to set aside: an upper estimate of use, shrunk to the declared.
+def estimate_sizes(owner: JobState, floor: float) -> tuple[Size, Size]:
+    """Return the size to set aside for a task and the size to expect.
 
     Parameters
     ----------
     owner : JobState
         The job with its sums of reports.
     floor : float
-        Least share of the declared cores.
+        Least share of the declared cores that is set aside.
+
+    Notes
+    -----
+    Both are shrunk towards the declared size while reports are few. What is set aside
+    is never less than ``floor`` of the declared cores nor than the declared memory; a
+    worker holds a task only if both sums, of set aside and of expected, fit.
     """
     declared = owner.job.size
     count = owner.use_reports
+    known = count / (count + _TRUST)
     mean = owner.use_cores / count
     variance = max(0.0, owner.use_cores_square / count - mean * mean)
-    upper = mean + 2.0 * sqrt(variance)
-    known = count / (count + _TRUST)
-    cores = declared.cores + known * (upper - declared.cores)
-    return Size(
-        max(cores, declared.cores * floor),
-        max(declared.memory_gb, owner.use_memory),
-        declared.accelerators,
+    upper = declared.cores + known * (mean + 2.0 * sqrt(variance) - declared.cores)
+    expected = declared.cores + known * (mean - declared.cores)
+    cores = min(declared.cores, max(upper, declared.cores * floor))
+    memory = max(declared.memory_gb, owner.use_memory)
+    return (
+        Size(cores, memory, declared.accelerators),
+        Size(expected, memory, declared.accelerators),
     )
 
 
@@ -84,7 +92,9 @@
         return
     placement.cores_seen = report.cores
     _learn_size(state, placement, report)
-    if report.latency_ms > 0.0 and placement.owner.job.latency_critical:
+    if not placement.owner.job.latency_critical:
+        _add_sample(state, worker, placement, report)
+    elif report.latency_ms > 0.0:
         _learn_latency(state, worker, placement, report)
 
 
@@ -94,21 +104,36 @@
     owner = placement.owner
     cores = report.cores / max(placement.share, 0.05)
     fading = 0.98 if owner.use_reports > 50 else 1.0
-    owner.use_reports = int(owner.use_reports * fading) + 1
+    owner.use_reports = owner.use_reports * fading + 1.0
     owner.use_cores = owner.use_cores * fading + cores
     owner.use_cores_square = owner.use_cores_square * fading + cores * cores
     owner.use_memory = max(owner.use_memory * 0.999, report.memory_gb)
     if not state.rules.learns_sizes:
         return
-    size = estimate_size(owner, state.settings.declared_floor)
-    mean = owner.use_cores / owner.use_reports
-    owner.expected = Size(mean, size.memory_gb, size.accelerators)
-    old = owner.reserved
-    if (
-        abs(size.cores - old.cores) > _CHANGE * old.cores
-        or abs(size.memory_gb - old.memory_gb) > _CHANGE * old.memory_gb
-    ):
-        set_reserved(state, owner, size)
+    reserved, expected = estimate_sizes(owner, state.settings.declared_floor)
+    if owner.job.latency_critical:
+        owner.load = owner.use_cores / owner.use_reports / owner.job.size.cores
+    if _differ(reserved, owner.reserved) or _differ(expected, owner.expected):
+        set_reserved(state, owner, reserved, expected)
+
+
+def _differ(new: Size, old: Size) -> bool:
+    return (
+        abs(new.cores - old.cores) > _CHANGE * old.cores
+        or abs(new.memory_gb - old.memory_gb) > _CHANGE * old.memory_gb
+    )
+
+
+def _add_sample(
+    state: PlacementState,
+    worker: WorkerState,
+    placement: Placement,
+    report: UsageReported,
+) -> None:
+    placement.samples += 1
+    exposures = measure_exposures(state, worker, placement, report.time_s)
+    for other, x in exposures.items():
+        placement.exposures[other] = placement.exposures.get(other, 0.0) + x
 
 
 def _learn_latency(
@@ -118,20 +143,18 @@
     report: UsageReported,
 ) -> None:
     owner = placement.owner
-    exposures = measure_exposures(state, worker, placement, report.time_s)
-    expected = 1.0 + sum(
-        predict_harm(state.harm, owner.workload, other) * x
-        for other, x in exposures.items()
-    )
-    if owner.base_ms == 0.0:
-        owner.base_ms = report.latency_ms / expected
-    error = report.latency_ms / expected - owner.base_ms
-    owner.base_ms += error * (0.1 if error < 0.0 else 0.01)
-    ratio = report.latency_ms / owner.base_ms
+    if owner.unit_ms == 0.0:
+        owner.unit_ms = report.latency_ms
+    time = report.latency_ms / owner.unit_ms
+    ratio = time / predict_time(state.harm, owner.workload)
     before = worker.pressure.get(placement.key, ratio)
     worker.pressure[placement.key] = before + 0.5 * (ratio - before)
-    if state.rules.learns_harm:
-        learn_harm(state.harm, owner.workload, ratio - 1.0, exposures)
+    if not state.rules.learns_harm:
+        return
+    load = report.cores / max(owner.job.size.cores, 1e-9)
+    present = measure_exposures(state, worker, placement, report.time_s)
+    exposures = {other: x * load for other, x in present.items()}
+    learn_harm(state.harm, owner.workload, time, exposures)
 
 
 def measure_exposures(
@@ -144,33 +167,35 @@
             continue
         other = worker.placed.get(span.task)
         owner = state.jobs.get(span.task.job)
-        cores = other.cores if other else owner.expected.cores if owner else 0.0
-        share = cores / worker.info.capacity.cores
+        cores = owner.expected.cores * (other.share if other else 1.0) if owner else 0.0
+        share = max(0.0, cores) / worker.info.capacity.cores
         exposures[span.workload] = exposures.get(span.workload, 0.0) + share
     return exposures
 
 
-def observe_run(
-    state: PlacementState, placement: Placement, worker: WorkerState, now: float
-) -> None:
-    """Learn from the run time of a finished batch task how others slowed it."""
+def observe_run(state: PlacementState, placement: Placement, now: float) -> None:
+    """Learn from the run time of a finished batch task how others slowed it.
+
+    Notes
+    -----
+    Declared run times are off by a factor of the job's own. It is estimated beside the
+    harm and taken off before the next task of the job is learnt from.
+    """
     owner = placement.owner
     if owner.job.latency_critical or placement.started_at is None:
         return
     if placement.evictions or placement.share < 1.0 or placement.attempt > 1:
         return
     run_s = now - placement.started_at
-    middle = placement.started_at + run_s / 2.0
-    exposures = measure_exposures(state, worker, placement, middle)
-    expected = 1.0 + sum(
-        predict_harm(state.harm, owner.workload, other) * x
-        for other, x in exposures.items()
-    )
-    if owner.base_run_s == 0.0:
-        owner.base_run_s = run_s / expected
-    error = run_s / expected - owner.base_run_s
-    owner.base_run_s += error * (0.1 if error < 0.0 else 0.02)
-    if state.rules.learns_harm and owner.base_run_s > 0.0:
-        learn_harm(
-            state.harm, owner.workload, run_s / owner.base_run_s - 1.0, exposures
-        )
+    if not placement.samples:
+        return
+    exposures = {
+        other: x / placement.samples for other, x in placement.exposures.items()
+    }
+    offset, variance = owner.run_offset
+    time = run_s / max(owner.job.run_s, 1e-3) - offset
+    if not state.rules.learns_harm:
+        return
+    error = learn_harm(state.harm, owner.workload, time, exposures, variance)
+    gain = variance / (variance + _RUN_NOISE**2)
+    owner.run_offset = (offset + gain * error, variance * (1.0 - gain))
--- a/plantainyard/placement/order.py
+++ b/plantainyard/placement/order.py
@@ -7,7 +7,7 @@
 from plantainyard.placement.quotas import get_team_load
 from plantainyard.placement.state import JobState, PlacementState
 
-__all__ = ["Order", "get_rank", "list_order", "return_job", "start_order", "take_job"]
+__all__ = ["Order", "get_rank", "list_order", "return_job", "start_order", "take_turn"]
 
 _RANKS = 3
 
@@ -19,12 +19,12 @@
 
 
 class Order:
-    """Waiting jobs by rank and team, for the length of one step."""
+    """Waiting jobs by rank, team and workload, for the length of one step."""
 
     def __init__(self) -> None:
         self.aged: list[tuple[float, str]] = []
-        self.teams: list[list[tuple[float, str]]] = [[] for _ in range(_RANKS)]
-        self.jobs: dict[tuple[int, str], list[_Entry]] = {}
+        self.teams: list[dict[str, float]] = [{} for _ in range(_RANKS)]
+        self.jobs: dict[tuple[int, str], dict[str, list[_Entry]]] = {}
         self.dropped: set[str] = set()
 
 
@@ -35,62 +35,88 @@
     return 1 if owner.job.latency_critical else 2
 
 
-def _is_aged(state: PlacementState, owner: JobState, now: float) -> bool:
-    since = max(owner.waits_since(), owner.placed_last)
-    return now - since > state.settings.starve_s
-
-
 def _enter(order: Order, owner: JobState) -> None:
     key = (get_rank(owner), owner.job.team)
-    size = max(owner.job.size.cores, 1e-3)
-    entry = _Entry(len(owner.placed) * size, owner.waits_since(), owner.job.id)
-    heapq.heappush(order.jobs.setdefault(key, []), entry)
+    entry = _Entry(
+        len(owner.placed) * owner.job.size.cores, owner.waits_since(), owner.job.id
+    )
+    heaps = order.jobs.setdefault(key, {})
+    heapq.heappush(heaps.setdefault(owner.workload, []), entry)
 
 
 def start_order(state: PlacementState, now: float) -> Order:
     """Return the order of all jobs that have a task to place now."""
     order = Order()
+    starve_s = state.settings.starve_s
     for owner in state.jobs.values():
         if owner.waiting and not owner.given_up and owner.next_waiting(now):
             _enter(order, owner)
-            if _is_aged(state, owner, now):
-                since = max(owner.waits_since(), owner.placed_last)
+            since = max(owner.waits_since(), owner.placed_last)
+            if now - since > starve_s:
                 order.aged.append((since, owner.job.id))
     heapq.heapify(order.aged)
     for rank, team in order.jobs:
-        order.teams[rank].append((get_team_load(state, team), team))
-    for teams in order.teams:
-        heapq.heapify(teams)
+        order.teams[rank][team] = get_team_load(state, team)
     return order
 
 
-def take_job(state: PlacementState, order: Order) -> JobState | None:
-    """Return the job whose turn it is, or None when all had theirs.
+def take_turn(state: PlacementState, order: Order) -> list[JobState]:
+    """Return the jobs of which one may place a task now; none when all had their turn.
 
     Notes
     -----
-    The team with the least dominant share goes first, and in it the job with the least
-    in use, so that a huge job does not block small ones. Every ``aged_turn``-th turn
-    goes to the job that waited longest without a start, even ahead of urgent work: this
-    guards against starvation, which shows as a job that never starts under a steady
-    stream of others; its wait is bounded since its turn comes whatever arrives.
+    It is the turn of the teams whose dominant share is the least, or ``fair_slack``
+    above it. For each workload of theirs the job with the least in use is returned, so
+    that a huge job does not block small ones, and the caller can choose the workload
+    that suits the room best.
+
+    Every ``aged_turn``-th turn goes to the job that waited longest without a start,
+    even ahead of urgent work. This guards against starvation, which shows as a job that
+    never starts under a steady stream of others; its wait is bounded since its turn
+    comes whatever arrives.
     """
     state.turn += 1
     if state.turn % state.settings.aged_turn == 0:
         while order.aged:
             _, job_id = heapq.heappop(order.aged)
             if job_id not in order.dropped:
-                return state.jobs[job_id]
-    for rank, teams in enumerate(order.teams):
-        while teams:
-            _, team = teams[0]
-            entries = order.jobs[rank, team]
-            while entries and entries[0].id in order.dropped:
-                heapq.heappop(entries)
-            if entries:
-                return state.jobs[entries[0].id]
-            heapq.heappop(teams)
-    return None
+                return [state.jobs[job_id]]
+    for rank in range(_RANKS):
+        while order.teams[rank]:
+            heads = _list_fair_heads(state, order, rank)
+            if heads:
+                return heads
+    return []
+
+
+def _list_fair_heads(state: PlacementState, order: Order, rank: int) -> list[JobState]:
+    """Return the heads of the teams with about the least share; drop empty teams."""
+    loads = order.teams[rank]
+    limit = min(loads.values()) + state.settings.fair_slack
+    teams = [team for team, load in loads.items() if load <= limit]
+    heads = []
+    for team in teams:
+        found = _list_heads(state, order, rank, team)
+        if not found:
+            del loads[team]
+        heads += found
+    return heads
+
+
+def _list_heads(
+    state: PlacementState, order: Order, rank: int, team: str
+) -> list[JobState]:
+    heads = []
+    heaps = order.jobs[rank, team]
+    for workload in list(heaps):
+        entries = heaps[workload]
+        while entries and entries[0].id in order.dropped:
+            heapq.heappop(entries)
+        if entries:
+            heads.append(state.jobs[entries[0].id])
+        else:
+            del heaps[workload]
+    return heads
 
 
 def return_job(
@@ -99,15 +125,14 @@
     """Put a job back after its turn, or leave it out until the next step."""
     if not placed or not owner.waiting or owner.next_waiting(now) is None:
         order.dropped.add(owner.job.id)
-        return
     rank, team = get_rank(owner), owner.job.team
-    entries = order.jobs[rank, team]
+    entries = order.jobs[rank, team].get(owner.workload)
     if entries and entries[0].id == owner.job.id:
         heapq.heappop(entries)
-        _enter(order, owner)
-    teams = order.teams[rank]
-    if teams and teams[0][1] == team:
-        heapq.heapreplace(teams, (get_team_load(state, team), team))
+        if owner.job.id not in order.dropped:
+            _enter(order, owner)
+    if placed and team in order.teams[rank]:
+        order.teams[rank][team] = get_team_load(state, team)
 
 
 def list_order(state: PlacementState, now: float) -> Iterator[JobState]:
--- a/plantainyard/placement/policy.py
+++ b/plantainyard/placement/policy.py
@@ -172,8 +172,8 @@
         return []
     owner = placement.owner
     worker = state.workers.get(placement.worker)
-    if event.outcome == Outcome.DONE and worker is not None:
-        observe_run(state, placement, worker, now)
+    if event.outcome == Outcome.DONE:
+        observe_run(state, placement, now)
     probe = worker is not None and worker.probe == placement.key
     vacate(state, placement)
     actions: list[Action] = []
--- a/plantainyard/placement/quotas.py
+++ b/plantainyard/placement/quotas.py
@@ -2,7 +2,7 @@
 
 from plantainyard.placement.state import JobState, PlacementState
 
-__all__ = ["check_quota", "get_team_load"]
+__all__ = ["check_quota", "get_excess", "get_team_load"]
 
 _SLACK = 1e-6
 
@@ -24,6 +24,18 @@
     )
 
 
+def get_excess(state: PlacementState, owner: JobState) -> list[float]:
+    """Return by how much one more task of the job would exceed its team's quota."""
+    share = state.shares.get(owner.job.team)
+    if share is None:
+        return [0.0, 0.0, 0.0]
+    used = state.team_used.get(owner.job.team, [0.0, 0.0, 0.0])
+    return [
+        max(0.0, u + need - limit)
+        for u, need, limit in zip(used, owner.job.size, share, strict=True)
+    ]
+
+
 def get_team_load(state: PlacementState, team: str) -> float:
     """Return the team's dominant share: use by its quota, or by the capacity.
 
--- a/plantainyard/placement/settings.py
+++ b/plantainyard/placement/settings.py
@@ -30,6 +30,17 @@
 
     Attributes
     ----------
+    runner_share : float
+        Share of a service's runners that one worker may hold without extra cost.
+    profile_s : float
+        How long a worker's sums by workload are used while nothing starts or ends.
+    caution : float
+        Standard deviations of doubt added to harm to services, if only the tail
+        weighed.
+    fair_slack : float
+        Difference of teams' dominant shares within which the better fit goes first.
+    crowd_max : float
+        Expected use of a worker's cores beyond which it takes no more, by its cores.
     candidates_max : int
         Workers with room that are scored for one decision.
     places_max : int
@@ -45,6 +56,8 @@
         Harm of an unknown pair: relative rise for a whole worker's cores.
     prior_deviation : float
         Standard deviation of the prior.
+    base_deviation : float
+        Standard deviation of the first guess of an undisturbed time, relative.
     report_noise : float
         Standard deviation of one report's relative latency.
     starve_s : float
@@ -65,10 +78,8 @@
         A worker is suspected after failing tasks of so many jobs in a row.
     quarantine_s, quarantine_max_s : float
         First and greatest wait before a probe.
-    throttle_ratio : float
-        Relative latency above which harm is acted upon.
-    calm_ratio : float
-        Relative latency below which a limit is lifted.
+    tolerance : float
+        Relative rise of latency that is put up with at equal weights.
     patience_s : float
         Least time between two steps against harm on one worker.
     evict_pause_s : float
@@ -79,6 +90,11 @@
         A worker without reports for so long is taken as fully loaded.
     """
 
+    runner_share: float = 0.17
+    profile_s: float = 5.0
+    caution: float = 0.3
+    fair_slack: float = 0.25
+    crowd_max: float = 1.1
     candidates_max: int = 24
     places_max: int = 512
     declared_floor: float = 1.0
@@ -86,11 +102,12 @@
     fade_s: float = 3600.0
     prior_harm: float = 0.5
     prior_deviation: float = 1.5
-    report_noise: float = 0.3
+    base_deviation: float = 0.7
+    report_noise: float = 0.15
     starve_s: float = 60.0
-    reserve_share: float = 0.15
+    reserve_share: float = 0.05
     aged_turn: int = 8
-    urgent_wait_s: float = 1.0
+    urgent_wait_s: float = 0.0
     gang_s: float = 60.0
     backoff_s: float = 2.0
     backoff_max_s: float = 300.0
@@ -98,8 +115,7 @@
     quarantine_jobs: int = 3
     quarantine_s: float = 30.0
     quarantine_max_s: float = 900.0
-    throttle_ratio: float = 1.5
-    calm_ratio: float = 1.2
+    tolerance: float = 2.0
     patience_s: float = 10.0
     evict_pause_s: float = 60.0
     evictions_max: int = 2
--- a/plantainyard/placement/state.py
+++ b/plantainyard/placement/state.py
@@ -18,12 +18,14 @@
     "JobState",
     "Placement",
     "PlacementState",
+    "Profile",
     "Rules",
     "Span",
     "Waiting",
     "WorkerState",
 ]
 
+_RUN_DEVIATION = 0.3
 _NOTHING = Size(0.0, 0.0, 0)
 
 
@@ -45,6 +47,33 @@
     workload: str
 
 
+class Profile(NamedTuple):
+    """What runs on a worker, by workload.
+
+    Attributes
+    ----------
+    at : float
+        When this was summed up.
+    shares : dict
+        Share of the worker's cores in use.
+    counts : dict
+        Number of tasks.
+    services : dict
+        Load of each latency-critical workload, relative to its declared size.
+    suffered : dict
+        Relative slow-down of each by all others.
+    load : float
+        Share of the worker's cores in use by all.
+    """
+
+    at: float
+    shares: dict[str, float]
+    counts: dict[str, int]
+    services: dict[str, float]
+    suffered: dict[str, float]
+    load: float
+
+
 class Placement:
     """A task that occupies a worker: in flight, running, or ending."""
 
@@ -53,7 +82,8 @@
         "cores_seen",
         "ending",
         "evictions",
-        "exposure",
+        "exposures",
+        "samples",
         "failures",
         "limited_at",
         "number",
@@ -79,7 +109,8 @@
         self.limited_at = now
         self.ending = False
         self.cores_seen = -1.0
-        self.exposure: dict[str, float] = {}
+        self.exposures: dict[str, float] = {}
+        self.samples = 0
 
     @property
     def key(self) -> TaskKey:
@@ -124,12 +155,14 @@
         self.place = 0
         self.holds = 0
         self.broken_at: float | None = None
-        self.use_reports = 0
+        self.use_reports = 0.0
         self.use_cores = 0.0
         self.use_cores_square = 0.0
         self.use_memory = 0.0
-        self.base_ms = 0.0
-        self.base_run_s = 0.0
+        self.load = 1.0
+        self.racks: dict[str, int] = {}
+        self.unit_ms = 0.0
+        self.run_offset = (0.0, _RUN_DEVIATION**2)
 
     def key(self, number: int) -> TaskKey:
         """Return the key of one of the job's tasks."""
@@ -230,6 +263,7 @@
         self.suspect = False
         self.placed: dict[TaskKey, Placement] = {}
         self.used = [0.0, 0.0, 0.0]
+        self.expected = 0.0
         self.spans: dict[TaskKey, Span] = {}
         self.past: deque[tuple[float, Span]] = deque()
         self.last_report = now
@@ -245,11 +279,13 @@
         self.acted_at = float("-inf")
         self.evicted_at = float("-inf")
         self.distrust = 0.0
+        self.profile: Profile | None = None
 
     def recount(self) -> None:
         """Sum up the placed tasks' sizes anew."""
         sizes = [placement.owner.reserved for placement in self.placed.values()]
         self.used = [sum(size[i] for size in sizes) for i in range(3)]
+        self.expected = sum(p.owner.expected.cores for p in self.placed.values())
 
 
 class Rules(NamedTuple):
