--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,24 @@
+"""Command line of the bench: ``python -m bench COMMAND [flags]``."""
+
+import sys
+from collections.abc import Callable
+
+from bench.replay import run_replay
+
+__all__ = ["COMMANDS", "main"]
+
+COMMANDS: dict[str, Callable[[list[str]], int]] = {
+    "replay": run_replay,
+}
+
+
+def main(argv: list[str]) -> int:
+    """Run the command that `argv` names and return its exit status."""
+    if len(argv) < 2 or argv[1] not in COMMANDS:
+        print(f"usage: python -m bench {{{','.join(sorted(COMMANDS))}}} [flags]")
+        return 2
+    return COMMANDS[argv[1]](argv[1:])
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv))
