Rest the authority over a rack on its workers

Cause: the stand-in for ownership let a new owner act as soon as it had claimed, while a paused one could still lend slots and judge request ids by its last acceptances; and it took a majority of whatever workers it saw listed, which need not meet another's. Ruled out: leases kept in the log (none can be renewed in an outage of it); a quorum of instances (a consensus group of our own); the majority of the previous claim alone (a claimant that never fenced anybody would hide the one before it). Change: a claim names the workers on whose majority the authority rests, and carries the sets of all claims whose holders may still act; a new owner fences a majority of each and waits a lease. A caretaker keeps a silent owner's work alive in an outage of the log. The folding test's expectation of handed_over became the stricter one of the worker sets.

--- a/plantainyard/membership/__init__.py
+++ b/plantainyard/membership/__init__.py
@@ -1,1 +1,51 @@
-"""To be gathered."""
+"""Who owns a rack and who may act for it."""
+
+from plantainyard.membership.authority import (
+    EPOCHS_PER_TERM,
+    Authority,
+    AuthorityTerms,
+    find_end,
+    has_authority,
+    is_established,
+    make_epoch,
+    note_accepted,
+    note_gone,
+)
+from plantainyard.membership.ownership import (
+    BeginTerm,
+    ClaimRack,
+    ClaimSeen,
+    EndTerm,
+    GiveUpRack,
+    OwnershipAction,
+    OwnershipEvent,
+    OwnershipSettings,
+    OwnershipState,
+    OwnershipTick,
+    Superseded,
+    step_ownership,
+)
+
+__all__ = [
+    "EPOCHS_PER_TERM",
+    "Authority",
+    "AuthorityTerms",
+    "BeginTerm",
+    "ClaimRack",
+    "ClaimSeen",
+    "EndTerm",
+    "GiveUpRack",
+    "OwnershipAction",
+    "OwnershipEvent",
+    "OwnershipSettings",
+    "OwnershipState",
+    "OwnershipTick",
+    "Superseded",
+    "find_end",
+    "has_authority",
+    "is_established",
+    "make_epoch",
+    "note_accepted",
+    "note_gone",
+    "step_ownership",
+]
--- a/plantainyard/node/tests/test_authority.py
+++ b/plantainyard/membership/tests/test_authority.py
@@ -1,4 +1,4 @@
-from plantainyard.node.authority import make_epoch
+from plantainyard.membership import make_epoch
 
 
 def test_claim_at_offset_zero_has_an_epoch_that_counts():
--- a/plantainyard/node/__init__.py
+++ b/plantainyard/node/__init__.py
@@ -16,7 +16,7 @@
     Tick,
 )
 from .peers import HeartbeatHeard, PeersActor, PeerView, read_peers
-from .reports import count_epochs, dump_domain, list_racks
+from .reports import count_epochs, dump_domain, find_untils, list_racks
 from .streams import StreamEvent, StreamIO, StreamRole, StreamState
 from .threads import run_every, run_forever
 from .workers import WorkerCaller, start_call
@@ -52,6 +52,7 @@
     "build_peer_app",
     "count_epochs",
     "dump_domain",
+    "find_untils",
     "list_racks",
     "name_stream",
     "read_peers",
--- a/plantainyard/node/domain.py
+++ b/plantainyard/node/domain.py
@@ -16,11 +16,28 @@
 from plantainyard import state as log_state
 from plantainyard.clients import InstanceKind, InstanceState
 from plantainyard.clock import read_clock
-from plantainyard.routing.identity import rank_names
+from plantainyard.membership import (
+    BeginTerm,
+    ClaimRack,
+    ClaimSeen,
+    EndTerm,
+    GiveUpRack,
+    OwnershipAction,
+    OwnershipEvent,
+    OwnershipSettings,
+    OwnershipState,
+    OwnershipTick,
+    Superseded,
+    find_end,
+    has_authority,
+    is_established,
+    note_accepted,
+    note_gone,
+    step_ownership,
+)
 from plantainyard.settings import Settings
 from plantainyard.work import Size, WorkerInfo
 
-from .authority import find_authority_end, make_epoch
 from .lending import RackAuthority, RackRunners
 from .messages import (
     ConfigChanged,
@@ -115,7 +132,7 @@
         self.listed_gone: frozenset[str] = frozenset()
         self.fenced_off: frozenset[str] = frozenset()
         self.draining: frozenset[str] = frozenset()
-        self.claimed: dict[str, int] = {}
+        self.ownerships: dict[str, OwnershipState] = {}
         self.config_known_at = float("-inf")
         stops = settings.cut_off.new_starts == _STOP
         self.config_patience_s = (
@@ -161,6 +178,9 @@
             settings, writer, caller, self.actor_ref.tell, tell_lender
         )
         self.submitted = 0
+        self.ownership_settings = OwnershipSettings(
+            outage_s=settings.intervals.log_wait_s + settings.intervals.silence_s
+        )
         self.io = make_io(self.actor_ref.tell)
         self.stream = StreamState(
             name_stream(settings.instance.domain),
@@ -208,7 +228,8 @@
         change = log_state.apply_record(node.domain, record.offset, record.data)
         for term in list(node.terms.values()):
             feed_record(term, node.domain, record.data, change, now)
-        self._follow_claims(now)
+        if any(c.type == log_state.RecordType.CLAIM for c in (change, *change.parts)):
+            self._follow_claims(now)
         return change
 
     def _restore(self, record: log_state.LogRecord) -> None:
@@ -219,24 +240,61 @@
         # The terms were fed from records that this instance never saw the end of.
         for rack in list(self.node.terms):
             _end_term(self.node, rack)
+        self.node.ownerships.clear()
         self._follow_claims(read_clock())
 
     def _follow_claims(self, now: float) -> None:
+        for rack, claim in self.node.domain.claims.items():
+            self._step_ownership(rack, ClaimSeen(claim), now)
+
+    def _step_ownership(self, rack: str, event: OwnershipEvent, now: float) -> None:
+        state = self.node.ownerships.get(rack)
+        if state is None:
+            state = OwnershipState(self.node.name, rack, self.ownership_settings)
+            self.node.ownerships[rack] = state
+        established = self._is_established(rack, now)
+        for action in step_ownership(state, event, now):
+            self._act_on_ownership(rack, action, established, now)
+
+    def _is_established(self, rack: str, now: float) -> bool:
+        term = self.node.terms.get(rack)
+        return term is not None and is_established(term.authority, now)
+
+    def _act_on_ownership(
+        self, rack: str, action: OwnershipAction, established: bool, now: float
+    ) -> None:
         node = self.node
-        for rack, claim in node.domain.claims.items():
-            term = node.terms.get(rack)
-            is_mine = claim.holder == node.name
-            if term is not None and (not is_mine or claim.term != term.offset):
+        match action:
+            case BeginTerm():
+                _start_term(node, rack, action, now)
+            case EndTerm():
                 _end_term(node, rack)
-            if is_mine and rack not in node.terms:
-                _start_term(node, rack, claim, now)
+            case ClaimRack(base, workers):
+                # Claiming on top of its own claim, this process must first have
+                # stopped acting under it.
+                if rack in node.terms:
+                    _end_term(node, rack)
+                record = log_state.make_claim(
+                    rack, node.name, base, workers, established
+                )
+                self._submit(record, now)
+            case GiveUpRack(base):
+                self._submit(log_state.make_claim(rack, "", base, (), established), now)
 
     def _tick(self, now: float) -> None:
-        node = self.node
-        for record in _plan_claims(node, self.stream, now):
-            self._submit(record, now)
+        node, reader = self.node, self.stream.reader
+        for rack in node.workers.keys() | node.domain.claims.keys():
+            tick = OwnershipTick(
+                node.live,
+                frozenset(node.workers.get(rack, ())),
+                log_state.is_current(reader),
+                log_state.read_age(reader, now),
+                node.stopping,
+            )
+            self._step_ownership(rack, tick, now)
         for rack, term in list(node.terms.items()):
-            self._advance_term(rack, term, now)
+            if node.terms.get(rack) is term:
+                self._advance_term(rack, term, now)
 
     def _advance_term(self, rack: str, term: Term, now: float) -> None:
         node = self.node
@@ -245,6 +303,7 @@
             for info in node.workers.get(rack, {}).values()
         )
         listed = execution.WorkersListed(workers, node.gone)
+        note_gone(term.authority, node.gone & term.authority.workers, now)
         execution.step(term.rack, node.domain, listed, now)
         execution.learn_workers(term.plan, term.rack, now)
         patience_s = find_patience(node.settings)
@@ -261,6 +320,8 @@
         self._run_rack(rack, term, now)
 
     def _decide(self, term: Term, now: float) -> execution.Decision:
+        if term.rack.caretaker:
+            return execution.Decision()
         if now - self.node.config_known_at > self.node.config_patience_s:
             # The configuration may have narrowed where work may run since this domain
             # was cut off; what runs goes on, nothing new is placed on its strength.
@@ -287,6 +348,8 @@
                 case execution.AppendResults(items):
                     record = log_state.make_results(rack, term.offset, items)
                     self._submit(record, now)
+                case execution.Fenced(worker, sent_at):
+                    note_accepted(term.authority, worker, sent_at, now)
                 case execution.Superseded(worker, newer, holder):
                     _logger.warning(
                         "superseded by %s with epoch %d",
@@ -294,6 +357,7 @@
                         newer,
                         extra={"step": "worker.commands", "peer": worker},
                     )
+                    self._step_ownership(rack, Superseded(newer, holder), now)
 
     def _take_reply(self, message: RackReply, now: float) -> None:
         term = self.node.terms.get(message.rack)
@@ -307,7 +371,8 @@
                 usage = event.answer.state.usage
                 execution.learn_usage(term.plan, view, usage, now)
         self._act(message.rack, term, actions, now)
-        self._run_rack(message.rack, term, now)
+        if self.node.terms.get(message.rack) is term:
+            self._run_rack(message.rack, term, now)
 
     def _give_up_job(self, give_up: placement.GiveUp, now: float) -> None:
         request_id = f"give-up.{give_up.job}"
@@ -366,60 +431,28 @@
         set_policy_inputs(term, node.weights, node.shares, now)
 
 
-def _start_term(
-    node: DomainNode, rack: str, claim: log_state.Claim, now: float
-) -> None:
-    epoch = make_epoch(claim.term)
-    term = begin_term(
-        node.settings, node.name, node.domain, rack, claim.term, epoch, False, now
-    )
+def _start_term(node: DomainNode, rack: str, began: BeginTerm, now: float) -> None:
+    term = begin_term(node.settings, node.name, node.domain, rack, began, now)
     set_policy_inputs(term, node.weights, node.shares, now)
     node.terms[rack] = term
-    _logger.info("rack owned", extra={"step": "ownership", "rack": rack})
+    _logger.info(
+        "rack owned",
+        extra={"step": "ownership", "rack": rack, "epoch": began.epoch},
+    )
 
 
 def _end_term(node: DomainNode, rack: str) -> None:
-    del node.terms[rack]
+    if node.terms.pop(rack, None) is None:
+        return
+    # Waits until the lender and the arbiter of request ids have stopped: a successor
+    # to which the rack is handed over acts at once.
     node.tell_lender(RackAuthority(rack, 0, 0.0))
     _logger.info("rack given up", extra={"step": "ownership", "rack": rack})
 
 
-def _plan_claims(
-    node: DomainNode, stream: StreamState, now: float
-) -> list[log_state.ClaimRecord]:
-    if not log_state.is_current(stream.reader):
-        return []
-    return [
-        record
-        for rack in node.workers
-        if (record := _plan_claim(node, rack, now)) is not None
-    ]
-
-
-def _plan_claim(
-    node: DomainNode, rack: str, now: float
-) -> log_state.ClaimRecord | None:
-    claim = node.domain.claims.get(rack)
-    base = claim.term if claim else -1
-    holder = claim.holder if claim else ""
-    if node.claimed.get(rack) == base:
-        return None
-    if node.stopping:
-        if holder != node.name:
-            return None
-        node.claimed[rack] = base
-        return log_state.make_claim(rack, "", base)
-    if holder and holder in node.live:
-        return None
-    if not node.live or rank_names(rack, node.live)[0] != node.name:
-        return None
-    node.claimed[rack] = base
-    return log_state.make_claim(rack, node.name, base)
-
-
 def _tell_lender(node: DomainNode, rack: str, term: Term, now: float) -> None:
-    until = find_authority_end(term, now)
-    epoch = term.rack.epoch if until > now else 0
+    until = find_end(term.authority)
+    epoch = term.rack.epoch if has_authority(term.authority, now) else 0
     runners = tuple(runner for runner, _ in iter_runners(term, node.domain))
     node.tell_lender(RackAuthority(rack, epoch, until))
     node.tell_lender(
--- a/plantainyard/node/reports.py
+++ b/plantainyard/node/reports.py
@@ -3,12 +3,12 @@
 from typing import Any
 
 from plantainyard import state as log_state
+from plantainyard.membership import find_end, has_authority
 from plantainyard.work import format_task
 
-from .authority import find_authority_end
 from .terms import Term
 
-__all__ = ["count_epochs", "dump_domain", "list_racks"]
+__all__ = ["count_epochs", "dump_domain", "find_untils", "list_racks"]
 
 _JOBS_SHOWN = 1000
 
@@ -18,7 +18,16 @@
     return {
         rack: term.rack.epoch
         for rack, term in actor.node.terms.items()
-        if find_authority_end(term, now) > now
+        if has_authority(term.authority, now)
+    }
+
+
+def find_untils(actor: Any, now: float) -> dict[str, float]:
+    """Return the end of the authority over each rack that this instance has."""
+    return {
+        rack: find_end(term.authority)
+        for rack, term in actor.node.terms.items()
+        if has_authority(term.authority, now)
     }
 
 
@@ -40,7 +49,7 @@
     return {
         "rack": rack,
         "term": term.offset,
-        "authority": find_authority_end(term, now) > now,
+        "authority": has_authority(term.authority, now),
         "workers": len(views),
         "workers_silent": sum(not view.fenced or view.failures > 0 for view in views),
         "tasks_assigned": len(log_state.get_assigned(domain, rack)),
--- a/plantainyard/node/terms.py
+++ b/plantainyard/node/terms.py
@@ -10,6 +10,7 @@
 
 from plantainyard import execution, placement
 from plantainyard import state as log_state
+from plantainyard.membership import Authority, AuthorityTerms, BeginTerm
 from plantainyard.protocol import RunnerInfo
 from plantainyard.settings import Settings
 from plantainyard.work import Size, TaskKey, WorkerInfo
@@ -42,6 +43,8 @@
         The policy.
     offset : int
         Offset of the claim that began the term.
+    authority : Authority
+        Whether the workers let this instance act.
     fresh : set of str
         Runners whose assignment was written under this term.
     leaving : dict of str to float
@@ -51,11 +54,16 @@
     """
 
     def __init__(
-        self, rack: execution.RackState, plan: execution.PlanState, offset: int
+        self,
+        rack: execution.RackState,
+        plan: execution.PlanState,
+        offset: int,
+        authority: Authority,
     ) -> None:
         self.rack = rack
         self.plan = plan
         self.offset = offset
+        self.authority = authority
         self.fresh: set[str] = set()
         self.leaving: dict[str, float] = {}
         self.cancelled: dict[TaskKey, float] = {}
@@ -73,23 +81,30 @@
     holder: str,
     domain: log_state.DomainState,
     rack: str,
-    offset: int,
-    epoch: int,
-    caretaker: bool,
+    began: BeginTerm,
     now: float,
 ) -> Term:
     """Return a new term over `rack` with all that the log says of it."""
     state = execution.RackState(
         rack,
         holder,
-        epoch,
+        began.epoch,
         build_lease_terms(settings),
         settings.intervals.worker_s,
-        caretaker,
+        began.caretaker,
     )
     plan = execution.PlanState(placement.create_state())
     execution.learn_rack(plan, domain, rack, now)
-    return Term(state, plan, offset)
+    claim = began.claim
+    # A caretaker's rival is the owner itself, whose authority rests on the same set.
+    previous = (claim.workers,) if began.caretaker else claim.previous
+    platform = settings.platform
+    authority = Authority(
+        AuthorityTerms(platform.worker_lease_s, platform.clock_drift),
+        claim.workers,
+        previous,
+    )
+    return Term(state, plan, claim.term, authority)
 
 
 def set_policy_inputs(
--- a/plantainyard/state/checks.py
+++ b/plantainyard/state/checks.py
@@ -112,7 +112,12 @@
 
 
 def _check_claim(data: Mapping[str, Any]) -> str:
-    return _need(data, rack=str, holder=str, base=int)
+    fault = _need(data, rack=str, holder=str, base=int)
+    workers = data.get("workers", [])
+    established = isinstance(data.get("established", False), bool)
+    if not fault and not (isinstance(workers, list) and established):
+        return "workers or established of a wrong type"
+    return fault or _check_strings(workers)
 
 
 def _check_assign(data: Mapping[str, Any]) -> str:
--- a/plantainyard/state/domain.py
+++ b/plantainyard/state/domain.py
@@ -50,14 +50,17 @@
         The owning instance; empty where the last owner gave the rack up.
     term : int
         Offset of the claim; the base of the next one.
-    handed_over : bool
-        True where the claim before was a planned giving up, which an owner writes
-        only after it stopped acting.
+    workers : tuple of str
+        Workers on whose acceptance the authority rests, sorted.
+    previous : tuple of tuple of str
+        The same of earlier claims whose holders may still have authority; empty where
+        the last one is known to have stopped.
     """
 
     holder: str
     term: int
-    handed_over: bool = False
+    workers: tuple[str, ...] = ()
+    previous: tuple[tuple[str, ...], ...] = ()
 
 
 class DomainState:
--- a/plantainyard/state/folding.py
+++ b/plantainyard/state/folding.py
@@ -162,11 +162,24 @@
     # so must a claim that was held back until after another owner's.
     if data["base"] != term:
         return Change(RecordType.CLAIM, offset, False, Reason.BASE, term)
-    handed_over = present is not None and not present.holder
-    state.claims[data["rack"]] = Claim(data["holder"], offset, handed_over)
+    workers = tuple(data.get("workers", ()))
+    previous = () if data.get("established", False) else _list_earlier(present)
+    state.claims[data["rack"]] = Claim(data["holder"], offset, workers, previous)
     return Change(RecordType.CLAIM, offset, True)
 
 
+def _list_earlier(present: Claim | None) -> tuple[tuple[str, ...], ...]:
+    """Return the worker sets of all claims whose holders may still have authority.
+
+    A holder that never gained authority never fenced the workers of the one before
+    it; a claim on top of it must therefore still count with both.
+    """
+    if present is None:
+        return ()
+    sets = (*present.previous, present.workers) if present.holder else present.previous
+    return tuple(dict.fromkeys(s for s in sets if s))
+
+
 _FOLDS: Mapping[str, Callable[[DomainState, int, Mapping[str, Any]], Change]] = {
     RecordType.ABANDON: _apply_abandon,
     RecordType.ACCEPT: _apply_accept,
--- a/plantainyard/state/records.py
+++ b/plantainyard/state/records.py
@@ -129,6 +129,8 @@
     rack: str
     holder: str
     base: int
+    workers: NotRequired[list[str]]
+    established: NotRequired[bool]
 
 
 class AssignRecord(_Common):
@@ -230,7 +232,13 @@
     return {"type": "cancel", "request_id": request_id, "jobs": list(jobs)}
 
 
-def make_claim(rack: str, holder: str, base: int) -> ClaimRecord:
+def make_claim(
+    rack: str,
+    holder: str,
+    base: int,
+    workers: Iterable[str] = (),
+    established: bool = False,
+) -> ClaimRecord:
     """Return the record by which `holder` claims `rack`.
 
     Parameters
@@ -239,8 +247,20 @@
         The rack, and the claiming instance; an empty holder gives the rack up.
     base : int
         Offset of the rack's present claim, -1 for none.
+    workers : iterable of str
+        Workers on whose acceptance the authority is to rest.
+    established : bool
+        Whether the writer holds the claim at `base`, has had authority under it, and
+        has stopped acting under it: nobody before it can have authority any more.
     """
-    return {"type": "claim", "rack": rack, "holder": holder, "base": base}
+    return {
+        "type": "claim",
+        "rack": rack,
+        "holder": holder,
+        "base": base,
+        "workers": sorted(workers),
+        "established": established,
+    }
 
 
 def make_assign(rack: str, term: int, items: Iterable[AssignItem]) -> AssignRecord:
--- a/plantainyard/state/snapshots.py
+++ b/plantainyard/state/snapshots.py
@@ -72,7 +72,7 @@
     """
     state = DomainState()
     state.next_offset = data["next"]
-    state.claims = {rack: _make(Claim, claim) for rack, claim in data["claims"].items()}
+    state.claims = {rack: _decode_claim(c) for rack, c in data["claims"].items()}
     entries = [_decode_job_state(entry) for entry in data["jobs"]]
     state.jobs = {entry.job.id: entry for entry in entries}
     state.cancelled = {entry.job.id for entry in entries if entry.cancelled}
@@ -97,6 +97,11 @@
     return kind(*fields[: len(kind._fields)])  # type: ignore[attr-defined]
 
 
+def _decode_claim(fields: Sequence[Any]) -> Claim:
+    holder, term, workers, previous = fields[:4]
+    return Claim(holder, term, tuple(workers), tuple(map(tuple, previous)))
+
+
 def _encode_job_state(entry: JobState) -> dict[str, Any]:
     return {
         "job": encode_job(entry.job),
--- a/plantainyard/state/tests/test_folding.py
+++ b/plantainyard/state/tests/test_folding.py
@@ -88,7 +88,7 @@
     def begin(self) -> None:
         self.accept("a", TASKS)
         for rack in RACKS:
-            self.claim(rack, 0, "i1")
+            self.claim(rack, 0, "i1", ("w1",), False)
 
     def draw_task(self, data: Any, place: str) -> TaskKey:
         """Draw a task, mostly one that is in `place`."""
@@ -139,20 +139,34 @@
         rack=st.sampled_from(RACKS),
         back=st.sampled_from([0, 0, 0, 1]),
         holder=st.sampled_from(["i1", "i2", ""]),
+        workers=st.sampled_from([("w1",), ("w1", "w2")]),
+        established=st.sampled_from([False, False, True]),
     )
-    def claim(self, rack: str, back: int, holder: str) -> None:
+    def claim(
+        self,
+        rack: str,
+        back: int,
+        holder: str,
+        workers: tuple[str, ...],
+        established: bool,
+    ) -> None:
         terms = self.terms[rack]
         base = terms[max(len(terms) - 1 - back, 0)]
         before = find_claim(self.state, rack)
-        change = self.append(make_claim(rack, holder, base))
+        record = make_claim(rack, holder, base, workers, established)
+        change = self.append(record)
         assert change.applied == (base == terms[-1])
         if not change.applied:
             assert change.reason == Reason.BASE and change.winner == terms[-1]
             return
         terms.append(change.offset)
-        handed_over = before is not None and not before.holder
         self.holders[rack] = holder
-        assert find_claim(self.state, rack) == (holder, change.offset, handed_over)
+        claim = find_claim(self.state, rack)
+        assert claim is not None
+        assert claim[:3] == (holder, change.offset, workers)
+        earlier = set(before.previous) if before else set()
+        earlier |= {before.workers} if before and before.holder else set()
+        assert set(claim.previous) == (set() if established else earlier)
 
     def draw_term(self, rack: str, back: int) -> tuple[int, bool]:
         terms = self.terms[rack]
