Keep racks without an owner in the choice of a request id's arbiter

Cause: found by reading: racks whose owner had died dropped out of the choice, so their ids hashed to another rack's arbiter, whose history was whole and had never heard of them: a charge that ran under the dead owner would have run again. Ruled out: asking the arbiters of all racks (a silent one leaves it open all the same). Change: all listed racks stay in the choice; when the set changes, the histories begin anew after the time in which every instance has read the list; an arbiter that gives up its rack has stopped before the claim that says so is written.

--- a/plantainyard/process.py
+++ b/plantainyard/process.py
@@ -15,7 +15,7 @@
 
 from plantainyard import state as log_state
 from plantainyard.api import Probes, create_app
-from plantainyard.clients import build_log_client, build_peer, build_pool
+from plantainyard.clients import Instance, build_log_client, build_peer, build_pool
 from plantainyard.clock import read_clock
 from plantainyard.gateway import (
     Gateway,
@@ -54,6 +54,7 @@
     WorkerCaller,
     build_peer_app,
     count_epochs,
+    find_untils,
     name_stream,
     read_peers,
     run_every,
@@ -95,6 +96,7 @@
 _FLUSH_S = 1.0
 _POLL_S = 0.05
 _LONG_S = 1e9
+_LIST_BOUND_S = 30.0
 
 _logger = logging.getLogger(__name__)
 
@@ -141,6 +143,8 @@
         self.config: ConfigView | None = None
         self.ready = False
         self.draining = False
+        self.racks: frozenset[str] = frozenset()
+        self.untils: dict[str, float] = {}
 
 
 @contextlib.contextmanager
@@ -317,15 +321,21 @@
     untils: dict[str, tuple[int, float]] = {}
 
     def tell(news: Any) -> None:
-        lender.tell(news)
         if not isinstance(news, RackAuthority):
+            lender.tell(news)
             return
         epoch, until = untils.get(news.rack, (0, 0.0))
         gained = news.epoch != epoch or read_clock() >= until
         untils[news.rack] = (news.epoch, news.until)
         if news.epoch:
+            lender.tell(news)
             changed = AuthorityChanged(news.rack, news.until, gained, time.time())
             tell_event(gateway, changed)
+        elif epoch:
+            # To be over before the answer: a successor may act at once.
+            _ask(lender, news)
+            lost = AuthorityChanged(news.rack, float("-inf"), False, time.time())
+            _ask(gateway.ref, lost)
 
     return tell
 
@@ -416,6 +426,7 @@
 
 def _gather_own(own: _Own, node: Node) -> None:
     own.epochs = _ask(node.domain, Query(count_epochs))
+    own.untils = _ask(node.domain, Query(find_untils))
     own.config = cast(ConfigView, _ask(node.config, ReadConfig()))
     node.domain.tell(ConfigKnown(read_clock() - own.config.age_s))
     own.room = read_room(node.gateway)
@@ -427,7 +438,12 @@
     views: tuple[PeerView, ...] = _ask(node.peers, Query(read_peers))
     live = [view for view in views if view.is_live and view.heartbeat is not None]
     tell_event(node.gateway, PeersChanged(tuple(_make_peer(v) for v in live)))
-    tell_event(node.gateway, OwnersChanged(_find_owners(own, live)))
+    instances: tuple[Instance, ...] = _ask(
+        node.peers, Query(lambda actor, _: actor.instances)
+    )
+    owners = _find_owners(own, live, instances)
+    _watch_racks(own, node, owners)
+    tell_event(node.gateway, OwnersChanged(owners))
     _assign_roles(node, live)
 
 
@@ -459,12 +475,46 @@
     return Peer(view.instance, view.domain, view.region, view.address, room)
 
 
-def _find_owners(own: _Own, live: list[PeerView]) -> dict[str, Owner]:
+def _watch_racks(own: _Own, node: Node, owners: dict[str, Owner]) -> None:
+    """Begin the histories of request ids anew when the domain's set of racks changes.
+
+    Notes
+    -----
+    Guards against a second run of an id: with another set of racks it hashes to
+    another arbiter, which never heard of it, while instances with an older list still
+    go to the former one. Until all have read the list again, ids count as unknown.
+    """
+    domain = node.settings.instance.domain
+    racks = frozenset(rack for rack, owner in owners.items() if owner.domain == domain)
+    if own.racks and racks != own.racks:
+        since = time.time() + _LIST_BOUND_S
+        for rack in own.epochs:
+            event = AuthorityChanged(rack, own.untils.get(rack, 0.0), True, since)
+            tell_event(node.gateway, event)
+    own.racks = racks
+
+
+def _find_owners(
+    own: _Own, live: list[PeerView], instances: tuple[Instance, ...]
+) -> dict[str, Owner]:
+    """Return the owner of each rack that is listed, with an empty name for none.
+
+    Notes
+    -----
+    Racks without an owner stay in: an id that hashes to one must not go to another
+    rack's arbiter meanwhile, which would let it run a second time.
+    """
     instance = own.settings.instance
-    found = {
+    listed = {
+        i.worker.rack: (-1, Owner("", i.worker.domain, i.worker.region))
+        for i in instances
+        if i.worker is not None
+    }
+    mine = {
         rack: (epoch, Owner(instance.id, instance.domain, instance.region))
         for rack, epoch in own.epochs.items()
     }
+    found = {**listed, **mine}
     for view in live:
         for rack, epoch in (view.heartbeat.epochs if view.heartbeat else {}).items():
             if rack not in found or found[rack][0] < epoch:
