Tell a service from a job when it has ended, and a silent domain from an unknown one

Cause: an ended service was listed as a batch job; a job whose domain is cut off was said not to exist; a record that is void for good was said to be worth trying again. Change: the summary of an ended job keeps its kind; the errors follow the list and the reason of the verdict.

--- a/plantainyard/operators/creation.py
+++ b/plantainyard/operators/creation.py
@@ -32,6 +32,7 @@
     Node,
     call_operator,
     explain_report,
+    explain_silence,
     find_peer,
     list_instances,
     query,
@@ -42,7 +43,6 @@
 __all__ = ["cancel_jobs", "create_job", "create_service", "list_workers"]
 
 _DRY_OFFSET = -1
-_RETRY_S = 2.0
 
 
 def list_workers(node: Node) -> list[WorkerInfo]:
@@ -125,8 +125,7 @@
 ) -> Result[Any, ApiError]:
     peer = find_peer(node, domain)
     if peer is None:
-        detail = f"no instance of {domain} is heard from"
-        return Err(ApiError(ErrorCode.REFUSED, detail, retry_after_s=_RETRY_S))
+        return Err(explain_silence(node, domain))
     return call_operator(node, peer, method, request, response)
 
 
--- a/plantainyard/operators/listing.py
+++ b/plantainyard/operators/listing.py
@@ -16,7 +16,15 @@
 from plantainyard.work import Size
 
 from .homes import find_job_domain
-from .node import Node, call_operator, find_peer, list_peers, query, read_config
+from .node import (
+    Node,
+    call_operator,
+    explain_silence,
+    find_peer,
+    list_peers,
+    query,
+    read_config,
+)
 
 __all__ = ["describe_job", "list_jobs", "list_teams"]
 
@@ -107,19 +115,18 @@
             job_id=entry.id,
             name=entry.name,
             team=entry.team,
-            kind=schema.JOB_KIND_BATCH,
+            kind=_name_kind(entry.latency_critical),
             state=ended,
             domain=domain,
             counts=shown,
         )
     shown.failures = sum(failure.failures for failure in entry.failures.values())
     job = entry.job
-    is_service = job.latency_critical
     return schema.JobSummary(
         job_id=job.id,
         name=job.name,
         team=job.team,
-        kind=schema.JOB_KIND_SERVICE if is_service else schema.JOB_KIND_BATCH,
+        kind=_name_kind(job.latency_critical),
         state=_judge_state(entry),
         domain=domain,
         counts=shown,
@@ -128,6 +135,10 @@
     )
 
 
+def _name_kind(latency_critical: bool) -> schema.JobKind:
+    return schema.JOB_KIND_SERVICE if latency_critical else schema.JOB_KIND_BATCH
+
+
 def _judge_state(entry: log_state.JobState) -> schema.JobState:
     if entry.cancelled:
         return schema.JOB_STATE_CANCELLED
@@ -147,8 +158,7 @@
     if domain != node.settings.instance.domain:
         peer = find_peer(node, domain)
         if peer is None:
-            detail = f"no instance of {domain or 'such a domain'} is heard from"
-            return Err(ApiError(ErrorCode.NOT_FOUND, detail, "job_id"))
+            return Err(explain_silence(node, domain))
         return _pass_on(node, peer, request)
     limit = request.tasks_limit or _PLACES
     response = query(node.domain, partial(_describe, request.job_id, limit))
--- a/plantainyard/operators/node.py
+++ b/plantainyard/operators/node.py
@@ -38,6 +38,7 @@
     "Node",
     "call_operator",
     "explain_report",
+    "explain_silence",
     "find_peer",
     "list_instances",
     "list_peers",
@@ -116,6 +117,14 @@
     return max(peers, key=lambda peer: peer.heard_at, default=None)
 
 
+def explain_silence(node: Node, domain: str) -> ApiError:
+    """Return the error for a domain of which no instance is heard from."""
+    if any(instance.domain == domain for instance in list_instances(node)):
+        detail = f"no instance of {domain} is heard from"
+        return ApiError(ErrorCode.REFUSED, detail, retry_after_s=_RETRY_S)
+    return ApiError(ErrorCode.NOT_FOUND, f"no failure domain {domain!r}", "job_id")
+
+
 def make_url(address: str) -> str:
     """Return `address` as a URL."""
     return address if "://" in address else f"http://{address}"
@@ -164,14 +173,18 @@
             )
         case log_state.AppendStatus.NOT_RUN:
             pause = report.retry_after_s or _RETRY_S
-            return ApiError(
-                ErrorCode.REFUSED, "the log took no record", retry_after_s=pause
-            )
+            return ApiError(ErrorCode.REFUSED, _explain(report), retry_after_s=pause)
     return ApiError(
         ErrorCode.UNKNOWN, "the log has not said yet", retry_after_s=_RETRY_S
     )
 
 
+def _explain(report: log_state.AppendReport) -> str:
+    if report.change is None:
+        return "the log took no record"
+    return report.change.detail or report.change.reason or "abandoned"
+
+
 def call_operator(
     node: Node, peer: PeerView, method: str, request: Message, response: Message
 ) -> Result[Any, ApiError]:
--- a/plantainyard/state/jobs.py
+++ b/plantainyard/state/jobs.py
@@ -111,6 +111,8 @@
         Numbers of tasks.
     accepted, completed : int
         Offsets of the accepting and of the completing record.
+    latency_critical : bool
+        Whether it was a service.
     """
 
     id: str
@@ -121,6 +123,7 @@
     cancelled: int
     accepted: int
     completed: int
+    latency_critical: bool = False
 
 
 class JobState:
--- a/plantainyard/state/tasks.py
+++ b/plantainyard/state/tasks.py
@@ -51,6 +51,7 @@
         entry.dropped,
         entry.offset,
         offset,
+        job.latency_critical,
     )
     if len(state.completed) > MAX_COMPLETED:
         del state.completed[next(iter(state.completed))]
