Take out of settings and metrics what nothing reads or sends

Callers' requests go on in a domain that is cut off.

The pages, the schema's comments and the help follow what draining a worker and cancelling a service do now: batch tasks are checkpointed, runners end once the requests that they have are over.

--- a/plantainyard/commands/instances.py
+++ b/plantainyard/commands/instances.py
@@ -122,8 +122,9 @@
         "Empty an entry instance or a worker ahead of a planned stop.",
         "The order is a change of configuration, so it takes effect through the log. "
         "An instance tells the balancer that it isn't ready and gives its racks up. A "
-        "worker gets no new tasks and its runners no new requests; what runs there "
-        "goes on to its end. --undo takes the target back into use.",
+        "worker gets no new tasks; its batch tasks are checkpointed and go on "
+        "elsewhere, its runners get no new requests and end once those they have are "
+        "over. --undo takes the target back into use.",
         (
             "plantainyard drain --instance=addis-kality-2",
             "plantainyard drain --worker=w17",
--- a/plantainyard/commands/services.py
+++ b/plantainyard/commands/services.py
@@ -164,7 +164,7 @@
         ("services", "cancel"),
         "NAME",
         "Stop a service in every failure domain.",
-        "Its runners get no new requests, and the workers are told to stop them.",
+        "Its runners get no new requests, and end once those they have are over.",
         ("plantainyard services cancel gate-clearing",),
         define_request_id,
         _cancel,
--- a/plantainyard/configuration.py
+++ b/plantainyard/configuration.py
@@ -117,7 +117,7 @@
         "workers.<name>.draining",
         _is_boolean,
         _BOOLEAN,
-        "The worker gets no new tasks, its runners no new requests.",
+        "The worker is emptied: no new tasks, and what runs there goes on elsewhere.",
         DOTTED_NAME,
     ),
     ConfigurationKey(
--- a/plantainyard/settings/model.py
+++ b/plantainyard/settings/model.py
@@ -215,21 +215,18 @@
     ----------
     max_config_age_s : float
         Age of the last proof that the configuration is current, in seconds,
-        past which the rules below hold.
+        past which `new_starts` holds.
     new_starts : str
-        ``stop`` or ``go_on``: whether assigned and waiting tasks are started.
-    requests : str
-        ``go_on`` or ``refuse``: whether callers' requests are served.
+        ``stop`` or ``go_on``: whether waiting tasks are placed.
 
     Notes
     -----
-    Running tasks go on in every case: stopping them on suspicion loses work, and
-    the configuration was checked when they were started.
+    Running tasks and callers' requests go on in every case: a domain that is cut off
+    has to serve what it can, and the configuration was checked when tasks started.
     """
 
     max_config_age_s: float = 600.0
     new_starts: str = "stop"
-    requests: str = "go_on"
 
 
 class Settings(NamedTuple):
--- a/plantainyard/settings/rules.py
+++ b/plantainyard/settings/rules.py
@@ -158,7 +158,6 @@
     "cut_off": {
         "max_config_age_s": _number(0, 604_800, "seconds", open_low=True),
         "new_starts": _choice("stop", "go_on"),
-        "requests": _choice("go_on", "refuse"),
     },
 }
 
--- a/plantainyard/tests/test_logs.py
+++ b/plantainyard/tests/test_logs.py
@@ -56,18 +56,18 @@
         server.bind(("127.0.0.1", 0))
         server.settimeout(RECEIVE_LIMIT_S)
         meter = create_meter(Metrics("127.0.0.1", server.getsockname()[1], "p"))
-        add_count(meter, "tasks.done", 2)
+        add_count(meter, "jobs.accepted", 2)
         set_gauge(meter, "racks.owned", 3)
         add_timing(meter, "requests.latency", 20.0)
         flush_meter(meter)
         sent = set(server.recv(2048).decode().split("\n"))
     assert sent == {
-        "p.tasks.done:2|c",
+        "p.jobs.accepted:2|c",
         "p.racks.owned:3|g",
         "p.requests.latency:20.000000|ms",
     }
     described = describe_meter(meter)
-    assert described["counters"] == {"tasks.done": 2}
+    assert described["counters"] == {"jobs.accepted": 2}
     assert described["timers"]["requests.latency"]["count"] == 1
 
 
@@ -92,10 +92,10 @@
 
 def test_meter_without_server_only_keeps():
     meter = create_meter(Metrics())
-    add_count(meter, "tasks.done")
+    add_count(meter, "jobs.accepted")
     flush_meter(meter)
-    assert describe_meter(meter)["counters"] == {"tasks.done": 1}
+    assert describe_meter(meter)["counters"] == {"jobs.accepted": 1}
     with pytest.raises(KeyError):
         add_count(meter, "no.such")
     with pytest.raises(ValueError):
-        set_gauge(meter, "tasks.done", 1)
+        set_gauge(meter, "jobs.accepted", 1)
