Split the gateway's and the lender's deciding parts

The way of one request, the supply of slots and the state with its end of a request now stand in modules of their own; so do the loans of one runner. The lender also forgets gateways whose requests must all have ended, since each restart brings a new name and the memory would grow for ever. No decision changes otherwise.

--- /dev/null
+++ b/plantainyard/routing/flights.py
@@ -0,0 +1,89 @@
+"""State of a gateway: its requests in progress and all that decides about them."""
+
+from collections import deque
+from collections.abc import Mapping
+
+from plantainyard.routing.arbitration import Arbitration, settle_id
+from plantainyard.routing.choices import LinkBudget, Place
+from plantainyard.routing.credits import CreditState
+from plantainyard.routing.events import Action, Answer, Owner, Peer
+from plantainyard.routing.health import HealthState
+from plantainyard.routing.outcomes import FinalAnswer, Outcome
+from plantainyard.routing.queue import QueueState
+from plantainyard.routing.retries import RetryBudget
+from plantainyard.routing.values import Request, RoutingSettings
+
+__all__ = ["Flight", "GatewayState", "finish_request", "note_decision"]
+
+_DECISIONS_KEPT = 200
+
+
+class Flight:
+    """A request that was accepted and not yet answered."""
+
+    def __init__(self, request: Request) -> None:
+        self.request = request
+        self.attempts = 0
+        self.runner_id = ""
+        self.peer = ""
+        self.failed_at: frozenset[str] = frozenset()
+        self.tried: frozenset[str] = frozenset()
+        self.doubt = ""
+
+
+class GatewayState:
+    """State of one gateway.
+
+    Parameters
+    ----------
+    place : Place
+        Where this instance stands.
+    name : str
+        Name of this process towards owners of racks; never used again.
+    settings : RoutingSettings
+        Bounds and times.
+    weights : mapping of str to float
+        Weights of the teams.
+    """
+
+    def __init__(
+        self,
+        place: Place,
+        name: str,
+        settings: RoutingSettings,
+        weights: Mapping[str, float] | None = None,
+    ) -> None:
+        self.place = place
+        self.settings = settings
+        self.credits = CreditState(name)
+        self.health = HealthState()
+        self.queue = QueueState(weights)
+        self.budget = RetryBudget(settings.retry_burst)
+        self.link = LinkBudget(settings.link_bytes_s)
+        self.arbitration = Arbitration(place.instance)
+        self.owners: dict[str, Owner] = {}
+        self.peers: dict[str, Peer] = {}
+        self.flights: dict[str, Flight] = {}
+        self.forwarding = 0
+        self.peaks: dict[str, float] = {}
+        self.drain_after: float | None = None
+        self.drained = False
+        self.decisions: deque[str] = deque(maxlen=_DECISIONS_KEPT)
+
+
+def finish_request(state: GatewayState, key: str, answer: FinalAnswer) -> list[Action]:
+    """Answer a request, and the repeats that have joined it."""
+    flight = state.flights.pop(key)
+    # "Refused" says that the request did not run. After an earlier sending that ran,
+    # or may have run, it would be untrue, whatever became of the last one.
+    if answer.outcome == Outcome.REFUSED and flight.doubt:
+        answer = answer._replace(outcome=flight.doubt)
+    joined = settle_id(state.arbitration, flight.request, answer, state.settings)
+    for other in joined:
+        state.flights.pop(other)
+    return [Answer(k, answer) for k in (key, *joined)]
+
+
+def note_decision(state: GatewayState, request: Request, text: str, now: float) -> None:
+    """Keep a decision and its reason for the dump."""
+    state.decisions.append(f"{now:.3f} {request.id} ({request.key}): {text}")
--- a/plantainyard/routing/lender.py
+++ b/plantainyard/routing/lender.py
@@ -6,20 +6,22 @@
 
 Notes
 -----
-For each runner and gateway a `_Loan` holds an upper bound of the slots that the
-gateway can be using. The bound falls only when a report of the gateway shows it, or
-when the lease and then the longest request have ended. One step costs time
-proportional to the rack's slots.
+The bounds are kept by `loans`. One step costs time proportional to the rack's slots.
 """
 
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from plantainyard.protocol.messages import (
-    CreditAnswer,
-    CreditAsk,
-    Holding,
-    RunnerInfo,
+from plantainyard.protocol.messages import CreditAnswer, CreditAsk, RunnerInfo
+from plantainyard.routing.loans import (
+    LentRunner,
+    add_loan,
+    count_lendable,
+    count_others,
+    expire_loans,
+    is_open,
+    stretch_span,
+    take_report,
 )
 from plantainyard.routing.shares import share_slots, spread_share
 from plantainyard.routing.values import RoutingSettings
@@ -102,26 +104,6 @@
 )
 
 
-class _Loan(NamedTuple):
-    """What a gateway can be using of a runner at most, and until when it may send."""
-
-    slots: int
-    lease_end: float
-
-
-class _Runner:
-    """A runner's loans, and how many of its slots are accounted for."""
-
-    def __init__(self, info: RunnerInfo, withhold_until: float) -> None:
-        self.info = info
-        self.leaving = False
-        self.gone = False
-        self.withhold_until = withhold_until
-        self.adopted = 0
-        self.heard: set[str] = set()
-        self.loans: dict[str, _Loan] = {}
-
-
 class LenderState:
     """State of a rack's lender.
 
@@ -137,20 +119,20 @@
         self.terms = 0
         self.authority_until = float("-inf")
         self.authority_since = float("-inf")
-        self.runners: dict[str, _Runner] = {}
+        self.runners: dict[str, LentRunner] = {}
         self.sequences: dict[str, int] = {}
         self.heard: dict[str, float] = {}
         self.demands: dict[str, dict[str, int]] = {}
 
 
 LenderStep = Callable[[LenderState, LenderEvent, float], list[CreditAnswer]]
-_Target = Callable[[LenderState, CreditAsk, str, float], int]
+_Target = Callable[[LenderState, CreditAsk, str], int]
 
 
 def build_leased_lender(settings: RoutingSettings) -> LenderStep:
     """Return a step that lends by demand and divides idle slots evenly."""
 
-    def find_target(state: LenderState, ask: CreditAsk, service: str, _: float) -> int:
+    def find_target(state: LenderState, ask: CreditAsk, service: str) -> int:
         total = _count_slots(state, service)
         demands = {g: d.get(service, 0) for g, d in sorted(state.demands.items())}
         return share_slots(total, demands)[ask.gateway]
@@ -167,7 +149,7 @@
     """
     names = sorted(gateways)
 
-    def find_target(state: LenderState, ask: CreditAsk, service: str, _: float) -> int:
+    def find_target(state: LenderState, ask: CreditAsk, service: str) -> int:
         share, rest = divmod(_count_slots(state, service), len(names))
         if ask.gateway not in names:
             return 0
@@ -179,7 +161,7 @@
 def build_single_lender(settings: RoutingSettings, dispatcher: str) -> LenderStep:
     """Return a step that gives all slots to `dispatcher`, through which all send."""
 
-    def find_target(state: LenderState, ask: CreditAsk, service: str, _: float) -> int:
+    def find_target(state: LenderState, ask: CreditAsk, service: str) -> int:
         return _count_slots(state, service) if ask.gateway == dispatcher else 0
 
     return _build_lender(settings, find_target)
@@ -210,7 +192,7 @@
 
 def _build_lender(settings: RoutingSettings, find_target: _Target) -> LenderStep:
     def step(state: LenderState, event: LenderEvent, now: float) -> list[CreditAnswer]:
-        _expire_loans(state, settings, now)
+        _expire_all(state, settings, now)
         match event:
             case CreditAsk():
                 return [_answer_ask(state, event, settings, find_target, now)]
@@ -263,31 +245,26 @@
     # A former owner may have lent slots to a gateway that has not spoken yet: lending
     # them again overfills the runner. Its last lease was asked for before this
     # authority began, so after one lease and one longest request nothing is left of it.
-    hold = _stretch(settings, settings.credit_s + settings.request_max_s)
+    hold = stretch_span(settings, settings.credit_s + settings.request_max_s)
     until = float("-inf") if fresh else state.authority_since + hold
-    state.runners[info.id] = _Runner(info, until)
-
+    state.runners[info.id] = LentRunner(info, until)
 
-def _stretch(settings: RoutingSettings, span: float) -> float:
-    """Return how long `span` of a slow clock can last on this one."""
-    return span * (1 + 2 * settings.drift)
 
-
-def _expire_loans(state: LenderState, settings: RoutingSettings, now: float) -> None:
-    # A silent gateway may be paused or cut off and still have requests running: its
-    # slots are free only after its lease and the longest request started under it.
-    hold = _stretch(settings, settings.request_max_s)
+def _expire_all(state: LenderState, settings: RoutingSettings, now: float) -> None:
     for runner in state.runners.values():
-        over = [g for g, loan in runner.loans.items() if now > loan.lease_end + hold]
-        for gateway in over:
-            del runner.loans[gateway]
+        expire_loans(runner, settings, now)
     # A runner called gone by mistake comes back with its loans, which still count.
     for key in [k for k, r in state.runners.items() if r.gone and not r.loans]:
         del state.runners[key]
-    silent = _stretch(settings, settings.credit_s)
-    for gateway in [g for g, heard in state.heard.items() if now > heard + silent]:
+    quiet = stretch_span(settings, settings.credit_s)
+    for gateway in [g for g, heard in state.heard.items() if now > heard + quiet]:
         state.demands.pop(gateway, None)
+    # A sequence is forgotten only when nothing of its gateway can be running: an ask
+    # that overtook another could otherwise free slots that are in use.
+    gone = quiet + stretch_span(settings, settings.request_max_s)
+    for gateway in [g for g, heard in state.heard.items() if now > heard + gone]:
         del state.heard[gateway]
+        state.sequences.pop(gateway, None)
 
 
 def _answer_ask(
@@ -312,7 +289,7 @@
     state.heard[ask.gateway] = now
     state.demands[ask.gateway] = ask.demand
     for runner in state.runners.values():
-        _take_report(runner, ask, now)
+        take_report(runner, ask, now)
     grants = _grant_all(state, ask, settings, find_target, now)
     runners = tuple(r.info for r in state.runners.values() if not r.gone)
     leaving = tuple(key for key, r in state.runners.items() if r.leaving)
@@ -334,24 +311,6 @@
     return CreditAnswer(*sender, False, 0.0, reason=reason, term=term)
 
 
-def _take_report(runner: _Runner, ask: CreditAsk, now: float) -> None:
-    """Set the gateway's loan to what its report shows, the lease unchanged."""
-    held = ask.holdings.get(runner.info.id, Holding(0, 0))
-    count = max(held.limit, held.in_flight)
-    known = runner.loans.get(ask.gateway)
-    if ask.gateway not in runner.heard:
-        runner.heard.add(ask.gateway)
-        # First word of a gateway since the owner changed: what it holds, the former
-        # owner lent, so it is within the slots and need not be withheld any longer.
-        runner.adopted += count
-    if count == 0:
-        runner.loans.pop(ask.gateway, None)
-        return
-    lease_end = known.lease_end if known else now
-    # Reported requests run for `request_max_s` from now at most, whatever the lease.
-    runner.loans[ask.gateway] = _Loan(count, max(lease_end, now))
-
-
 def _grant_all(
     state: LenderState,
     ask: CreditAsk,
@@ -364,14 +323,10 @@
     if ask.closing:
         return grants
     for service in services:
-        target = find_target(state, ask, service, now)
+        target = find_target(state, ask, service)
         grants |= _grant_service(state, ask, service, target, now)
-    lease_end = now + _stretch(settings, settings.credit_s)
     for key, limit in grants.items():
-        loans = state.runners[key].loans
-        count = max(limit, loans[ask.gateway].slots if ask.gateway in loans else 0)
-        if count:
-            loans[ask.gateway] = _Loan(count, lease_end)
+        add_loan(state.runners[key], ask.gateway, limit, settings, now)
     return grants
 
 
@@ -381,32 +336,19 @@
     runners = {
         key: runner
         for key, runner in state.runners.items()
-        if runner.info.service == service and _is_open(runner)
+        if runner.info.service == service and is_open(runner)
     }
     held = {key: ask.holdings[key] for key in runners if key in ask.holdings}
     most = {
-        key: max(0, _count_lendable(runner, now) - _count_others(runner, ask.gateway))
+        key: max(0, count_lendable(runner, now) - count_others(runner, ask.gateway))
         for key, runner in runners.items()
     }
     return spread_share(target, held, most)
 
 
-def _is_open(runner: _Runner) -> bool:
-    return not runner.leaving and not runner.gone
-
-
-def _count_lendable(runner: _Runner, now: float) -> int:
-    slots = runner.info.slots
-    return min(slots, runner.adopted) if now < runner.withhold_until else slots
-
-
-def _count_others(runner: _Runner, gateway: str) -> int:
-    return sum(loan.slots for g, loan in runner.loans.items() if g != gateway)
-
-
 def _count_slots(state: LenderState, service: str) -> int:
     return sum(
         runner.info.slots
         for runner in state.runners.values()
-        if runner.info.service == service and _is_open(runner)
+        if runner.info.service == service and is_open(runner)
     )
--- /dev/null
+++ b/plantainyard/routing/lifecycle.py
@@ -0,0 +1,198 @@
+"""The way of one request: arrival, judgement of its id, sendings, forwards, end."""
+
+from itertools import chain
+
+from plantainyard.protocol.constants import MAX_HOPS
+from plantainyard.routing import events
+from plantainyard.routing.arbitration import admit_id
+from plantainyard.routing.choices import choose_peer
+from plantainyard.routing.credits import release_slot
+from plantainyard.routing.events import Action, Answer, Peer
+from plantainyard.routing.flights import (
+    Flight,
+    GatewayState,
+    finish_request,
+    note_decision,
+)
+from plantainyard.routing.health import mark_leaving, record_result
+from plantainyard.routing.outcomes import FinalAnswer, Outcome, Reason
+from plantainyard.routing.queue import (
+    GivenUp,
+    expire_requests,
+    measure_service,
+    push_request,
+)
+from plantainyard.routing.retries import SendResult, judge_retry
+from plantainyard.routing.values import Request
+
+__all__ = ["accept_request", "end_attempt", "end_forward", "expire_flights"]
+
+_LEAST_RETRY_S = 0.1
+_DOUBTS = {SendResult.LOST: Outcome.UNKNOWN, SendResult.FAILED: Outcome.FAILED}
+
+
+def accept_request(
+    state: GatewayState, request: Request, wall_s: float, now: float
+) -> list[Action]:
+    """Take a request in: have its id judged where that is needed, then queue it."""
+    if state.drained:
+        answer = FinalAnswer(Outcome.REFUSED, Reason.DRAINING, _LEAST_RETRY_S)
+        return [Answer(request.key, answer)]
+    state.flights[request.key] = Flight(request)
+    if request.idempotent or request.judged:
+        return _enqueue(state, request, now)
+    admission = admit_id(
+        state.arbitration, state.owners, request, state.settings, wall_s, now
+    )
+    note_decision(state, request, f"id: {admission.reason}", now)
+    if admission.answer is not None:
+        return finish_request(state, request.key, admission.answer)
+    if admission.joined:
+        return []
+    if admission.owner:
+        return _forward_to_owner(state, request, admission.owner, now)
+    return _enqueue(state, request, now)
+
+
+def _forward_to_owner(
+    state: GatewayState, request: Request, owner: str, now: float
+) -> list[Action]:
+    peer = state.peers.get(owner)
+    full = state.forwarding >= state.settings.forward_max
+    if peer is None or full or request.hops >= MAX_HOPS:
+        # "Refused" would say that the id never ran, which only its arbiter knows: an
+        # earlier sending through another gateway may have run.
+        reason = Reason.QUEUE_FULL if full else Reason.NO_ARBITER
+        answer = FinalAnswer(Outcome.UNKNOWN, reason, state.settings.credit_s)
+        return finish_request(state, request.key, answer)
+    return _forward(state, request, peer, now)
+
+
+def _forward(
+    state: GatewayState, request: Request, peer: Peer, now: float
+) -> list[Action]:
+    flight = state.flights[request.key]
+    flight.peer = peer.instance
+    flight.tried |= {peer.instance}
+    state.forwarding += 1
+    if peer.region != state.place.region:
+        state.link.tokens -= request.size_bytes
+    note_decision(state, request, f"forward to {peer.instance}", now)
+    sent = request._replace(hops=request.hops + 1)
+    return [events.Forward(request.key, sent, peer, request.deadline - now)]
+
+
+def _enqueue(state: GatewayState, request: Request, now: float) -> list[Action]:
+    given_up = push_request(state.queue, request, state.settings, now)
+    return list(chain.from_iterable(_pass_on(state, item, now) for item in given_up))
+
+
+def _pass_on(state: GatewayState, item: GivenUp, now: float) -> list[Action]:
+    """Send what can't run here to the nearest peer with room, or refuse it."""
+    request = item.request
+    flight = state.flights[request.key]
+    peer = choose_peer(
+        state.place, state.peers.values(), request, state.link, flight.tried
+    )
+    in_time = now + state.queue.service_s <= request.deadline
+    if peer is None or not in_time or state.forwarding >= state.settings.forward_max:
+        note_decision(state, request, f"given up: {item.reason}", now)
+        answer = FinalAnswer(Outcome.REFUSED, item.reason, item.retry_after_s)
+        return finish_request(state, request.key, answer)
+    # Until the peer's next word the room is counted down here: else every request
+    # of that time would go to the one peer that looked emptiest.
+    room = {**peer.room, request.service: peer.room[request.service] - 1}
+    state.peers[peer.instance] = peer._replace(room=room)
+    judged = request._replace(judged=not request.idempotent)
+    return _forward(state, judged, peer, now)
+
+
+def end_attempt(
+    state: GatewayState, event: events.AttemptEnded, now: float
+) -> list[Action]:
+    """Take the end of a sending: answer the caller, or send again."""
+    flight = state.flights.get(event.key)
+    if flight is None or not flight.runner_id:
+        return []
+    runner_id, flight.runner_id = flight.runner_id, ""
+    ended = event.result != SendResult.LOST
+    release_slot(state.credits, runner_id, ended, state.settings, now)
+    record_result(
+        state.health, runner_id, event.result, event.latency_s, state.settings, now
+    )
+    if event.leaving:
+        mark_leaving(state.health, runner_id, "its own word")
+    if event.result == SendResult.ANSWERED:
+        measure_service(state.queue, event.latency_s)
+        answer = FinalAnswer(Outcome.DONE, response=event.response)
+        return finish_request(state, event.key, answer)
+    if event.result != SendResult.NOT_SENT:
+        flight.failed_at |= {runner_id}
+    flight.doubt = _DOUBTS.get(event.result, flight.doubt)
+    return _retry(state, flight, event, now)
+
+
+def _retry(
+    state: GatewayState, flight: Flight, event: events.AttemptEnded, now: float
+) -> list[Action]:
+    request = flight.request
+    verdict = judge_retry(
+        state.budget,
+        request,
+        event.result,
+        flight.attempts,
+        state.queue.service_s,
+        state.settings,
+        now,
+    )
+    note_decision(state, request, f"{event.result}: again={verdict.again}", now)
+    if verdict.again:
+        return _enqueue(state, request, now)
+    wait = max(_LEAST_RETRY_S, event.retry_after_s, state.queue.service_s)
+    retry_after_s = 0.0 if verdict.outcome == Outcome.FAILED else wait
+    answer = FinalAnswer(verdict.outcome, verdict.reason, retry_after_s, event.response)
+    return finish_request(state, request.key, answer)
+
+
+def end_forward(
+    state: GatewayState, event: events.ForwardEnded, now: float
+) -> list[Action]:
+    """Take the end of a forward: hand the peer's answer on, or go another way."""
+    flight = state.flights.get(event.key)
+    if flight is None or not flight.peer:
+        return []
+    peer, flight.peer = flight.peer, ""
+    state.forwarding -= 1
+    if event.answer is not None:
+        return finish_request(state, event.key, event.answer)
+    state.peers.pop(peer, None)
+    request = flight.request
+    unjudged = not request.idempotent and not _is_judged_here(state, request)
+    if unjudged:
+        reason = Reason.LOST if event.result == SendResult.LOST else Reason.NO_ARBITER
+        answer = FinalAnswer(Outcome.UNKNOWN, reason, state.settings.credit_s)
+        return finish_request(state, event.key, answer)
+    flight.attempts += 1
+    flight.doubt = _DOUBTS.get(event.result, flight.doubt)
+    ended = events.AttemptEnded(event.key, event.result)
+    return _retry(state, flight, ended, now)
+
+
+def _is_judged_here(state: GatewayState, request: Request) -> bool:
+    return request.judged or request.key in state.arbitration.running
+
+
+def expire_flights(state: GatewayState, now: float) -> list[Action]:
+    """Give up what can't be in time any more."""
+    given_up = expire_requests(state.queue, now)
+    actions = [_pass_on(state, item, now) for item in given_up]
+    late = [
+        key
+        for key in state.arbitration.select_joined()
+        if now >= state.flights[key].request.deadline
+    ]
+    answer = FinalAnswer(Outcome.UNKNOWN, Reason.LOST, _LEAST_RETRY_S)
+    for key in late:
+        state.arbitration.leave(key)
+        actions.append(finish_request(state, key, answer))
+    return list(chain.from_iterable(actions))
--- /dev/null
+++ b/plantainyard/routing/supply.py
@@ -0,0 +1,146 @@
+"""Slots for the requests that wait: sending under credits, and asking for them."""
+
+from collections import Counter
+
+from plantainyard.protocol.messages import RunnerInfo
+from plantainyard.routing import events
+from plantainyard.routing.choices import choose_runner, divide_demand, refill_link
+from plantainyard.routing.credits import (
+    build_ask,
+    build_return,
+    count_free,
+    take_slot,
+)
+from plantainyard.routing.events import Action, Event
+from plantainyard.routing.flights import GatewayState, note_decision
+from plantainyard.routing.health import start_probe
+from plantainyard.routing.queue import pop_request, select_waiting
+from plantainyard.routing.retries import earn_retry
+from plantainyard.routing.values import Request
+
+__all__ = ["ask_credits", "return_credits", "send_waiting"]
+
+_URGENT_ASK_S = 0.05
+_PEAK_DECAY = 0.8
+
+
+def send_waiting(state: GatewayState, now: float) -> list[Action]:
+    """Send what waits, as far as credits are free."""
+    held = state.credits.held.values()
+    state.queue.slots = sum(h.limit for h in held if now < h.valid_until)
+    actions: list[Action] = []
+    while state.queue.count:
+        open_services = {h.info.service for h in held if count_free(h, now) > 0}
+        if not open_services:
+            break
+
+        def can_send(request: Request, services: set[str] = open_services) -> bool:
+            return request.service in services and _choose(state, request, now)
+
+        request = pop_request(state.queue, state.settings, can_send)
+        if request is None:
+            break
+        actions.append(_send(state, request, now))
+    return actions
+
+
+def _choose(state: GatewayState, request: Request, now: float) -> bool:
+    return _pick_runner(state, request, now) is not None
+
+
+def _pick_runner(
+    state: GatewayState, request: Request, now: float
+) -> RunnerInfo | None:
+    failed_at = state.flights[request.key].failed_at
+    return choose_runner(
+        state.place,
+        state.credits,
+        state.health,
+        request,
+        failed_at,
+        state.settings,
+        now,
+    )
+
+
+def _send(state: GatewayState, request: Request, now: float) -> Action:
+    runner = _pick_runner(state, request, now)
+    assert runner is not None
+    not_after = take_slot(state.credits, runner.id, now)
+    assert not_after is not None
+    flight = state.flights[request.key]
+    flight.runner_id = runner.id
+    flight.attempts += 1
+    if flight.attempts == 1:
+        earn_retry(state.budget, state.settings)
+    start_probe(state.health, runner.id, now)
+    note_decision(
+        state, request, f"send to {runner.id}, attempt {flight.attempts}", now
+    )
+    timeout_s = min(request.deadline - now, state.settings.request_max_s)
+    return events.Send(request.key, request, runner, not_after, timeout_s)
+
+
+def ask_credits(state: GatewayState, event: Event, now: float) -> list[Action]:
+    """Ask the owners of the region's racks for credits where it is time to.
+
+    Notes
+    -----
+    The demand is what is in use and what waits; a peak is remembered and decays, so
+    that credits aren't given back between two bursts.
+    """
+    refill_link(state.link, state.settings, now)
+    if state.drained:
+        return []
+    wanted = Counter(
+        flight.request.service for flight in state.flights.values() if flight.runner_id
+    )
+    wanted.update(request.service for request in select_waiting(state.queue))
+    again = _find_refused(event)
+    due = [
+        rack
+        for rack, owner in state.owners.items()
+        if owner.instance
+        and owner.region == state.place.region
+        and (_is_due(state, rack, now) or rack == again)
+    ]
+    if not due:
+        return []
+    services = {*wanted, *state.peaks}
+    state.peaks = {
+        s: max(wanted[s], _PEAK_DECAY * state.peaks.get(s, 0.0)) for s in services
+    }
+    demand = {s: round(n) for s, n in state.peaks.items() if n >= 0.5}
+    parts = divide_demand(state.place, state.owners, demand, state.credits, now)
+    return [
+        events.AskCredits(
+            state.owners[rack].instance,
+            build_ask(state.credits, rack, parts[rack], state.settings, now),
+        )
+        for rack in due
+    ]
+
+
+def _find_refused(event: Event) -> str:
+    """Return the rack whose owner wants to be asked again under its new term."""
+    match event:
+        case events.CreditsAnswered(answer) if answer.term and not answer.granted:
+            return answer.rack
+    return ""
+
+
+def _is_due(state: GatewayState, rack: str, now: float) -> bool:
+    waited = now - state.credits.asked.get(rack, float("-inf"))
+    hurry = state.queue.count > 0 and waited >= _URGENT_ASK_S
+    return hurry or waited >= state.settings.ask_every_s
+
+
+def return_credits(state: GatewayState, now: float) -> list[Action]:
+    """Hand all credits back, so that others need not wait for the leases to end."""
+    racks = {held.info.rack for held in state.credits.held.values()}
+    return [
+        events.AskCredits(
+            state.owners[rack].instance, build_return(state.credits, rack, now)
+        )
+        for rack in sorted(racks & state.owners.keys())
+    ]
