Send an instance's gauges each second

The gauges that follow from the status were defined but not set. A run of a small site shows all of them in the dump after four seconds. A boolean would reach statsd as the word "True", so readiness is sent as 0 or 1; the test failed before that.

--- a/plantainyard/api/gauges.py
+++ b/plantainyard/api/gauges.py
@@ -41,7 +41,7 @@
     ages = [age.age_s for age in status.streams]
     set_gauge(meter, "log.age", _clip(max(ages, default=0.0)))
     set_gauge(meter, "peers.live", sum(peer.state == LIVE for peer in status.peers))
-    set_gauge(meter, "process.ready", status.ready)
+    set_gauge(meter, "process.ready", int(status.ready))
 
 
 def _clip(age_s: float) -> float:
--- a/plantainyard/operators/__init__.py
+++ b/plantainyard/operators/__init__.py
@@ -26,6 +26,7 @@
     "find_faults",
     "find_waits",
     "make_url",
+    "tell_status",
 ]
 
 _HANDLERS: dict[str, Callable[[Node, Any], Any]] = {
--- a/plantainyard/process.py
+++ b/plantainyard/process.py
@@ -11,10 +11,11 @@
 
 import pykka
 import urllib3
-from result import Err
+from result import Err, Ok
 
 from plantainyard import state as log_state
-from plantainyard.api import Probes, create_app
+from plantainyard.api import Probes, create_app, record_process, record_status
+from plantainyard.api import operators_pb2 as schema
 from plantainyard.clients import Instance, build_log_client, build_peer, build_pool
 from plantainyard.clock import read_clock
 from plantainyard.gateway import (
@@ -66,6 +67,7 @@
     find_faults,
     find_waits,
     make_url,
+    tell_status,
 )
 from plantainyard.protocol import (
     RECORDS_PATH,
@@ -421,7 +423,15 @@
 
     stack.enter_context(run_every("ticks", intervals.tick_s, tick))
     stack.enter_context(run_every("own", intervals.heartbeat_s / 2, gather))
-    stack.enter_context(run_every("metrics", _FLUSH_S, lambda: flush_meter(node.meter)))
+    stack.enter_context(run_every("metrics", _FLUSH_S, lambda: _send_metrics(node)))
+
+
+def _send_metrics(node: Node) -> None:
+    record_process(node.meter)
+    told = tell_status(node, schema.StatusRequest())
+    if isinstance(told, Ok):
+        record_status(node.meter, told.ok_value)
+    flush_meter(node.meter)
 
 
 def _gather_own(own: _Own, node: Node) -> None:
--- a/plantainyard/tests/test_logs.py
+++ b/plantainyard/tests/test_logs.py
@@ -87,6 +87,7 @@
     assert (gauges["racks.owned"], gauges["racks.pending"]) == (1, 1)
     assert (gauges["tasks.waiting"], gauges["workers.silent"]) == (7, 1)
     assert (gauges["peers.live"], gauges["log.age"]) == (1, 7)
+    assert str(gauges["process.ready"]) == "0"
     assert gauges["process.memory"] > 1_000_000
 
 
