Let a runner back only on a probe's success

Answers to what was sent before a runner was set aside came in later and let it back at once, so a crawling runner was never out for longer than one of its own requests. Found by the test of runners set aside. Now only the success of a probe lets a runner back.

--- a/plantainyard/routing/health.py
+++ b/plantainyard/routing/health.py
@@ -187,6 +187,10 @@
     settings: RoutingSettings,
     now: float,
 ) -> None:
+    # Answers to what was sent before a runner was set aside come in later; they are
+    # no sign that it has recovered.
+    if health.is_aside and not was_probe:
+        return
     health.failures = 0
     health.samples += 1
     weight = _SMOOTHING if health.samples > 1 and not was_probe else 1.0
