Ask other domains' racks for credits only while needed

Each ask brings a part of the idle slots, and every gateway of the region asked every rack, so idle credits of a domain lay with gateways of the other one. A gateway now asks another domain's rack only while its own domain has lent less than it needs, and gives back what it holds there afterwards. The demand is counted only when an ask is due, not on every event.

--- a/plantainyard/routing/lender.py
+++ b/plantainyard/routing/lender.py
@@ -288,6 +288,8 @@
     state.sequences[ask.gateway] = ask.sequence
     state.heard[ask.gateway] = now
     state.demands[ask.gateway] = ask.demand
+    if ask.closing:
+        del state.demands[ask.gateway]
     for runner in state.runners.values():
         take_report(runner, ask, now)
     grants = _grant_all(state, ask, settings, find_target, now)
--- a/plantainyard/routing/supply.py
+++ b/plantainyard/routing/supply.py
@@ -22,6 +22,7 @@
 
 _URGENT_ASK_S = 0.05
 _PEAK_DECAY = 0.8
+_LEAST_PEAK = 0.5
 
 
 def send_waiting(state: GatewayState, now: float) -> list[Action]:
@@ -90,12 +91,6 @@
     that credits aren't given back between two bursts.
     """
     refill_link(state.link, state.settings, now)
-    if state.drained:
-        return []
-    wanted = Counter(
-        flight.request.service for flight in state.flights.values() if flight.runner_id
-    )
-    wanted.update(request.service for request in select_waiting(state.queue))
     again = _find_refused(event)
     due = [
         rack
@@ -104,21 +99,44 @@
         and owner.region == state.place.region
         and (_is_due(state, rack, now) or rack == again)
     ]
-    if not due:
+    if not due or state.drained:
         return []
+    demand = _measure_demand(state)
+    parts = divide_demand(state.place, state.owners, demand, state.credits, now)
+    asks = [_build_rack_ask(state, rack, parts[rack], now) for rack in due]
+    return [ask for ask in asks if ask is not None]
+
+
+def _measure_demand(state: GatewayState) -> dict[str, int]:
+    wanted = Counter(
+        flight.request.service for flight in state.flights.values() if flight.runner_id
+    )
+    wanted.update(request.service for request in select_waiting(state.queue))
     services = {*wanted, *state.peaks}
     state.peaks = {
         s: max(wanted[s], _PEAK_DECAY * state.peaks.get(s, 0.0)) for s in services
     }
-    demand = {s: round(n) for s, n in state.peaks.items() if n >= 0.5}
-    parts = divide_demand(state.place, state.owners, demand, state.credits, now)
-    return [
-        events.AskCredits(
-            state.owners[rack].instance,
-            build_ask(state.credits, rack, parts[rack], state.settings, now),
-        )
-        for rack in due
-    ]
+    return {s: round(n) for s, n in state.peaks.items() if n >= _LEAST_PEAK}
+
+
+def _build_rack_ask(
+    state: GatewayState, rack: str, demand: dict[str, int], now: float
+) -> Action | None:
+    """Return the ask to a rack's owner; None where there is nothing to say.
+
+    Notes
+    -----
+    Another domain's rack is asked only while there is a demand for it: an ask brings
+    a part of the idle slots too, and those belong to the gateways next to them.
+    """
+    owner = state.owners[rack]
+    if any(demand.values()) or owner.domain == state.place.domain:
+        ask = build_ask(state.credits, rack, demand, state.settings, now)
+        return events.AskCredits(owner.instance, ask)
+    if any(held.info.rack == rack for held in state.credits.held.values()):
+        ask = build_return(state.credits, rack, now)
+        return events.AskCredits(owner.instance, ask)
+    return None
 
 
 def _find_refused(event: Event) -> str:
