Give up what would start too late, and keep a part for ordinary work

Urgent work shed all ordinary work from a full queue before its turn came, so that it starved whatever its share of the slots was; it now has a part of the queue. A request for a service without credits is forwarded at once instead of waiting for slots that don't exist.

--- a/plantainyard/routing/lifecycle.py
+++ b/plantainyard/routing/lifecycle.py
@@ -83,22 +83,45 @@
 
 
 def _enqueue(state: GatewayState, request: Request, now: float) -> list[Action]:
+    if not _has_credits(state, request.service, now):
+        # Waiting here would spend the caller's time on slots that don't exist.
+        actions = _try_forward(state, request, now)
+        if actions:
+            return actions
     given_up = push_request(state.queue, request, state.settings, now)
     return list(chain.from_iterable(_pass_on(state, item, now) for item in given_up))
 
 
 def _pass_on(state: GatewayState, item: GivenUp, now: float) -> list[Action]:
     """Send what can't run here to the nearest peer with room, or refuse it."""
-    request = item.request
+    actions = _try_forward(state, item.request, now)
+    if actions:
+        return actions
+    note_decision(state, item.request, f"given up: {item.reason}", now)
+    answer = FinalAnswer(Outcome.REFUSED, item.reason, item.retry_after_s)
+    return finish_request(state, item.request.key, answer)
+
+
+def _has_credits(state: GatewayState, service: str, now: float) -> bool:
+    return any(
+        held.limit > 0 and now < held.valid_until
+        for held in state.credits.held.values()
+        if held.info.service == service
+    )
+
+
+def _try_forward(state: GatewayState, request: Request, now: float) -> list[Action]:
+    """Forward to the nearest peer with room; return nothing where there is none."""
     flight = state.flights[request.key]
     peer = choose_peer(
         state.place, state.peers.values(), request, state.link, flight.tried
     )
-    in_time = now + state.queue.service_s <= request.deadline
-    if peer is None or not in_time or state.forwarding >= state.settings.forward_max:
-        note_decision(state, request, f"given up: {item.reason}", now)
-        answer = FinalAnswer(Outcome.REFUSED, item.reason, item.retry_after_s)
-        return finish_request(state, request.key, answer)
+    if (
+        peer is None
+        or now >= request.deadline
+        or state.forwarding >= state.settings.forward_max
+    ):
+        return []
     # Until the peer's next word the room is counted down here: else every request
     # of that time would go to the one peer that looked emptiest.
     room = {**peer.room, request.service: peer.room[request.service] - 1}
--- a/plantainyard/routing/queue.py
+++ b/plantainyard/routing/queue.py
@@ -34,6 +34,7 @@
 
 _SMOOTHING = 0.1
 _FIRST_SERVICE_S = 0.02
+_SLOW_DEVIATIONS = 4.0
 _LEAST_RETRY_S = 0.1
 
 
@@ -71,6 +72,8 @@
         self.count = 0
         self.size_bytes = 0
         self.service_s = _FIRST_SERVICE_S
+        self.deviation_s = 0.0
+        self.latest_starts: dict[str, float] = {}
         self.slots = 1
 
 
@@ -82,21 +85,27 @@
     Notes
     -----
     A request whose deadline can't be met by the present estimate is given up here, at
-    once, so that its caller can go elsewhere while there is time.
+    once, so that its caller can go elsewhere while there is time. The time kept for
+    running is that of a slow sending, but half of what is left at most: an estimate
+    that has grown too long would otherwise refuse every request, and nothing would
+    ever correct it.
     """
     wait = estimate_wait(state, request.urgent)
-    if now + wait + state.service_s > request.deadline:
+    slow_s = state.service_s + _SLOW_DEVIATIONS * state.deviation_s
+    latest = request.deadline - min(slow_s, (request.deadline - now) / 2)
+    if now + wait > latest or now >= request.deadline:
         return [_give_up(state, request, Reason.DEADLINE)]
     if request.size_bytes > settings.queue_bytes:
         return [_give_up(state, request, Reason.QUEUE_FULL)]
     shed: list[GivenUp] = []
     while not _has_room(state, request, settings):
-        victim = _pick_victim(state, request)
+        victim = _pick_victim(state, request, settings)
         if victim is None:
             return [*shed, _give_up(state, request, Reason.QUEUE_FULL)]
         drop_request(state, victim)
         shed.append(_give_up(state, victim, Reason.SHED))
     _append(state, request)
+    state.latest_starts[request.key] = latest
     return shed
 
 
@@ -138,9 +147,11 @@
 
     Notes
     -----
-    A request could still be in time only if it were sent now and took the usual time.
+    What is sent too late runs in vain: its caller has gone when the answer comes, and
+    its slot is lost until the longest request has ended.
     """
-    late = [r for r in select_waiting(state) if now + state.service_s > r.deadline]
+    starts = state.latest_starts
+    late = [r for r in select_waiting(state) if now > starts[r.key]]
     for request in late:
         drop_request(state, request)
     return [_give_up(state, request, Reason.DEADLINE) for request in late]
@@ -151,6 +162,7 @@
     lane = state.urgent if request.urgent else state.ordinary
     line = lane.lines[request.team]
     line.remove(request)
+    del state.latest_starts[request.key]
     state.count -= 1
     state.size_bytes -= request.size_bytes
     if not line:
@@ -171,8 +183,15 @@
 
 
 def measure_service(state: QueueState, service_s: float) -> None:
-    """Take the duration of a sending into the estimate."""
-    state.service_s += _SMOOTHING * (service_s - state.service_s)
+    """Take the duration of a sending into the estimate.
+
+    References
+    ----------
+    RFC 6298, section 2, has the same estimate for round trips.
+    """
+    error = service_s - state.service_s
+    state.service_s += _SMOOTHING * error
+    state.deviation_s += _SMOOTHING * (abs(error) - state.deviation_s)
 
 
 def select_waiting(state: QueueState) -> Iterable[Request]:
@@ -210,14 +229,23 @@
     return min(teams, key=lambda team: (lane.passes[team], team), default=None)
 
 
-def _pick_victim(state: QueueState, request: Request) -> Request | None:
+def _pick_victim(
+    state: QueueState, request: Request, settings: RoutingSettings
+) -> Request | None:
     """Return the request to shed for `request`, or None where there is none.
 
-    An ordinary request goes before an urgent one; within a class the newest of the
-    team that takes up most of its weighted part, if that is more than the newcomer's.
+    The class beyond its part of the queue goes before the other; within a class the
+    newest of the team that takes up most of its weighted part, if that is more than
+    the newcomer's.
     """
-    if request.urgent and state.ordinary.lines:
+    # Without a part of its own in the queue, ordinary work would be shed for urgent
+    # work before its turn comes, and starve whatever its share of the slots is.
+    part = max(1, int(settings.ordinary_share * settings.queue_count))
+    ordinary = _count_lane(state.ordinary)
+    if request.urgent and ordinary > part:
         return state.ordinary.lines[_find_heaviest(state, state.ordinary)][-1]
+    if not request.urgent and ordinary < part and state.urgent.lines:
+        return state.urgent.lines[_find_heaviest(state, state.urgent)][-1]
     lane = state.urgent if request.urgent else state.ordinary
     if not lane.lines:
         return None
