Let no hash choose a home that isn't known, and forward in time

An id whose prefix is no known domain was hashed over those known: two instances of which one doesn't know the domain yet chose two arbiters, and both let the id run. Its answer is "unknown" now.

A forwarded request carried the caller's own deadline, so the peer's "not run" at that moment came after the forwarder had answered "unknown". The peer is told a tenth less, 50 ms at least.

--- a/plantainyard/routing/arbitration.py
+++ b/plantainyard/routing/arbitration.py
@@ -94,9 +94,9 @@
         Present time on the wall clock and on the lease clock.
     """
     domains = sorted({owner.domain for owner in owners.values()})
-    if not domains:
-        return _miss(settings, "no rack is known")
     home = find_home(request.id, domains)
+    if not home:
+        return _miss(settings, "the home domain isn't known")
     rack = find_rack(request.id, [r for r, o in owners.items() if o.domain == home])
     # Without authority another instance may be judging the same ids by now; both
     # would let the id run.
--- a/plantainyard/routing/identity.py
+++ b/plantainyard/routing/identity.py
@@ -106,6 +106,11 @@
 def find_home(request_id: str, domains: Iterable[str]) -> str:
     """Return the home domain of an id: its prefix, else by hash over all domains.
 
+    Returns
+    -------
+    str
+        The domain; empty where the prefix is none of `domains`.
+
     Examples
     --------
     >>> find_home("tema-harbour.0190f", ["accra-central", "tema-harbour"])
@@ -113,7 +118,11 @@
     """
     names = list(domains)
     prefix = request_id.rpartition(".")[0]
-    return prefix if prefix in names else rank_names(request_id, names)[0]
+    # Two instances of which one doesn't know the domain yet would choose different
+    # arbiters if the hash decided then, and both would let the id run.
+    if prefix:
+        return prefix if prefix in names else ""
+    return rank_names(request_id, names)[0] if names else ""
 
 
 def find_rack(request_id: str, racks: Iterable[str]) -> str:
--- a/plantainyard/routing/lifecycle.py
+++ b/plantainyard/routing/lifecycle.py
@@ -28,6 +28,8 @@
 __all__ = ["accept_request", "end_attempt", "end_forward", "expire_flights"]
 
 _LEAST_RETRY_S = 0.1
+_LEAST_SPARE_S = 0.05
+_SPARE_SHARE = 0.1
 _DOUBTS = {SendResult.LOST: Outcome.UNKNOWN, SendResult.FAILED: Outcome.FAILED}
 
 
@@ -78,8 +80,13 @@
     if peer.region != state.place.region:
         state.link.tokens -= request.size_bytes
     note_decision(state, request, f"forward to {peer.instance}", now)
-    sent = request._replace(hops=request.hops + 1)
-    return [events.Forward(request.key, sent, peer, request.deadline - now)]
+    left_s = request.deadline - now
+    # The peer gives up at the deadline that it is told. If that were the end of the
+    # waiting here too, its "not run" would come too late and be told as "unknown".
+    spare_s = max(_LEAST_SPARE_S, _SPARE_SHARE * left_s)
+    deadline = request.deadline - spare_s
+    sent = request._replace(hops=request.hops + 1, deadline=deadline)
+    return [events.Forward(request.key, sent, peer, left_s)]
 
 
 def _enqueue(state: GatewayState, request: Request, now: float) -> list[Action]:
--- a/plantainyard/routing/tests/test_arbitration.py
+++ b/plantainyard/routing/tests/test_arbitration.py
@@ -68,3 +68,17 @@
             arbiter, ended = running.pop(rng.randrange(len(running)))
             settle_id(arbiter, ended, FinalAnswer(Outcome.DONE), ROUTING)
         assert all(len(a.arbiters["k1"].entries) <= 5 for a in arbiters if a.arbiters)
+
+
+def test_an_unknown_home_is_nobodys():
+    """An id runs in two domains during a partition or at a start.
+
+    An instance that doesn't know the id's home domain yet let the hash choose an
+    arbiter among the domains that it knew, itself perhaps; others asked the home.
+    """
+    arbiter = Arbitration("i1")
+    arbiter.extend(AuthorityChanged("k1", 1e9, True, WALL), ROUTING)
+    for owners in ({"k1": Owner("i1", "d1", "reg")}, {}):
+        request = Request("1", f"d2.{issue_id(WALL + 9)}", "billing", "t", 99.0)
+        verdict = admit_id(arbiter, owners, request, ROUTING, WALL + 9, 0.0)
+        assert verdict.answer and verdict.answer.outcome == Outcome.UNKNOWN
--- a/plantainyard/routing/tests/test_policies.py
+++ b/plantainyard/routing/tests/test_policies.py
@@ -216,9 +216,10 @@
     far = Peer("far", "d3", "other", "", {"billing": 9})
     near = Peer("near", "d2", "reg", "", {"billing": 1})
     step(state, PeersChanged((far, near)), 0.0)
-    taken = []
+    taken: list[str] = []
     for number in range(3):
         actions = arrive(state, str(number), 0.0, idempotent=True, size_bytes=100)
+        assert all(a.request.deadline <= 4.5 for a in pick(actions, Forward))
         taken += [a.peer.instance for a in pick(actions, Forward)]
     assert taken == ["near", "far"]
     step(state, ForwardEnded("0", SendResult.NOT_RUN), 0.0)
