Answer an id that is ahead of the clock with "unknown"

Such an id was refused as malformed, that is "not run". Only an id without a time of issue is refused as malformed; no arbiter ever lets one run.

The test now has short authorities and callers far ahead; the skew at the begin of a history, the bound on ids ahead of the clock and the move of the history when ids are dropped were taken out once each, and it failed.

--- a/plantainyard/routing/arbitration.py
+++ b/plantainyard/routing/arbitration.py
@@ -150,8 +150,11 @@
         case Verdict.REUSED:
             answer = FinalAnswer(Outcome.REFUSED, Reason.REUSED)
             return Admission("id used for another request", answer)
+        case Verdict.AHEAD:
+            answer = FinalAnswer(Outcome.UNKNOWN, Reason.AHEAD, settings.id_skew_s)
+            return Admission("id was issued ahead of the clock", answer)
         case Verdict.MALFORMED:
             answer = FinalAnswer(Outcome.REFUSED, Reason.MALFORMED)
-            return Admission("id has no usable time of issue", answer)
+            return Admission("id has no time of issue", answer)
     answer = FinalAnswer(Outcome.UNKNOWN, Reason.HISTORY)
     return Admission("older than the history", answer)
--- a/plantainyard/routing/identity.py
+++ b/plantainyard/routing/identity.py
@@ -54,8 +54,10 @@
         The id is older than the history.
     ``REUSED``
         The id was used for another request.
+    ``AHEAD``
+        The id's time of issue is ahead of this clock by more than the skew.
     ``MALFORMED``
-        The id carries no usable time of issue.
+        The id carries no time of issue.
     """
 
     RUN = "run"
@@ -63,6 +65,7 @@
     REPEAT = "repeat"
     UNKNOWN = "unknown"
     REUSED = "reused"
+    AHEAD = "ahead"
     MALFORMED = "malformed"
 
 
@@ -194,8 +197,12 @@
         The verdict; ``RUN`` is given once.
     """
     issued = parse_issue_time(request_id)
-    if issued is None or issued > wall_s + settings.id_skew_s:
+    if issued is None:
         return IdVerdict(Verdict.MALFORMED)
+    # Let run, the id would look fresh to a later arbiter, whose history begins at
+    # this clock. An arbiter with a faster clock may have let it run already.
+    if issued > wall_s + settings.id_skew_s:
+        return IdVerdict(Verdict.AHEAD)
     _forget_old(arbiter, settings, wall_s)
     entry = arbiter.entries.get(request_id)
     if entry is not None:
--- a/plantainyard/routing/outcomes.py
+++ b/plantainyard/routing/outcomes.py
@@ -56,6 +56,7 @@
     BUDGET = "retry budget is used up"
     LOST = "answer was lost"
     HISTORY = "request id is older than the history of ids"
+    AHEAD = "request id was issued ahead of the clock"
     NO_ARBITER = "arbiter of the request id can't be reached"
     REUSED = "request id was used for another request"
     RAN = "runner reported a failure"
--- a/plantainyard/routing/tests/test_arbitration.py
+++ b/plantainyard/routing/tests/test_arbitration.py
@@ -19,10 +19,10 @@
 
 ROUTING = RoutingSettings(id_skew_s=0.5, id_memory_s=6.0, id_count=5)
 WALL = 1_700_000_000.0
-AUTHORITY_S = 1.0
+AUTHORITY_S = 0.05
 
 
-@settings(derandomize=True, deadline=None, max_examples=250)
+@settings(derandomize=True, deadline=None, max_examples=400)
 @given(st.integers(0, 2**32))
 def test_an_id_is_let_run_once(seed):
     """A customer is charged twice after an instance was replaced.
@@ -39,8 +39,8 @@
     running: list[tuple[Arbitration, Request]] = []
     now, until, owner = 100.0, 0.0, 0
     for number in range(120):
-        now += rng.choice([0.01, 0.1, 0.1, 1.0])
-        if now >= until or rng.random() < 0.03:
+        now += rng.choice([0.005, 0.01, 0.05, 0.3])
+        if number == 0 or rng.random() < 0.05:
             now = max(now, until)
             owner, gained = rng.randrange(len(arbiters)), True
         else:
@@ -49,7 +49,8 @@
         wall = WALL + now + walls[owner]
         arbiters[owner].extend(AuthorityChanged("k1", until, gained, wall), ROUTING)
         fresh = not ids or rng.random() < 0.4
-        stamp = WALL + now + rng.uniform(-0.25, 0.25)
+        ahead = 3.0 if rng.random() < 0.05 else 0.25
+        stamp = WALL + now + rng.uniform(-0.25, ahead)
         name = issue_id(stamp, number) if fresh else rng.choice(ids[-15:])
         ids.append(name)
         # A caller's repeat can reach an instance that still thinks it is the arbiter.
