--- a/plantainyard/routing/identity.py
+++ b/plantainyard/routing/identity.py
@@ -37,6 +37,7 @@
 _UUID_VERSION = 7
 _STAMP_SHIFT = 80
 _COMPACT_SLACK = 1000
+_DROPPED = "the answer is no longer kept"
 
 
 class Verdict:
@@ -289,7 +290,7 @@
     if entry is None or entry.answer is None:
         return
     arbiter.answer_bytes -= _count_bytes(entry.answer)
-    entry.answer = entry.answer._replace(response=None)
+    entry.answer = entry.answer._replace(response=None, detail=_DROPPED)
 
 
 def _count_bytes(answer: FinalAnswer) -> int:
--- a/plantainyard/routing/lifecycle.py
+++ b/plantainyard/routing/lifecycle.py
@@ -95,6 +95,10 @@
         actions = _try_forward(state, request, now)
         if actions:
             return actions
+        if not _is_served(state, request.service):
+            reason, wait_s = Reason.NO_RUNNERS, state.settings.credit_s
+            answer = FinalAnswer(Outcome.REFUSED, reason, wait_s)
+            return finish_request(state, request.key, answer)
     given_up = push_request(state.queue, request, state.settings, now)
     return list(chain.from_iterable(_pass_on(state, item, now) for item in given_up))
 
@@ -117,6 +121,15 @@
     )
 
 
+def _is_served(state: GatewayState, service: str) -> bool:
+    """Tell whether a runner of the service may exist, as far as is known here."""
+    if any(held.info.service == service for held in state.credits.held.values()):
+        return True
+    near = {o.region for o in state.owners.values() if o.instance}
+    # Before the first word of an owner nothing is known of its runners.
+    return state.place.region in near and not state.credits.terms
+
+
 def _try_forward(state: GatewayState, request: Request, now: float) -> list[Action]:
     """Forward to the nearest peer with room; return nothing where there is none."""
     flight = state.flights[request.key]
