Measure control in whole sites, and ask a worker when its short tasks should have ended

Cause: a rack of tasks of 0.05 s stood idle until the next regular call of its owner, a second later. Ruled out: calling every worker more often (control at rest would cost as much more). Change: the owner asks again when the first of the tasks just started should have ended, by its declared run time. bench/control.py measures appends against starts, use at rest, take-over, configuration and recovery in real processes.

--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,279 @@
+"""What control costs in a whole site of real processes on one machine.
+
+Each measurement starts a site of stand-ins and entry instances, does one thing at
+several sizes, and returns plain numbers; slopes are taken over the sizes of one run.
+"""
+
+import contextlib
+import itertools
+import os
+import time
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+import numpy as np
+from result import UnwrapError
+
+from plantainyard.clock import read_clock
+from standins.callers import call_operator, wait_until
+from standins.deployments import SMALL, Deployment
+from standins.operators import (
+    apply_configuration,
+    create_job,
+    create_service,
+    wait_job,
+    wait_runners,
+)
+from standins.site import (
+    Pace,
+    Site,
+    add_entry,
+    kill_entry,
+    list_controls,
+    read_json,
+    start_site,
+    wait_ready,
+)
+
+__all__ = ["fit_slope", "run_control"]
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_REST_S = 10.0
+_INSTANCES = (2, 8, 32)
+_STARTS = (200, 1000, 3000)
+_TASKS = (50, 200, 800)
+_CHANGES = 10
+_TAKEOVERS = 3
+_LIMIT_S = 120.0
+_LONG_S = 600.0
+_POLL_S = 0.02
+# Production's times, not the short ones of the tests.
+_PACE = Pace(
+    lease_s=10.0,
+    credit_s=5.0,
+    request_max_s=30.0,
+    tick_s=0.2,
+    heartbeat_s=1.0,
+    silence_s=4.0,
+    instances_s=2.0,
+    worker_s=1.0,
+)
+
+
+class _Use(NamedTuple):
+    """Processor seconds, resident bytes and bytes between domains so far."""
+
+    cpu_s: float
+    memory: float
+    link_bytes: float
+
+
+def run_control(quick: bool = False) -> dict[str, Any]:
+    """Measure the costs of control once.
+
+    Parameters
+    ----------
+    quick : bool
+        Leave the greatest size of each measurement out.
+
+    Returns
+    -------
+    dict
+        Measurement to its numbers: log appends for each 1,000 starts, use of one
+        instance at rest against the number of instances, seconds to take over, for a
+        configuration to be in force, and to recover against the number of tasks.
+    """
+    last = -1 if quick else None
+    return {
+        "appends": measure_appends(_STARTS[:last]),
+        "rest": [measure_rest(count) for count in _INSTANCES[:last]],
+        "takeover_s": measure_takeovers(),
+        "configuration_s": measure_configuration(),
+        "recovery": measure_recovery(_TASKS[:last]),
+    }
+
+
+def measure_appends(sizes: Iterable[int]) -> list[dict[str, float]]:
+    """Return the appends to the log while jobs of several sizes run to their end."""
+    with _start_ready(SMALL) as site:
+        return [_count_appends(site, size) for size in sizes]
+
+
+def _count_appends(site: Site, tasks: int) -> dict[str, float]:
+    before = read_json(site.log, "/counts")
+    began = read_clock()
+    job = create_job(site, tasks, 0.05, site.deployment.domains[0].name).unwrap()
+    wait_job(site, job, tasks, _LIMIT_S)
+    seconds = read_clock() - began
+    after = read_json(site.log, "/counts")
+    appends = after["appends"] - before["appends"]
+    return {
+        "starts": tasks,
+        "appends": appends,
+        "appends_for_1000_starts": 1000.0 * appends / tasks,
+        "appends_a_second": appends / seconds,
+        "starts_a_second": tasks / seconds,
+        "bytes_a_start": (after["append_bytes"] - before["append_bytes"]) / tasks,
+    }
+
+
+def measure_rest(instances: int) -> dict[str, float]:
+    """Return what one instance uses while its site is at rest."""
+    with _start_ready(_spread(SMALL, instances)) as site:
+        wait_until(lambda: _try_service(site), "a service accepted", _LIMIT_S)
+        wait_runners(site)
+        before, began = _read_use(site), read_clock()
+        time.sleep(_REST_S)
+        after, seconds = _read_use(site), read_clock() - began
+    return {
+        "instances": instances,
+        "core_share": (after.cpu_s - before.cpu_s) / seconds / instances,
+        "memory_mb": after.memory / instances / 1e6,
+        "link_bytes_a_second": (after.link_bytes - before.link_bytes)
+        / seconds
+        / instances,
+    }
+
+
+def _try_service(site: Site) -> bool:
+    """Create the service once the instances have heard of each other."""
+    try:
+        create_service(site)
+    except UnwrapError:
+        return False
+    return True
+
+
+def _spread(deployment: Deployment, instances: int) -> Deployment:
+    each = instances // len(deployment.domains)
+    domains = tuple(d._replace(entries=each) for d in deployment.domains)
+    return deployment._replace(domains=domains)
+
+
+def _read_use(site: Site) -> _Use:
+    pids = [entry.child.pid for entry in site.entries.values()]
+    counted = read_json(site.links, "/counts")["bytes"]
+    return _Use(
+        sum(map(_read_cpu, pids)),
+        sum(map(_read_memory, pids)),
+        sum(counted.values()),
+    )
+
+
+def _read_cpu(pid: int) -> float:
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+def _read_memory(pid: int) -> float:
+    with open(f"/proc/{pid}/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * _PAGE_BYTES
+
+
+def measure_takeovers() -> list[float]:
+    """Return the seconds from an owner's death to its successor's authority."""
+    with _start_ready(_spread(SMALL, 8)) as site:
+        domain = site.deployment.domains[0].name
+        seconds = []
+        for _ in range(_TAKEOVERS):
+            owner = wait_until(lambda: _find_owner(site, domain), "owner", _LIMIT_S)
+            began = read_clock()
+            kill_entry(site, owner)
+            wait_until(lambda: _find_owner(site, domain), "successor", _LIMIT_S)
+            seconds.append(read_clock() - began)
+            add_entry(site, domain)
+            wait_ready(site)
+        return seconds
+
+
+def _find_owner(site: Site, domain: str) -> str:
+    entries = [e for e in list(site.entries.values()) if e.domain == domain]
+    for entry in entries:
+        status = _read_status(site, entry.control_address)
+        if any(rack.get("authority") for rack in status.get("racks", [])):
+            return entry.id
+    return ""
+
+
+def _read_status(site: Site, control: str) -> dict[str, Any]:
+    answer = call_operator([control], site.token, "Status", {})
+    return answer.unwrap_or({})
+
+
+def measure_configuration() -> list[float]:
+    """Return, for each change and instance, the seconds until it is in force there."""
+    with _start_ready(_spread(SMALL, 8)) as site:
+        return list(
+            itertools.chain.from_iterable(
+                _time_change(site, number) for number in range(_CHANGES)
+            )
+        )
+
+
+def _time_change(site: Site, number: int) -> Iterator[float]:
+    began = read_clock()
+    version = apply_configuration(site, {"weights.tail": 1.0 + number}).unwrap()
+    waiting = set(list_controls(site))
+    while waiting:
+        for control in sorted(waiting):
+            status = _read_status(site, control)
+            if int(status.get("configuration_version", -1)) >= version:
+                waiting.discard(control)
+                yield read_clock() - began
+        time.sleep(_POLL_S)
+
+
+def measure_recovery(sizes: Iterable[int]) -> list[dict[str, float]]:
+    """Return the seconds until a domain's state is back, all instances replaced."""
+    return [_time_recovery(tasks) for tasks in sizes]
+
+
+def _time_recovery(tasks: int) -> dict[str, float]:
+    with _start_ready(_widen(SMALL, tasks)) as site:
+        domain = site.deployment.domains[0].name
+        create_job(site, tasks, _LONG_S, domain).unwrap()
+        wait_until(lambda: _count_assigned(site, domain) >= tasks, "tasks", _LIMIT_S)
+        names = [e.id for e in site.entries.values() if e.domain == domain]
+        for name in names:
+            kill_entry(site, name)
+        for _ in names:
+            add_entry(site, domain)
+        began = read_clock()
+        wait_until(lambda: _find_owner(site, domain), "authority", _LIMIT_S)
+        wait_until(lambda: _count_assigned(site, domain) >= tasks, "state", _LIMIT_S)
+        return {"tasks": tasks, "seconds": read_clock() - began}
+
+
+def _widen(deployment: Deployment, tasks: int) -> Deployment:
+    cores = deployment.capacity.cores
+    workers = max(3, int(1.2 * tasks / cores) + 1)
+    first, *others = deployment.domains
+    domains = (first._replace(workers=workers), *others)
+    return deployment._replace(domains=domains, rack_size=workers)
+
+
+def _count_assigned(site: Site, domain: str) -> int:
+    entries = [e for e in list(site.entries.values()) if e.domain == domain]
+    return sum(
+        rack.get("tasks_assigned", 0)
+        for entry in entries
+        for rack in _read_status(site, entry.control_address).get("racks", [])
+        if rack.get("authority")
+    )
+
+
+def fit_slope(rows: Iterable[dict[str, float]], x: str, y: str) -> tuple[float, float]:
+    """Return the intercept and the slope of `y` over `x` by least squares."""
+    kept = list(rows)
+    xs, ys = [row[x] for row in kept], [row[y] for row in kept]
+    slope, intercept = np.polyfit(xs, ys, 1)
+    return float(intercept), float(slope)
+
+
+@contextlib.contextmanager
+def _start_ready(deployment: Deployment) -> Iterator[Site]:
+    with start_site(deployment, _PACE) as site:
+        wait_ready(site)
+        yield site
--- a/plantainyard/execution/rack.py
+++ b/plantainyard/execution/rack.py
@@ -49,6 +49,8 @@
 _STOPPED = "stopped"
 _SILENT_AFTER = 3
 _RETRY_S = 0.5
+_MARGIN_S = 0.02
+_SHORTEST_S = 0.1
 _RETRY_MAX_S = 4.0
 
 
@@ -378,6 +380,7 @@
     view.calling = True
     view.last_work = work
     view.called_at = now
+    view.expects_at = _expect_end(commands, now)
     note_sent(view, commands)
     return Call(view.info.id, view.info.address, commands)
 
@@ -385,7 +388,17 @@
 def _pick_next_call(
     state: RackState, view: WorkerView, work: frozenset[object]
 ) -> float:
-    return view.called_at + (min(_RESEND_S, state.sync_s) if work else state.sync_s)
+    pause_s = min(_RESEND_S, state.sync_s) if work else state.sync_s
+    return min(view.called_at + pause_s, view.expects_at)
+
+
+def _expect_end(commands: Commands, now: float) -> float:
+    """Return when the first of the tasks just started should have ended.
+
+    A rack of short tasks would otherwise stand idle until the next regular call.
+    """
+    runs = [s.run_s for s in commands.start if not s.latency_critical]
+    return now + max(min(runs) + _MARGIN_S, _SHORTEST_S) if runs else float("inf")
 
 
 def _summarize_work(commands: Commands) -> frozenset[object]:
--- a/plantainyard/execution/views.py
+++ b/plantainyard/execution/views.py
@@ -49,6 +49,8 @@
         A call is in flight; at most one is, so answers arrive in order.
     next_call_at, called_at : float
         Owner's clock: no call before, after failures; and the last call.
+    expects_at : float
+        When the first of the tasks that were just started should have ended.
     last_work : frozenset
         What the last call asked for beyond renewals.
     throttles, evictions : dict, set
@@ -74,6 +76,7 @@
         self.calling = False
         self.next_call_at = float("-inf")
         self.called_at = float("-inf")
+        self.expects_at = float("inf")
         self.last_work: frozenset[object] = frozenset()
         self.failures = 0
         self.running: dict[AttemptKey, RunningTask] = {}
