--- /dev/null
+++ b/bench/promises.py
@@ -0,0 +1,103 @@
+"""The promises of the product and the tests that prove each."""
+
+from typing import NamedTuple
+
+__all__ = ["PROMISES", "Promise"]
+
+_STATE = "plantainyard/state/tests/"
+_ROUTING = "plantainyard/routing/tests/"
+_MEMBERSHIP = "plantainyard/membership/tests/"
+_EXECUTION = "plantainyard/execution/tests/"
+_PLACEMENT = "plantainyard/placement/tests/"
+_GATEWAY = "plantainyard/gateway/tests/"
+_SITE = "standins/tests/"
+
+
+class Promise(NamedTuple):
+    """A promise and its proof.
+
+    Attributes
+    ----------
+    name : str
+        What always holds.
+    faults : str
+        Faults that the tests bring about.
+    tests : tuple of str
+        Beginnings of the test ids that prove it.
+    """
+
+    name: str
+    faults: str
+    tests: tuple[str, ...]
+
+
+PROMISES: tuple[Promise, ...] = (
+    Promise(
+        "No worker or runner is given more than it can hold",
+        "rival owners, gateways joining, dying, paused and cut off, lost answers",
+        (
+            f"{_PLACEMENT}test_policy.py",
+            f"{_ROUTING}test_lending.py",
+            f"{_ROUTING}test_failures.py",
+            f"{_EXECUTION}test_machine.py",
+        ),
+    ),
+    Promise(
+        "No task runs in two places at once",
+        "owner paused, killed and superseded, worker cut off and restarted, calls "
+        "delayed, lost answers, log out",
+        (
+            f"{_EXECUTION}test_machine.py",
+            f"{_EXECUTION}test_views.py",
+            f"{_MEMBERSHIP}",
+            f"{_SITE}test_failures.py",
+        ),
+    ),
+    Promise(
+        "Evicted work resumes exactly once",
+        "evicting or resuming owner killed, the checkpoint's answer lost",
+        (f"{_EXECUTION}test_machine.py", f"{_STATE}test_folding.py"),
+    ),
+    Promise(
+        "Each caller receives the whole answer to its own request",
+        "late, truncated, swapped and duplicated answers",
+        (f"{_GATEWAY}", f"{_ROUTING}test_gateway.py", f"{_ROUTING}test_failures.py"),
+    ),
+    Promise(
+        '"Not run" is said only of what did not run',
+        "answers lost after the effect, log out, retention passed",
+        (
+            f"{_STATE}test_appender.py",
+            f"{_STATE}test_reader.py",
+            f"{_ROUTING}test_failures.py",
+        ),
+    ),
+    Promise(
+        "A non-idempotent request runs at most once",
+        "the same id at two gateways, arbiter dead or paused, answers lost",
+        (
+            f"{_ROUTING}test_arbitration.py",
+            f"{_ROUTING}test_failures.py",
+            f"{_SITE}test_failures.py",
+        ),
+    ),
+    Promise(
+        "An upstream that is leaving stops receiving new work",
+        "leaving told by the list, by itself, by its failures",
+        (f"{_ROUTING}test_policies.py", f"{_ROUTING}test_gateway.py"),
+    ),
+    Promise(
+        "A planned stop cuts off no request",
+        "all instances of a domain replaced one after another under load",
+        (f"{_GATEWAY}", f"{_SITE}test_failures.py"),
+    ),
+    Promise(
+        "An accepted configuration never reverts",
+        "rival changes, lost answers, gaps, stale snapshots, log out",
+        (
+            f"{_STATE}test_configuration.py",
+            f"{_STATE}test_reader.py",
+            f"{_STATE}test_folding.py",
+        ),
+    ),
+)
