Give a holder the time to make itself heard before its rack is claimed

Cause: an instance that has just started had heard nobody, took the owner for dead and claimed; the owner claimed back: turns every 100 ms for about a second (seen while a domain was replaced under load). Request ids hashed to few racks before the first list. Ruled out: a longer silence bound (it slows every take-over by as much). Change: a holder counts as silent only after the silence bound since its claim was seen. No owners are told before the platform's list was read; any change of the set of racks begins the histories of ids anew.

--- a/plantainyard/membership/ownership.py
+++ b/plantainyard/membership/ownership.py
@@ -37,12 +37,16 @@
     rebalance_s : float
         Time for which another instance must have been the preferred owner before
         the rack is handed to it.
+    silence_s : float
+        Time for which a holder may be unheard before it counts as silent, from when
+        its claim was first seen.
     outage_s : float
         Age of the knowledge of the stream from which the log counts as out.
     """
 
     retry_s: float = 10.0
     rebalance_s: float = 300.0
+    silence_s: float = 4.0
     outage_s: float = 5.0
 
 
@@ -146,6 +150,7 @@
         self.epoch = 0
         self.caretaker = False
         self.top_epoch = 0
+        self.seen_at = float("-inf")
         self.claimed_base: int | None = None
         self.claimed_at = float("-inf")
         self.preferred = name
@@ -158,17 +163,20 @@
     """Take `event` in and return what to do, in order."""
     match event:
         case ClaimSeen(claim):
-            return _take_claim(state, claim)
+            return _take_claim(state, claim, now)
         case Superseded(epoch, _):
             return _take_epoch(state, epoch)
         case OwnershipTick():
             return _take_tick(state, event, now)
 
 
-def _take_claim(state: OwnershipState, claim: Claim | None) -> list[OwnershipAction]:
+def _take_claim(
+    state: OwnershipState, claim: Claim | None, now: float
+) -> list[OwnershipAction]:
     if claim == state.claim:
         return []
     state.claim = claim
+    state.seen_at = now
     ended: list[OwnershipAction] = [EndTerm()] if state.epoch else []
     state.epoch, state.caretaker = 0, False
     if claim is None or claim.holder != state.name:
@@ -203,7 +211,7 @@
         return _decide_claim(state, tick, now)
     if state.epoch or tick.stopping or tick.log_age_s <= state.settings.outage_s:
         return []
-    return _decide_care(state, tick)
+    return _decide_care(state, tick, now)
 
 
 def _note_preferred(state: OwnershipState, live: frozenset[str], now: float) -> None:
@@ -239,11 +247,29 @@
         return _review_own(state, tick, base, now)
     # A live owner is not displaced because the hash now prefers another: each change
     # of owner costs the rack a lease's time without authority.
-    if tick.stopping or holder in tick.live or not tick.workers:
+    if tick.stopping or not tick.workers or _is_thought_live(state, tick, holder, now):
         return None
     return ClaimRack(base, tick.workers) if state.preferred == state.name else None
 
 
+def _is_thought_live(
+    state: OwnershipState, tick: OwnershipTick, holder: str, now: float
+) -> bool:
+    """Tell whether a holder lives, as far as this instance can know.
+
+    Notes
+    -----
+    Guards against two live instances that take a rack from each other by turns. The
+    failure: an instance that has just started has heard nobody yet, takes the holder
+    for dead and claims; the former holder has not heard the new one either and claims
+    back. The guard gives each holder the time in which it must have been heard.
+    """
+    if not holder:
+        return False
+    unheard_s = now - state.seen_at
+    return holder in tick.live or unheard_s < state.settings.silence_s
+
+
 def _review_own(
     state: OwnershipState, tick: OwnershipTick, base: int, now: float
 ) -> ClaimRack | GiveUpRack | None:
@@ -260,7 +286,9 @@
     return None
 
 
-def _decide_care(state: OwnershipState, tick: OwnershipTick) -> list[OwnershipAction]:
+def _decide_care(
+    state: OwnershipState, tick: OwnershipTick, now: float
+) -> list[OwnershipAction]:
     """Keep a silent owner's work alive while the log is out.
 
     Notes
@@ -270,7 +298,9 @@
     act; it starts nothing, since only the log says what was assigned before.
     """
     claim = state.claim
-    if claim is None or not claim.holder or claim.holder in tick.live:
+    if claim is None or not claim.holder:
+        return []
+    if _is_thought_live(state, tick, claim.holder, now):
         return []
     if state.preferred != state.name:
         return []
--- a/plantainyard/node/domain.py
+++ b/plantainyard/node/domain.py
@@ -179,7 +179,8 @@
         )
         self.submitted = 0
         self.ownership_settings = OwnershipSettings(
-            outage_s=settings.intervals.log_wait_s + settings.intervals.silence_s
+            silence_s=settings.intervals.silence_s,
+            outage_s=settings.intervals.log_wait_s + settings.intervals.silence_s,
         )
         self.io = make_io(self.actor_ref.tell)
         self.stream = StreamState(
--- a/plantainyard/process.py
+++ b/plantainyard/process.py
@@ -486,7 +486,7 @@
 
 
 def _watch_racks(own: _Own, node: Node, owners: dict[str, Owner]) -> None:
-    """Begin the histories of request ids anew when the domain's set of racks changes.
+    """Begin the histories of request ids anew when the set of racks changes.
 
     Notes
     -----
@@ -494,9 +494,8 @@
     another arbiter, which never heard of it, while instances with an older list still
     go to the former one. Until all have read the list again, ids count as unknown.
     """
-    domain = node.settings.instance.domain
-    racks = frozenset(rack for rack, owner in owners.items() if owner.domain == domain)
-    if own.racks and racks != own.racks:
+    racks = frozenset(owners)
+    if owners and racks != own.racks:
         since = time.time() + _LIST_BOUND_S
         for rack in own.epochs:
             event = AuthorityChanged(rack, own.untils.get(rack, 0.0), True, since)
@@ -514,6 +513,9 @@
     Racks without an owner stay in: an id that hashes to one must not go to another
     rack's arbiter meanwhile, which would let it run a second time.
     """
+    if not instances:
+        # Over the few racks known so far an id would hash to a wrong arbiter.
+        return {}
     instance = own.settings.instance
     listed = {
         i.worker.rack: (-1, Owner("", i.worker.domain, i.worker.region))
