--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,11 +3,13 @@
 import sys
 from collections.abc import Callable
 
+from bench.proofs import run_proofs
 from bench.replay import run_replay
 
 __all__ = ["COMMANDS", "main"]
 
 COMMANDS: dict[str, Callable[[list[str]], int]] = {
+    "proofs": run_proofs,
     "replay": run_replay,
 }
 
