--- a/plantainyard/routing/health.py
+++ b/plantainyard/routing/health.py
@@ -5,8 +5,9 @@
 A runner is set aside after failures in a row or when it is many times slower than the
 median. After a time that doubles with each failed probe, one request is let through;
 its success lets the runner back. Where more than a share of the runners would be set
-aside, the cause is hardly the runners, and to heap the load on the few that are left
-would bring those down too: then none is treated as set aside.
+aside, the cause is hardly the runners, and none is treated as set aside. Below that
+share the few that are left take the load, which their slots bound: they are never
+given more than they can hold.
 """
 
 from collections.abc import Iterable
