Give probes a reason when a part hangs, and check the generated code

A readiness check that times out gave the balancer a page of the server in place of a reason. The generated code is compared with the schema, since it is written by hand. The tool ends quietly, with 141, when its reader has gone.

--- a/plantainyard/api/app.py
+++ b/plantainyard/api/app.py
@@ -15,6 +15,7 @@
     serve_call,
 )
 from plantainyard.api.errors import STATUS_OF_CODE, ApiError, ErrorCode
+from plantainyard.logs import get_logger
 from plantainyard.metrics import Meter, add_count
 from plantainyard.settings import Settings
 
@@ -32,6 +33,9 @@
 METHOD_HINT = "expected POST for calls, GET for /healthz, /readyz and /dump"
 
 
+_logger = get_logger("api")
+
+
 class Probes(NamedTuple):
     """What the application asks of the daemon.
 
@@ -84,9 +88,9 @@
     def serve(environ: WSGIEnvironment, start: StartResponse) -> Iterable[bytes]:
         verb, path = environ["REQUEST_METHOD"], environ.get("PATH_INFO", "")
         if verb == "GET" and path == HEALTH:
-            return _send(start, _answer_reasons(probes.healthy()))
+            return _send(start, _answer_reasons(_ask(probes.healthy)))
         if verb == "GET" and path == READY:
-            return _send(start, _answer_reasons(probes.ready()))
+            return _send(start, _answer_reasons(_ask(probes.ready)))
         if not has_token(environ, token.matches):
             add_count(meter, "calls.unauthorized")
             detail = "expected the header 'Authorization: Bearer <token>'"
@@ -146,6 +150,22 @@
     return answer_error(ApiError(ErrorCode.TOO_LARGE, detail, "body"))
 
 
+def _ask(probe: Callable[[], Sequence[str]]) -> Sequence[str]:
+    """Return the reasons of `probe`, or that it has none to give.
+
+    Notes
+    -----
+    Guards against a part of the process that hangs: the probe that waits for it ends
+    with an exception, and the balancer would get a page of the server in place of a
+    reason.
+    """
+    try:
+        return probe()
+    except Exception:
+        _logger.exception("probe failed", extra={"step": "api.probe"})
+        return ["a part of the process doesn't answer"]
+
+
 def _answer_reasons(reasons: Sequence[str]) -> Answer:
     body = json.dumps({"ok": not reasons, "reasons": list(reasons)}).encode()
     return Answer(NOT_READY if reasons else STATUS_OK, body)
--- a/plantainyard/api/tests/test_calls.py
+++ b/plantainyard/api/tests/test_calls.py
@@ -225,6 +225,19 @@
     return int(seen[0][0][:3]), b"".join(parts), seen[0][1]
 
 
+def test_probe_that_fails_tells_so():
+    """An actor hangs, so the readiness check times out; the balancer asks why."""
+
+    def hang():
+        raise TimeoutError
+
+    loaded = parse_settings(MINIMAL, "x").unwrap()
+    app = create_app(loaded, {}, Probes(hang, hang, dict), create_meter(Metrics()))
+    for path in ("/healthz", "/readyz"):
+        status, body, _ = get(app, path)
+        assert (status, json.loads(body)["ok"]) == (503, False)
+
+
 def test_app_guards_token_and_length_and_tells_readiness():
     loaded = parse_settings(MINIMAL, "x").unwrap()
     loaded = loaded._replace(limits=loaded.limits._replace(body_bytes=1_024))
--- a/plantainyard/command.py
+++ b/plantainyard/command.py
@@ -1,15 +1,23 @@
 """Entry point of the command-line tool ``plantainyard``."""
 
+import os
 import sys
 
-from plantainyard.commands import create_world, run_command
+from plantainyard.commands import ExitCode, create_world, run_command
 
 __all__ = ["main"]
 
 
 def main() -> None:
     """Run the command line of this process and exit with its code."""
-    sys.exit(run_command(sys.argv[1:], create_world()))
+    try:
+        code = run_command(sys.argv[1:], create_world())
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # A reader such as `head` has gone; what is left can't be shown to anybody.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = ExitCode.NO_READER
+    sys.exit(code)
 
 
 if __name__ == "__main__":
--- a/plantainyard/commands/exits.py
+++ b/plantainyard/commands/exits.py
@@ -23,6 +23,7 @@
     ENDED_OTHERWISE = 10
     STILL_RUNNING = 11
     INTERRUPTED = 130
+    NO_READER = 141
 
 
 EXIT_MEANINGS = {
@@ -39,6 +40,7 @@
     ExitCode.ENDED_OTHERWISE: "jobs wait: the job was cancelled or can never run",
     ExitCode.STILL_RUNNING: "jobs wait: the time was over first; the job goes on",
     ExitCode.INTERRUPTED: "interrupted with Ctrl-C; what goes on is printed",
+    ExitCode.NO_READER: "standard output was closed before all was printed",
 }
 
 EXIT_OF_CODE = {
--- a/plantainyard/tests/test_docs.py
+++ b/plantainyard/tests/test_docs.py
@@ -13,6 +13,7 @@
 from result import Ok
 
 from plantainyard.api import METHODS, serve_call
+from plantainyard.api import operators_pb2 as schema
 from plantainyard.api.codec import JSON
 from plantainyard.api.errors import STATUS_OF_CODE
 from plantainyard.clients.http import HttpAnswer
@@ -129,6 +130,22 @@
             assert os.path.exists(page.parent / target), f"{page}: {target}"
 
 
+def test_generated_code_is_that_of_the_schema():
+    """A field is added to the schema, and the generated code is not written anew.
+
+    Tools made from the published schema then send a field that the daemon refuses.
+    """
+    blocks = re.findall(r"^message (\w+) \{\n(.*?)^\}", SCHEMA.read_text(), re.M | re.S)
+    field = r"^[^/\n]*?(\w+) = (\d+);"
+    written = {name: dict(re.findall(field, block, re.M)) for name, block in blocks}
+    generated = {
+        name: {field.name: str(field.number) for field in message.fields}
+        for name, message in schema.DESCRIPTOR.message_types_by_name.items()
+        if message.fields
+    }
+    assert written == generated
+
+
 def test_each_field_of_the_schema_has_a_comment():
     """A tool's author takes seconds for milliseconds, as no comment names the unit."""
     lines = SCHEMA.read_text().splitlines()
