Rest lapses and hand-overs on what a majority confirmed

- A task ran in two places.
While the log was out (or in a partial partition) a caretaker renewed a task's lease; the owner, paused or cut off from that worker, saw its own lease run out, wrote `lapsed` and the next attempt ran beside.
A lapse is now judged at the time since which a majority accepts the owner, and a caretaker renews only once a majority has accepted it.
- Two instances had authority after a hand-over.
"Established" stayed true for an owner that had lost its authority, or had not gained it, or whose give-up reached the log late.
- A past owner's "never started" ended its successor's attempt.
Results are void in another term; workers repeat them to the present owner.

Ruled out: authority at the moment of writing `lapsed` as the only condition (the caretaker's majority may be younger than the owner's last lease), and a wait after each planned hand-over (ten seconds without an owner).

--- a/plantainyard/execution/rack.py
+++ b/plantainyard/execution/rack.py
@@ -136,6 +136,10 @@
         and stops, and starts nothing.
     views : dict
         What is known of each worker.
+    confirmed_at : float
+        Owner's clock; a majority of the workers accepted its epoch since.
+    has_majority : bool
+        Whether a majority ever accepted it.
     reported : set of AttemptKey
         Attempts whose end is on its way to the log.
     spared : frozenset of TaskKey
@@ -159,6 +163,8 @@
         self.caretaker = caretaker
         self.views: dict[str, WorkerView] = {}
         self.reported: set[AttemptKey] = set()
+        self.confirmed_at = float("-inf")
+        self.has_majority = False
         self.spared: frozenset[TaskKey] = frozenset()
 
 
@@ -321,7 +327,7 @@
     finished = view.finished.get(key)
     if finished is not None:
         return _translate_end(finished)
-    if has_lapsed(view, key, now, state.terms.drift):
+    if has_lapsed(view, key, state.confirmed_at, state.terms.drift):
         return ResultItem(*key, Outcome.LAPSED, "lease over")
     if _was_never_started(view, key):
         return ResultItem(*key, Outcome.EVICTED, assignment.checkpoint)
@@ -371,6 +377,9 @@
     )
     if state.caretaker:
         commands = keep_only_renewals(commands)
+    if state.caretaker and not state.has_majority:
+        # The owner may still be accepted elsewhere and count a lease as over.
+        commands = withhold_leases(commands)
     if view.failures >= _SILENT_AFTER:
         commands = withhold_leases(commands)
     work = _summarize_work(commands)
--- a/plantainyard/node/terms.py
+++ b/plantainyard/node/terms.py
@@ -103,6 +103,7 @@
         AuthorityTerms(platform.worker_lease_s, platform.clock_drift),
         claim.workers,
         previous,
+        claim.stopped and not began.caretaker,
     )
     return Term(state, plan, claim.term, authority)
 
--- a/plantainyard/state/domain.py
+++ b/plantainyard/state/domain.py
@@ -53,14 +53,17 @@
     workers : tuple of str
         Workers on whose acceptance the authority rests, sorted.
     previous : tuple of tuple of str
-        The same of earlier claims whose holders may still have authority; empty where
-        the last one is known to have stopped.
+        The same of earlier claims whose holders may still have authority.
+    stopped : bool
+        Whether the last owner had authority when it stopped; then `previous` holds its
+        workers alone, for the sake of a caretaker of which it didn't know.
     """
 
     holder: str
     term: int
     workers: tuple[str, ...] = ()
     previous: tuple[tuple[str, ...], ...] = ()
+    stopped: bool = False
 
 
 class DomainState:
--- a/plantainyard/state/folding.py
+++ b/plantainyard/state/folding.py
@@ -163,12 +163,16 @@
     if data["base"] != term:
         return Change(RecordType.CLAIM, offset, False, Reason.BASE, term)
     workers = tuple(data.get("workers", ()))
-    previous = () if data.get("established", False) else _list_earlier(present)
-    state.claims[data["rack"]] = Claim(data["holder"], offset, workers, previous)
+    stopped = data.get("established", False)
+    if present is not None and not present.holder:
+        stopped = present.stopped
+    previous = _list_earlier(present, stopped)
+    claim = Claim(data["holder"], offset, workers, previous, stopped)
+    state.claims[data["rack"]] = claim
     return Change(RecordType.CLAIM, offset, True)
 
 
-def _list_earlier(present: Claim | None) -> tuple[tuple[str, ...], ...]:
+def _list_earlier(present: Claim | None, stopped: bool) -> tuple[tuple[str, ...], ...]:
     """Return the worker sets of all claims whose holders may still have authority.
 
     A holder that never gained authority never fenced the workers of the one before
@@ -176,7 +180,8 @@
     """
     if present is None:
         return ()
-    sets = (*present.previous, present.workers) if present.holder else present.previous
+    earlier = () if stopped and present.holder else present.previous
+    sets = (*earlier, present.workers) if present.holder else earlier
     return tuple(dict.fromkeys(s for s in sets if s))
 
 
--- a/plantainyard/state/records.py
+++ b/plantainyard/state/records.py
@@ -143,7 +143,7 @@
 
 
 class ResultsRecord(_Common):
-    """Ended attempts, as workers told them; a lapse counts only in its `term`."""
+    """Ended attempts, as the rack's owner knows them in its `term`."""
 
     type: Literal["results"]
     rack: str
@@ -281,8 +281,8 @@
     rack : str
         The rack to which the attempts were assigned.
     term : int
-        The writer's term. What a worker told is a fact in any term; that a lease
-        lapsed is a conclusion of the rack's owner and void in another term.
+        The writer's term; the record is void in another one. A worker repeats what it
+        told to the next owner.
     items : iterable of ResultItem
         The ended attempts.
     """
