--- a/plantainyard/membership/tests/test_authority.py
+++ b/plantainyard/membership/tests/test_authority.py
@@ -187,3 +187,19 @@
         note_read(slow, worker, make_epoch(3), 100.0)
         note_accepted(slow, worker, 110.0, 110.0)
     assert not has_authority(slow, 110.0)
+
+
+def test_claim_that_names_other_workers() -> None:
+    """An order is taken twice after half of a rack's workers were replaced.
+
+    The owner still reaches two of the three workers that its claim names. A successor
+    claims with the workers of today, and all of them accept it.
+    """
+    owner = Authority(TERMS, ["w0", "w1", "w2"], [])
+    successor = Authority(TERMS, ["w2", "w3", "w4"], [["w0", "w1", "w2"]])
+    for now in range(100, 130):
+        for worker in ("w0", "w1"):
+            note_accepted(owner, worker, now, now)
+        for worker in ("w2", "w3", "w4"):
+            note_accepted(successor, worker, now, now)
+        assert has_authority(owner, now) and not has_authority(successor, now)
