Hold back only what harms, not what fits poorly

Cause: a cost above zero held a task back, and the cost includes preferences among workers; poor fit alone (0.0175) outweighed the gain of a task of one core on a worker of 64 (0.0156), so that a job waited two minutes on an almost empty site. Ruled out: the prior of harm (0.0011 of tail and 0.0009 of progress in that case). Change: only harm, crowding and lost progress hold back; a runner that reports no latency counts as idle.

--- a/plantainyard/placement/decision.py
+++ b/plantainyard/placement/decision.py
@@ -15,6 +15,7 @@
 )
 from plantainyard.placement.quarantine import open_probes
 from plantainyard.placement.quotas import check_quota
+from plantainyard.placement.scores import compute_parts
 from plantainyard.placement.state import (
     JobState,
     PlacementState,
@@ -136,7 +137,7 @@
         for worker in candidates
     ]
     cost, _, worker = min(costs, key=lambda item: item[:2])
-    if cost > 0.0 and _may_wait(state, owner, task.since, now):
+    if _may_wait(state, owner, task.since, now) and _is_loss(state, owner, worker, now):
         return [], "would harm more than it gains"
     return _Choice(cost / max(owner.expected.cores, 1e-3), owner, worker, task)
 
@@ -151,6 +152,18 @@
     return Place(placement.key, choice.task.attempt, choice.worker.info.id, reason)
 
 
+def _is_loss(
+    state: PlacementState, owner: JobState, worker: WorkerState, now: float
+) -> bool:
+    """Tell whether a start would take more progress than it gains.
+
+    Preferences among workers, such as a good fit, rank them and hold nothing back: on
+    an empty site they would outweigh the gain of a small task for ever.
+    """
+    parts = compute_parts(state, owner, worker, now)
+    return parts.tail + parts.throughput + parts.crowding + parts.gain > 0.0
+
+
 def _may_wait(state: PlacementState, owner: JobState, since: float, now: float) -> bool:
     if not state.rules.acts or owner.job.urgent or owner.job.latency_critical:
         return False
--- a/plantainyard/placement/observation.py
+++ b/plantainyard/placement/observation.py
@@ -25,6 +25,7 @@
     "observe_usage",
 ]
 
+_IDLE_STEP = 0.1
 _TRUST = 6.0
 _CHANGE = 0.05
 _RUN_NOISE = 0.3
@@ -112,7 +113,12 @@
         return
     reserved, expected = estimate_sizes(owner, state.settings.declared_floor)
     if owner.job.latency_critical:
-        owner.load = owner.use_cores / owner.use_reports / owner.job.size.cores
+        # A runner without requests reports no latency, and may report its declared
+        # cores all the same: nobody waits there whom batch work could slow down.
+        without = float(report.latency_ms == 0.0)
+        owner.idle += _IDLE_STEP * (without - owner.idle)
+        mean = owner.use_cores / owner.use_reports
+        owner.load = (1.0 - owner.idle) * mean / owner.job.size.cores
     if _differ(reserved, owner.reserved) or _differ(expected, owner.expected):
         set_reserved(state, owner, reserved, expected)
 
--- a/plantainyard/placement/state.py
+++ b/plantainyard/placement/state.py
@@ -160,6 +160,7 @@
         self.use_cores_square = 0.0
         self.use_memory = 0.0
         self.load = 1.0
+        self.idle = 0.0
         self.racks: dict[str, int] = {}
         self.unit_ms = 0.0
         self.run_offset = (0.0, _RUN_DEVIATION**2)
