Listen on for answers whose callers have gone

A request that is given up at its caller's deadline held its slot until the longest request had ended.

Sendings have threads of their own now, which wait for the runner after the caller was answered; an end that comes late gives the slot back. The runner is still told the caller's deadline. Weighed and left out: a shorter hold, which would overfill runners.

Seen to fail without their guard: the late end itself, giving up before the sending began, a late end that isn't known, the key of the slot given back.

--- a/plantainyard/clients/runner.py
+++ b/plantainyard/clients/runner.py
@@ -90,6 +90,7 @@
     request_id: str,
     timeout_s: float,
     headers: Mapping[str, str] | None = None,
+    told_s: float | None = None,
 ) -> RunnerAnswer:
     """Send one request to the runner and return its outcome.
 
@@ -102,9 +103,12 @@
     request_id : str
         Identifier that the answer must repeat.
     timeout_s : float
-        Time left until the caller's deadline; the runner is told it.
+        Longest wait for the whole answer.
     headers : mapping, optional
         The caller's headers to pass on.
+    told_s : float, optional
+        Time left until the caller's deadline, which the runner is told; `timeout_s`
+        by default.
 
     Returns
     -------
@@ -114,7 +118,7 @@
     sent = {
         **(headers or {}),
         REQUEST_ID_HEADER: request_id,
-        DEADLINE_HEADER: str(int(timeout_s * 1000)),
+        DEADLINE_HEADER: str(int((timeout_s if told_s is None else told_s) * 1000)),
     }
     # Answers can be swapped or late: a runner's answer with another request's id must
     # not reach this caller, and whether this one ran is then not known.
--- a/plantainyard/gateway/app.py
+++ b/plantainyard/gateway/app.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterable
+from functools import partial
 from http import HTTPStatus
 from queue import Empty
 from wsgiref.types import StartResponse, WSGIApplication, WSGIEnvironment
@@ -23,9 +24,11 @@
 from plantainyard.gateway.intake import Intake, read_caller, read_forward
 from plantainyard.gateway.sending import (
     Sender,
+    Sending,
+    give_up_sending,
     pack_answer,
     send_forward,
-    send_to_runner,
+    start_sending,
 )
 from plantainyard.metrics import Meter, add_count, add_timing
 from plantainyard.protocol import (
@@ -143,19 +146,23 @@
 def _carry(gateway: Gateway, sender: Sender, intake: Intake) -> FinalAnswer:
     """Do what the actor puts on the request's ticket until it has an answer."""
     sent = False
+    sending: Sending | None = None
     ticket = open_ticket(gateway, RequestArrived(intake.request, time.time()))
     try:
         while True:
-            action = _await_action(gateway, ticket, intake.request)
+            action = _await_action(gateway, ticket, intake.request, sending)
             match action:
                 case Answer():
                     return action.answer
                 case Send():
                     sent = True
-                    event = send_to_runner(
-                        sender, action, intake.body, intake.content_type
+                    sending = start_sending(
+                        sender,
+                        action,
+                        intake.body,
+                        intake.content_type,
+                        partial(tell_event, gateway),
                     )
-                    tell_event(gateway, event)
                 case Forward():
                     sent = True
                     ended = send_forward(
@@ -168,12 +175,26 @@
         close_ticket(gateway, ticket)
 
 
-def _await_action(gateway: Gateway, ticket: Ticket, request: Request) -> Action | None:
-    """Return the next action, or None once the actor is dead or far too late."""
+def _await_action(
+    gateway: Gateway, ticket: Ticket, request: Request, sending: Sending | None
+) -> Action | None:
+    """Return the next action, or None once the actor is dead or far too late.
+
+    At the deadline a sending that is still going on is given up.
+    """
     last = request.deadline + _GRACE_S
-    while read_clock() < last and is_alive(gateway):
+    while (now := read_clock()) < last and is_alive(gateway):
+        if sending is not None and now >= request.deadline:
+            event = give_up_sending(sending)
+            sending = None
+            if event is not None:
+                tell_event(gateway, event)
+        waits = sending is not None and now < request.deadline
+        wait_s = min(
+            _ALIVE_CHECK_S, request.deadline - now if waits else _ALIVE_CHECK_S
+        )
         with contextlib.suppress(Empty):
-            return ticket.actions.get(timeout=_ALIVE_CHECK_S)
+            return ticket.actions.get(timeout=wait_s)
     return None
 
 
--- a/plantainyard/gateway/sending.py
+++ b/plantainyard/gateway/sending.py
@@ -1,8 +1,11 @@
-"""Sendings, in the thread of the caller's request: to a runner or to a peer."""
+"""Sendings to runners, each on a thread of its own, and to peers."""
 
 import base64
 import binascii
+import math
+import threading
 from collections.abc import Callable
+from concurrent.futures import Executor
 from typing import NamedTuple
 
 import urllib3
@@ -22,16 +25,26 @@
 from plantainyard.protocol import FORWARD_PATH, ForwardAnswer, ForwardAsk
 from plantainyard.routing import (
     AttemptEnded,
+    Event,
     FinalAnswer,
     Forward,
     ForwardEnded,
+    LateEnded,
     Response,
     Send,
     SendResult,
     check_credit,
 )
 
-__all__ = ["Sender", "pack_answer", "send_forward", "send_to_runner"]
+__all__ = [
+    "Sender",
+    "Sending",
+    "give_up_sending",
+    "pack_answer",
+    "send_forward",
+    "send_to_runner",
+    "start_sending",
+]
 
 LEAVING_HEADER = "Leaving"
 RUNNER_CONNECT_S = 0.25
@@ -49,12 +62,89 @@
         Bearer token of the instances.
     instance : str
         This instance's id.
+    threads : Executor
+        Threads on which sendings to runners wait.
+    request_max_s : float
+        How long a runner's answer is waited for, be its caller gone or not.
     """
 
     runners: urllib3.PoolManager
     peers: urllib3.PoolManager
     token: str
     instance: str
+    threads: Executor
+    request_max_s: float
+
+
+class Sending:
+    """A sending to a runner on a thread of its own.
+
+    Parameters
+    ----------
+    action : Send
+        What is sent.
+    """
+
+    def __init__(self, action: Send) -> None:
+        self.action = action
+        self.lock = threading.Lock()
+        self.begun = float("nan")
+        self.is_ended = False
+        self.is_given_up = False
+
+
+def start_sending(
+    sender: Sender,
+    action: Send,
+    body: bytes,
+    content_type: str,
+    tell: Callable[[Event], object],
+) -> Sending:
+    """Send a request to its runner on another thread; `tell` gets the end of it.
+
+    Notes
+    -----
+    The thread listens on after the caller's deadline. The slot of a request that was
+    given up would else be held until the longest request has ended, and under
+    overload such slots add up to a good part of all.
+    """
+    sending = Sending(action)
+    sender.threads.submit(_run_sending, sender, sending, body, content_type, tell)
+    return sending
+
+
+def give_up_sending(sending: Sending) -> AttemptEnded | None:
+    """End the waiting for a sending; return its end, or None where it had ended."""
+    with sending.lock:
+        if sending.is_ended or sending.is_given_up:
+            return None
+        sending.is_given_up = True
+        key, begun = sending.action.key, sending.begun
+    if math.isnan(begun):
+        return AttemptEnded(key, SendResult.NOT_SENT)
+    return AttemptEnded(key, SendResult.LOST, read_clock() - begun)
+
+
+def _run_sending(
+    sender: Sender,
+    sending: Sending,
+    body: bytes,
+    content_type: str,
+    tell: Callable[[Event], object],
+) -> None:
+    action = sending.action
+    with sending.lock:
+        if sending.is_given_up:
+            return
+        sending.begun = read_clock()
+    event = send_to_runner(sender, action, body, content_type)
+    with sending.lock:
+        sending.is_ended = True
+        is_late = sending.is_given_up
+    if not is_late:
+        tell(event)
+    elif event.result != SendResult.LOST:
+        tell(LateEnded(action.key, action.runner.id, event.latency_s))
 
 
 def send_to_runner(
@@ -80,14 +170,19 @@
     client = build_runner_client(action.runner.address, sender.runners)
     peer = client.peer._replace(connect_s=RUNNER_CONNECT_S)
     now = read_time()
-    timeout_s = min(action.timeout_s, action.request.deadline - now)
+    told_s = min(action.timeout_s, action.request.deadline - now)
     # The thread may have slept since the decision: past the credit's end the slot may
     # be another gateway's, and the runner would be given more than it can hold.
-    if not check_credit(action.not_after, now) or timeout_s <= 0:
+    if not check_credit(action.not_after, now) or told_s <= 0:
         return AttemptEnded(action.key, SendResult.NOT_SENT)
     headers = {"Content-Type": content_type}
     answer = run_request(
-        client._replace(peer=peer), body, action.request.id, timeout_s, headers
+        client._replace(peer=peer),
+        body,
+        action.request.id,
+        sender.request_max_s,
+        headers,
+        told_s,
     )
     return _judge_answer(action.key, answer, read_time() - now)
 
--- a/plantainyard/gateway/server.py
+++ b/plantainyard/gateway/server.py
@@ -3,6 +3,7 @@
 import contextlib
 import threading
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 from wsgiref.types import WSGIApplication
 
@@ -52,19 +53,25 @@
     runners = build_pool(connections_per_peer=_IDLE_CONNECTIONS)
     peers = build_pool(connections_per_peer=settings.limits.caller_threads)
     token = settings.security.token.reveal()
-    sender = Sender(runners, peers, token, settings.instance.id)
-    app = build_app(settings, gateway, sender, meter)
     limits = settings.limits
-    with serve_app(
-        app,
-        settings.instance.address,
-        limits.caller_threads,
-        limits.connections,
-        limits.body_bytes,
-    ) as address:
-        yield address
-    runners.clear()
-    peers.clear()
+    # Twice the requests in progress: those whose callers have gone go on for a while.
+    threads = ThreadPoolExecutor(2 * limits.caller_threads)
+    longest_s = settings.requests.request_max_s
+    sender = Sender(runners, peers, token, settings.instance.id, threads, longest_s)
+    app = build_app(settings, gateway, sender, meter)
+    try:
+        with serve_app(
+            app,
+            settings.instance.address,
+            limits.caller_threads,
+            limits.connections,
+            limits.body_bytes,
+        ) as address:
+            yield address
+    finally:
+        threads.shutdown(wait=False, cancel_futures=True)
+        runners.clear()
+        peers.clear()
 
 
 @contextlib.contextmanager
--- a/plantainyard/gateway/tests/test_gateway_http.py
+++ b/plantainyard/gateway/tests/test_gateway_http.py
@@ -166,6 +166,22 @@
         assert all(r.max_in_progress <= 2 for r in runners)
 
 
+def test_a_late_answer_gives_its_slot_back():
+    """After a few slow answers an instance refuses everything for half a minute.
+
+    A caller's time is up while its request is at the runner, which can't take more:
+    the slot counts as used until the longest request has ended, unless somebody
+    listens for the answer that comes after the caller has gone.
+    """
+    with open_site(runner_count=1, slots=1) as ([runner], [(_, address)]):
+        runner.faults = RunnerFaults(delay_next=1, delay_ms=600)
+        late = post(address, build_request_id(time.time()), **{"Deadline-Ms": "200"})
+        assert late.headers["Plantainyard-Outcome"] == "unknown"
+        next_one = post(address, Idempotent="true", **{"Deadline-Ms": "20000"})
+        assert next_one.status == 200
+        assert runner.max_in_progress == 1
+
+
 def test_one_id_at_two_gateways_runs_once():
     """A repeated charge is charged once, and both callers get the answer.
 
--- a/plantainyard/routing/credits.py
+++ b/plantainyard/routing/credits.py
@@ -24,6 +24,7 @@
     "count_free",
     "count_in_flight",
     "drop_runner",
+    "end_lost",
     "release_slot",
     "take_slot",
 ]
@@ -37,7 +38,7 @@
         self.limit = 0
         self.valid_until = float("-inf")
         self.sending = 0
-        self.lost: list[float] = []
+        self.lost: list[tuple[str, float]] = []
 
 
 class CreditState:
@@ -159,6 +160,7 @@
 def release_slot(
     state: CreditState,
     runner_id: str,
+    key: str,
     ended: bool,
     settings: RoutingSettings,
     now: float,
@@ -171,6 +173,8 @@
         Changed.
     runner_id : str
         The runner that the slot is of.
+    key : str
+        The request, for `end_lost`.
     ended : bool
         Whether the request has ended for certain. If not, its slot stays in use until
         the longest request that could have been sent just now has ended.
@@ -184,7 +188,16 @@
         return
     held.sending -= 1
     if not ended:
-        held.lost.append(now + settings.request_max_s * (1 + 2 * settings.drift))
+        until = now + settings.request_max_s * (1 + 2 * settings.drift)
+        held.lost.append((key, until))
+
+
+def end_lost(state: CreditState, runner_id: str, key: str) -> None:
+    """Give back the slot of a lost request that has ended for certain after all."""
+    held = state.held.get(runner_id)
+    lost = [k for k, _ in held.lost] if held else []
+    if held and key in lost:
+        del held.lost[lost.index(key)]
 
 
 def drop_runner(state: CreditState, runner_id: str) -> None:
@@ -209,7 +222,7 @@
 
 
 def _expire(held: _Held, now: float) -> None:
-    held.lost = [until for until in held.lost if now < until]
+    held.lost = [(key, until) for key, until in held.lost if now < until]
     if now >= held.valid_until:
         held.limit = 0
 
--- a/plantainyard/routing/events.py
+++ b/plantainyard/routing/events.py
@@ -18,6 +18,7 @@
     "Event",
     "Forward",
     "ForwardEnded",
+    "LateEnded",
     "Owner",
     "OwnersChanged",
     "Peer",
@@ -81,6 +82,17 @@
     retry_after_s: float = 0.0
 
 
+class LateEnded(NamedTuple):
+    """A sending that was given up as lost has ended at its runner after all.
+
+    `latency_s` is its whole duration.
+    """
+
+    key: str
+    runner_id: str
+    latency_s: float
+
+
 class ForwardEnded(NamedTuple):
     """A `Forward` has ended: with the peer's answer, or with a `SendResult`."""
 
@@ -142,6 +154,7 @@
 Event = (
     RequestArrived
     | AttemptEnded
+    | LateEnded
     | ForwardEnded
     | CreditsAnswered
     | RunnersChanged
--- a/plantainyard/routing/gateway.py
+++ b/plantainyard/routing/gateway.py
@@ -14,7 +14,12 @@
 from collections import Counter
 
 from plantainyard.routing import events
-from plantainyard.routing.credits import apply_answer, count_free, drop_runner
+from plantainyard.routing.credits import (
+    apply_answer,
+    count_free,
+    drop_runner,
+    end_lost,
+)
 from plantainyard.routing.events import Action, Event
 from plantainyard.routing.flights import GatewayState
 from plantainyard.routing.health import describe_runner, forget_runners, mark_leaving
@@ -24,7 +29,7 @@
     end_forward,
     expire_flights,
 )
-from plantainyard.routing.queue import select_waiting
+from plantainyard.routing.queue import measure_service, select_waiting
 from plantainyard.routing.supply import ask_credits, return_credits, send_waiting
 
 __all__ = ["GatewayState", "count_room", "dump_gateway", "is_idle", "step"]
@@ -110,6 +115,9 @@
             return accept_request(state, request, wall_s, now)
         case events.AttemptEnded():
             return end_attempt(state, event, now)
+        case events.LateEnded(key, runner_id, latency_s):
+            end_lost(state.credits, runner_id, key)
+            measure_service(state.queue, latency_s)
         case events.ForwardEnded():
             return end_forward(state, event, now)
         case events.CreditsAnswered(answer):
--- a/plantainyard/routing/lifecycle.py
+++ b/plantainyard/routing/lifecycle.py
@@ -159,7 +159,7 @@
         return []
     runner_id, flight.runner_id = flight.runner_id, ""
     ended = event.result != SendResult.LOST
-    release_slot(state.credits, runner_id, ended, state.settings, now)
+    release_slot(state.credits, runner_id, event.key, ended, state.settings, now)
     record_result(
         state.health, runner_id, event.result, event.latency_s, state.settings, now
     )
--- a/plantainyard/routing/tests/test_failures.py
+++ b/plantainyard/routing/tests/test_failures.py
@@ -32,6 +32,7 @@
     Forward,
     ForwardEnded,
     GatewayState,
+    LateEnded,
     LenderState,
     Outcome,
     Owner,
@@ -103,7 +104,7 @@
         self.lend = build_leased_lender(ROUTING)
         self.alive = True
         self.paused = False
-        self.threads: dict[str, float] = {}
+        self.threads: dict[str, tuple[float, Any]] = {}
 
 
 class World(RuleBasedStateMachine):
@@ -145,7 +146,7 @@
                 case AskCredits(owner, ask):
                     self.messages.append(Message("ask", process, (owner, ask)))
                 case Send(key) | Forward(key):
-                    process.threads[key] = self.now + action.timeout_s
+                    process.threads[key] = (self.now + action.timeout_s, action)
                     self.messages.append(Message("thread", process, action, key))
 
     def take_answer(self, process, key, answer):
@@ -296,7 +297,11 @@
         self.runs.remove(run)
         self.running[run.send.runner.id] -= 1
         process, key = run.process, run.send.key
-        if result == "lost" or key not in process.threads or not process.alive:
+        if result == "lost" or not process.alive:
+            return
+        _, current = process.threads.get(key, (0.0, None))
+        if current is not run.send:
+            self.feed(process, LateEnded(key, run.send.runner.id, 0.1))
             return
         del process.threads[key]
         ok = result == "ok"
@@ -368,7 +373,7 @@
         self.renew_authority()
 
     def time_out(self, process):
-        late = [k for k, until in process.threads.items() if until <= self.now]
+        late = [k for k, (until, _) in process.threads.items() if until <= self.now]
         for key in late:
             del process.threads[key]
             flight = process.gateway.flights[key]
--- a/plantainyard/routing/tests/test_leases.py
+++ b/plantainyard/routing/tests/test_leases.py
@@ -13,7 +13,13 @@
     check_credit,
     count_lent,
 )
-from plantainyard.routing.credits import apply_answer, build_ask, take_slot
+from plantainyard.routing.credits import (
+    apply_answer,
+    build_ask,
+    end_lost,
+    release_slot,
+    take_slot,
+)
 
 ROUTING = RoutingSettings(credit_s=2.0, request_max_s=3.0, drift=0.1, send_margin_s=0.0)
 RUNNER = RunnerInfo("r1", "billing", "", "k1", "d1", "reg", 5, 60)
@@ -88,3 +94,16 @@
     for event in (RunnerGone("r1"), Tick(), RunnerUp(RUNNER)):
         LEND(lender, event, 100.5)
     assert count_lent(lender, "r1") == 5
+
+
+def test_a_late_end_frees_the_slot_of_its_own_request_only():
+    """Two callers have gone; one answer comes late; the other request still runs."""
+    lender, credits = open_lender(), CreditState("g1")
+    ask(lender, credits, 100.0, 100.0)
+    for key in ("a", "b"):
+        take_slot(credits, "r1", 100.1)
+        release_slot(credits, "r1", key, False, ROUTING, 100.2)
+    end_lost(credits, "r1", "a")
+    end_lost(credits, "r1", "a")
+    message = build_ask(credits, "k1", {"billing": 5}, ROUTING, 100.3)
+    assert message.holdings["r1"].in_flight == 1
--- a/plantainyard/routing/tests/test_lending.py
+++ b/plantainyard/routing/tests/test_lending.py
@@ -22,6 +22,7 @@
     apply_answer,
     build_ask,
     build_return,
+    end_lost,
     release_slot,
     take_slot,
 )
@@ -39,6 +40,7 @@
     holder: "Holder"
     not_after: float
     sent_at: float | None = None
+    late: tuple["Holder", str] | None = None
 
 
 class Holder:
@@ -132,7 +134,7 @@
             if not_after is not None and not holder.paused:
                 self.sendings.append(Sending(holder, not_after))
             elif not_after is not None:
-                release_slot(holder.credits, "r1", True, ROUTING, now)
+                release_slot(holder.credits, "r1", "", True, ROUTING, now)
 
     def send(self):
         for sending in [s for s in self.sendings if s.sent_at is None]:
@@ -144,7 +146,7 @@
             if check_credit(sending.not_after, now):
                 self.sendings.append(sending._replace(sent_at=self.now))
             else:
-                release_slot(holder.credits, "r1", True, ROUTING, now)
+                release_slot(holder.credits, "r1", "", True, ROUTING, now)
 
     def check(self):
         running = sum(s.sent_at is not None for s in self.sendings)
@@ -155,8 +157,11 @@
             age = self.now - (self.now if sending.sent_at is None else sending.sent_at)
             if age >= max(least_age, 0.001) and (least_age or self.rng.random() < 0.3):
                 self.sendings.remove(sending)
+                if sending.late and self.rng.random() < 0.5:
+                    holder, key = sending.late
+                    end_lost(holder.credits, "r1", key)
                 now = self.now * sending.holder.rate
-                release_slot(sending.holder.credits, "r1", True, ROUTING, now)
+                release_slot(sending.holder.credits, "r1", "", True, ROUTING, now)
 
     def lose_answer(self):
         """The caller's time is up: the holder lets go, the runner goes on."""
@@ -164,10 +169,13 @@
         if sent:
             sending = self.rng.choice(sent)
             self.sendings.remove(sending)
-            holder = sending.holder
-            release_slot(holder.credits, "r1", False, ROUTING, self.now * holder.rate)
+            holder, now = sending.holder, self.now * sending.holder.rate
+            self.count += 1
+            key = str(self.count)
+            release_slot(holder.credits, "r1", key, False, ROUTING, now)
             ghost = Holder("ghost", 1.0)
-            self.sendings.append(sending._replace(holder=ghost))
+            gone = sending._replace(holder=ghost, late=(holder, key))
+            self.sendings.append(gone)
 
     def pass_time(self, longest=0.2):
         self.now += self.rng.uniform(0.0, longest)
@@ -228,7 +236,6 @@
     # Each example has faults of its own choice: with all of them at once hardly
     # anything is lent, and most faults then meet an idle runner.
     faults = [
-        site.lose_answer,
         site.disturb,
         site.pause,
         site.cut_off,
@@ -241,6 +248,7 @@
     acts = {site.ask: 25, site.deliver: 50, site.take: 20, site.pass_time: 25}
     acts |= {site.send: rng.choice([5, 20]), site.finish: rng.choice([0, 2])}
     acts |= {fault: rng.choice([0, 0, 1, 3]) for fault in faults}
+    acts |= {site.lose_answer: rng.choice([0, 1, 8])}
     site.stray = rng.choice([0.0, 0.0, 0.3])
     for act in rng.choices(list(acts), list(acts.values()), k=400):
         act()
