Wait for stop signals without a handler, and check the time for a stop

A handler that sets an event can run while the main thread holds that event's lock, on its way to wait; the process then ignores SIGTERM for ever. The signals are now blocked before any thread starts, and waited for.

--- a/plantainyard/daemon.py
+++ b/plantainyard/daemon.py
@@ -8,7 +8,6 @@
 import logging
 import signal
 import sys
-import threading
 from pathlib import Path
 
 from absl import flags
@@ -27,6 +26,21 @@
 EXIT_FAULT = 3
 
 _WATCH_S = 1.0
+_STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
+_HELP = frozenset({"--help", "-h"})
+_USAGE = """\
+usage: plantainyardd --settings=FILE [--check]
+
+Runs one entry instance until SIGTERM, which is a graceful shutdown.
+
+  --settings=FILE  TOML file with the settings; examples are in examples/
+  --check          check the settings, open no socket, and exit
+
+Exit codes:
+  0  stopped as planned, no request was cut off; or the settings are sound
+  1  stopped with requests in progress after intervals.stop_s
+  2  the settings or the flags are wrong; no socket was opened
+  3  a part of the process has died"""
 
 _logger = logging.getLogger(__name__)
 
@@ -45,10 +59,13 @@
     Notes
     -----
     Once both servers listen, one JSON line on standard output says where.
+
+    Guards against a stop that never ends. The failure: a handler that sets an event
+    runs in the main thread while that thread, on its way to wait for the event, holds
+    the event's lock; the process ignores SIGTERM and has to be killed. So the signals
+    are blocked before any thread starts, and waited for.
     """
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+    signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
     with run_process(settings) as process:
         ready = {
             "address": process.address,
@@ -56,7 +73,7 @@
             "instance": settings.instance.id,
         }
         print(json.dumps(ready), flush=True)
-        while not stop.wait(_WATCH_S):
+        while signal.sigtimedwait(_STOP_SIGNALS, _WATCH_S) is None:
             faults = find_faults(process.node)
             if faults:
                 # A process whose actor died looks alive and does nothing; ended whole,
@@ -69,7 +86,7 @@
 
 def _run_with_flags(arguments: list[str]) -> int:
     if len(arguments) > 1 or _SETTINGS.value is None:
-        print("usage: plantainyardd --settings=FILE [--check]", file=sys.stderr)
+        print(_USAGE, file=sys.stderr)
         return EXIT_USAGE
     loaded = load_settings(Path(_SETTINGS.value))
     if isinstance(loaded, Err):
@@ -85,6 +102,9 @@
 
 def main() -> None:
     """Run the daemon with the flags of the command line."""
+    if _HELP.intersection(sys.argv[1:]):
+        print(_USAGE)
+        sys.exit(EXIT_OK)
     # `app.run` would end with 1 for a wrong flag: "requests were cut off".
     try:
         arguments = flags.FLAGS(sys.argv)
--- a/plantainyard/settings/rules.py
+++ b/plantainyard/settings/rules.py
@@ -209,6 +209,14 @@
             f"at least {HEARTBEATS_IN_SILENCE:g} times intervals.heartbeat_s "
             f"({intervals.heartbeat_s:g})",
         )
+    stop_s = intervals.instances_s + requests.request_max_s
+    if intervals.stop_s < stop_s:
+        yield Problem(
+            "intervals",
+            "stop_s",
+            f"at least {stop_s:g}: instances_s and then request_max_s, so that "
+            "a planned stop cuts off no request",
+        )
     if limits.caller_threads > limits.connections:
         yield Problem(
             "limits",
