--- a/plantainyard/state/tests/test_appender.py
+++ b/plantainyard/state/tests/test_appender.py
@@ -217,3 +217,20 @@
         (append,) = collect(step_appender(state, Answered(0), now), Append)
         kinds.append(append.record["type"])
     assert kinds == ["abandon", "snapshot", "abandon"]
+
+
+def test_refused_repeat_of_a_lost_record_stays_in_doubt() -> None:
+    """A caller is told "not run", comes back, and is charged twice.
+
+    The answer to an append is lost, and the network still holds the record. The log
+    goes out and refuses the repeat; the caller's patience ends.
+    """
+    state = AppenderState(FAST, "w.", random.Random(5))
+    step_appender(state, Submit(make_request("a"), "a", 9.0), 0.0)
+    step_appender(state, Lost(), 0.1)
+    assert collect(step_appender(state, AppendTick(), 4.0), Append)
+    step_appender(state, Refused(), 4.1)
+    actions = step_appender(state, AppendTick(), 9.0)
+    assert [r.status for r in collect(actions, AppendReport)] == [AppendStatus.UNKNOWN]
+    (append,) = collect(actions + step_appender(state, AppendTick(), 20.0), Append)
+    assert append.record["type"] == "abandon"
