--- a/plantainyard/membership/__init__.py
+++ b/plantainyard/membership/__init__.py
@@ -25,6 +25,7 @@
     OwnershipState,
     OwnershipTick,
     Superseded,
+    forget_claim,
     step_ownership,
 )
 
@@ -45,6 +46,7 @@
     "Superseded",
     "find_confirmed",
     "find_end",
+    "forget_claim",
     "has_authority",
     "has_majority",
     "make_epoch",
--- a/plantainyard/membership/ownership.py
+++ b/plantainyard/membership/ownership.py
@@ -23,6 +23,7 @@
     "OwnershipState",
     "OwnershipTick",
     "Superseded",
+    "forget_claim",
     "step_ownership",
 ]
 
@@ -147,6 +148,7 @@
         self.rack = rack
         self.settings = settings
         self.claim: Claim | None = None
+        self.given_up = -1
         self.epoch = 0
         self.caretaker = False
         self.top_epoch = 0
@@ -170,6 +172,18 @@
             return _take_tick(state, event, now)
 
 
+def forget_claim(state: OwnershipState) -> None:
+    """Start over from the log, whose state was replaced by a snapshot.
+
+    Notes
+    -----
+    What this process gave up stays given up: the record that says so may still be on
+    its way to the log, and whoever reads it there acts at once.
+    """
+    state.claim = None
+    state.epoch, state.caretaker = 0, False
+
+
 def _take_claim(
     state: OwnershipState, claim: Claim | None, now: float
 ) -> list[OwnershipAction]:
@@ -179,7 +193,7 @@
     state.seen_at = now
     ended: list[OwnershipAction] = [EndTerm()] if state.epoch else []
     state.epoch, state.caretaker = 0, False
-    if claim is None or claim.holder != state.name:
+    if claim is None or claim.holder != state.name or claim.term == state.given_up:
         return ended
     return [*ended, _begin(state, claim, make_epoch(claim.term), caretaker=False)]
 
@@ -233,6 +247,8 @@
         return []
     state.claimed_base = base
     state.claimed_at = now
+    if isinstance(action, GiveUpRack):
+        state.given_up = action.base
     if isinstance(action, GiveUpRack) and state.epoch:
         state.epoch = 0
         return [EndTerm(), action]
--- a/plantainyard/membership/tests/test_ownership.py
+++ b/plantainyard/membership/tests/test_ownership.py
@@ -1,9 +1,13 @@
 from plantainyard.membership import (
+    BeginTerm,
     ClaimRack,
     ClaimSeen,
+    EndTerm,
+    GiveUpRack,
     OwnershipSettings,
     OwnershipState,
     OwnershipTick,
+    forget_claim,
     step_ownership,
 )
 from plantainyard.state import Claim
@@ -36,3 +40,18 @@
 def test_rack_without_owner_is_claimed_at_once():
     state = OwnershipState("new", "rack", SETTINGS)
     assert step_ownership(state, _tick({"new"}), 0.0) == [ClaimRack(-1, WORKERS)]
+
+
+def test_what_was_given_up_stays_given_up_over_a_snapshot():
+    # An order is taken twice after a planned stop. The record that gives the rack up is
+    # held back; the instance meets a gap in the log, starts over from a snapshot, finds
+    # itself to be the holder and acts again. Then the record arrives, and the successor
+    # acts at once.
+    state = OwnershipState("a", "rack", SETTINGS)
+    claim = Claim("a", 7, tuple(WORKERS))
+    begun = step_ownership(state, ClaimSeen(claim), 100.0)
+    assert [type(action) for action in begun] == [BeginTerm]
+    stop = _tick({"a"})._replace(stopping=True)
+    assert step_ownership(state, stop, 120.0) == [EndTerm(), GiveUpRack(7)]
+    forget_claim(state)
+    assert step_ownership(state, ClaimSeen(claim), 121.0) == []
--- a/plantainyard/node/domain.py
+++ b/plantainyard/node/domain.py
@@ -30,6 +30,7 @@
     Superseded,
     find_confirmed,
     find_end,
+    forget_claim,
     has_authority,
     has_majority,
     note_accepted,
@@ -243,7 +244,8 @@
         # The terms were fed from records that this instance never saw the end of.
         for rack in list(self.node.terms):
             _end_term(self.node, rack)
-        self.node.ownerships.clear()
+        for ownership in self.node.ownerships.values():
+            forget_claim(ownership)
         self._follow_claims(read_clock())
 
     def _follow_claims(self, now: float) -> None:
