Let a stopping owner give its racks up before they are claimed

Peers left a draining instance out of those that live, so the preferred one claimed its rack on top of the living claim and had to wait a lease; the record that gives the rack up came second and was void. Draining peers are now told apart: they hold what they hold and are preferred for nothing.

Seen to fail without it: four seconds after a planned stop nobody had authority.

--- a/plantainyard/membership/ownership.py
+++ b/plantainyard/membership/ownership.py
@@ -79,6 +79,10 @@
         Seconds since that was last certain.
     stopping : bool
         Whether this instance is stopping as planned.
+    draining : frozenset of str
+        Other processes of the domain that are heard and stopping as planned. They give
+        their racks up themselves; a claim on top of theirs would cost the rack a
+        lease's time without authority.
     """
 
     live: frozenset[str]
@@ -86,6 +90,7 @@
     is_current: bool
     log_age_s: float
     stopping: bool
+    draining: frozenset[str] = frozenset()
 
 
 OwnershipEvent = ClaimSeen | Superseded | OwnershipTick
@@ -283,7 +288,8 @@
     if not holder:
         return False
     unheard_s = now - state.seen_at
-    return holder in tick.live or unheard_s < state.settings.silence_s
+    heard = holder in tick.live or holder in tick.draining
+    return heard or unheard_s < state.settings.silence_s
 
 
 def _review_own(
--- a/plantainyard/node/domain.py
+++ b/plantainyard/node/domain.py
@@ -107,6 +107,8 @@
         restarted instance is not taken for the owner that it was.
     live : frozenset of str
         Processes of the domain that are thought to live, this one included.
+    leaving_peers : frozenset of str
+        Other processes of the domain that are stopping as planned.
     """
 
     def __init__(
@@ -127,6 +129,7 @@
         self.workers: dict[str, dict[str, WorkerInfo]] = {}
         self.gone: frozenset[str] = frozenset()
         self.live: frozenset[str] = frozenset()
+        self.leaving_peers: frozenset[str] = frozenset()
         self.weights = placement.Weights()
         self.shares: dict[str, Size] = {}
         self.stopped = False
@@ -214,8 +217,8 @@
                 self._take_reply(message, now)
             case InstancesListed():
                 _take_instances(self.node, message, now)
-            case PeersHeard(live):
-                self.node.live = live
+            case PeersHeard(live, leaving):
+                self.node.live, self.node.leaving_peers = live, leaving
             case ConfigChanged(values):
                 _take_values(self.node, values, now)
             case ConfigKnown(known_at):
@@ -293,6 +296,7 @@
                 log_state.is_current(reader),
                 log_state.read_age(reader, now),
                 node.stopping,
+                node.leaving_peers,
             )
             self._step_ownership(rack, tick, now)
         for rack, term in list(node.terms.items()):
--- a/plantainyard/node/messages.py
+++ b/plantainyard/node/messages.py
@@ -53,9 +53,18 @@
 
 
 class PeersHeard(NamedTuple):
-    """Instances of the domain that are thought to live, this one included."""
+    """Processes of the domain that were heard in time.
+
+    Attributes
+    ----------
+    live : frozenset of str
+        Those that may take duties, this one included.
+    draining : frozenset of str
+        Those that are stopping as planned and hand their duties over.
+    """
 
     live: frozenset[str]
+    draining: frozenset[str] = frozenset()
 
 
 class ConfigChanged(NamedTuple):
--- a/plantainyard/node/peers.py
+++ b/plantainyard/node/peers.py
@@ -173,7 +173,7 @@
 
     def _tick(self, now: float) -> None:
         intervals = self.settings.intervals
-        live = self._list_near(now)
+        live, _ = self._list_near(now)
         instance = self.settings.instance
         self.is_relay = is_relay(instance.id, instance.domain, live)
         if now >= self.next_list_at:
@@ -184,14 +184,16 @@
             self._send_heartbeats(now)
         self._publish_roles(now)
 
-    def _list_near(self, now: float) -> list[str]:
+    def _list_near(self, now: float) -> tuple[list[str], list[str]]:
+        """Return the domain's instances that were heard: live and draining ones."""
         oldest = now - self.settings.intervals.silence_s
         domain = self.settings.instance.domain
-        return [
-            name
+        near = {
+            name: beat.draining
             for name, (beat, heard_at) in self.heard.items()
-            if beat.domain == domain and heard_at >= oldest and not beat.draining
-        ]
+            if beat.domain == domain and heard_at >= oldest
+        }
+        return [n for n in near if not near[n]], [n for n in near if near[n]]
 
     def _refresh_list(self, now: float) -> None:
         """Read the platform's list where this instance relays or nobody else does."""
@@ -318,8 +320,11 @@
             )
 
     def _publish_roles(self, now: float) -> None:
-        live = {self.heard[name][0].incarnation for name in self._list_near(now)}
-        self.publish(PeersHeard(frozenset(live | {self.name})))
+        live, draining = (
+            frozenset(self.heard[name][0].incarnation for name in names)
+            for names in self._list_near(now)
+        )
+        self.publish(PeersHeard(live | {self.name}, draining))
 
 
 def _read_list(
--- a/plantainyard/node/tests/test_domain.py
+++ b/plantainyard/node/tests/test_domain.py
@@ -138,20 +138,21 @@
                 if process.paused:
                     continue
                 process.tell(ConfigKnown(self.now))
-                process.tell(PeersHeard(self.list_live(process)))
+                process.tell(PeersHeard(*self.list_live(process)))
                 process.tell(TickMessage())
                 for _ in range(3):
                     self.carry_out(process)
             self.check()
 
-    def list_live(self, process: Process) -> frozenset[str]:
-        heard = (
-            p.name
+    def list_live(self, process: Process) -> tuple[frozenset[str], frozenset[str]]:
+        heard = [
+            p
             for p in self.processes
             if not (p.paused or p.cut_peers or process.cut_peers)
-            and not p.actor.node.stopping
-        )
-        return frozenset((*heard, process.name))
+        ]
+        draining = frozenset(p.name for p in heard if p.actor.node.stopping)
+        live = frozenset(p.name for p in heard) - draining | {process.name}
+        return live, draining - {process.name}
 
     def carry_out(self, process: Process) -> None:
         calls, process.calls = process.calls, []
@@ -446,6 +447,19 @@
     assert [r.attempt for r in world.list_runs()] == [1]
 
 
+def test_planned_stop_hands_the_rack_over_at_once(world: World) -> None:
+    """Each replaced instance costs its racks ten seconds without an owner.
+
+    The owner says that it is stopping; its peers leave it out of those that live and
+    claim its rack before it has given it up, and so must wait for its lease to end.
+    """
+    owner, *rest = pick_owner(world)
+    owner.tell(StopMessage())
+    world.run(4.0)
+    terms = [t for p in rest for t in p.actor.node.terms.values()]
+    assert [has_authority(term.authority, world.now) for term in terms] == [True]
+
+
 def test_hand_over_by_an_owner_that_has_a_caretaker(world: World) -> None:
     """An order is taken twice: two instances let its request id run.
 
