Send less with credit asks

An exchange about 10 runners was 3.2 KB of bodies, twice a second, above what a node may spend on all control. The answer now describes only the runners that the ask doesn't name (1.2 KB), and a gateway without requests asks every 1.5 s at most, which still is below the 2 s for a leaving runner.

--- a/plantainyard/protocol/messages.py
+++ b/plantainyard/protocol/messages.py
@@ -181,11 +181,11 @@
     lease_s : float
         Length of the lease, counted by the gateway from before its sending.
     grants : dict of str to int
-        Credits for each runner id; a runner that isn't named has none.
+        Credits for each runner that takes requests, with zero for none.
     runners : tuple of RunnerInfo
-        All the rack's runners.
+        The rack's runners that the ask doesn't name.
     leaving : tuple of str
-        Ids of the runners that take nothing new.
+        Ids of the runners that take nothing new. What is in neither list has ended.
     reason : str
         Why nothing was granted, for people.
     term : str
--- a/plantainyard/routing/credits.py
+++ b/plantainyard/routing/credits.py
@@ -123,7 +123,7 @@
     valid_until = state.asked[answer.rack] + lease_s
     for info in answer.runners:
         state.held.setdefault(info.id, _Held(info)).info = info
-    names = {info.id for info in answer.runners}
+    names = answer.grants.keys() | set(answer.leaving)
     for key, held in _select_rack(state, answer.rack):
         held.limit = answer.grants.get(key, 0)
         held.valid_until = valid_until
--- a/plantainyard/routing/lender.py
+++ b/plantainyard/routing/lender.py
@@ -289,8 +289,12 @@
     for runner in state.runners.values():
         take_report(runner, ask, now)
     grants = _grant_all(state, ask, settings, find_target, now)
-    runners = tuple(r.info for r in state.runners.values() if not r.gone)
-    leaving = tuple(key for key, r in state.runners.items() if r.leaving)
+    runners = tuple(
+        runner.info
+        for key, runner in state.runners.items()
+        if not runner.gone and key not in ask.holdings
+    )
+    leaving = tuple(key for key, r in state.runners.items() if r.leaving and not r.gone)
     return CreditAnswer(
         ask.gateway,
         ask.rack,
--- a/plantainyard/routing/supply.py
+++ b/plantainyard/routing/supply.py
@@ -30,6 +30,9 @@
 _URGENT_ASK_S = 0.05
 _PEAK_DECAY = 0.8
 _LEAST_PEAK = 0.5
+# Below the two seconds within which a leaving runner must get nothing new.
+_CALM_ASK_S = 1.5
+_CALM_SHARE = 0.3
 
 
 def send_waiting(state: GatewayState, now: float) -> list[Action]:
@@ -155,7 +158,9 @@
 def _is_due(state: GatewayState, rack: str, now: float) -> bool:
     waited = now - state.credits.asked.get(rack, float("-inf"))
     hurry = state.queue.count > 0 and waited >= _URGENT_ASK_S
-    return hurry or waited >= state.settings.ask_every_s
+    calm_s = min(_CALM_ASK_S, state.settings.credit_s * _CALM_SHARE)
+    every_s = state.settings.ask_every_s
+    return hurry or waited >= (every_s if state.flights else max(every_s, calm_s))
 
 
 def return_credits(state: GatewayState, now: float) -> list[Action]:
