Test failures of whole processes against the workers' evidence

Change: seven tests on a small site of two domains, each judged by what workers and runners counted and by the runs behind every answer to a caller: an owner killed; an owner paused past its lease and woken; a log outage longer than a lease; lost answers of the log; a domain cut off and healed; a leaving runner; rolling replacement with requests held in progress at each stop.

Ruled out: a bound in seconds on how long a leaving runner gets requests; on a busy machine that is a timed verdict. The test waits until 40 requests pass it by, and then for 40 more.

--- a/standins/callers.py
+++ b/standins/callers.py
@@ -26,6 +26,7 @@
     DEADLINE_HEADER,
     IDEMPOTENT_HEADER,
     OUTCOME_HEADER,
+    REASON_HEADER,
     REQUEST_ID_HEADER,
     TEAM_HEADER,
 )
@@ -53,6 +54,7 @@
 
     request_id: str
     outcome: str
+    reason: str = ""
     status: int = 0
     body: bytes = b""
     latency_ms: float = 0.0
@@ -101,8 +103,14 @@
         outcome = "refused" if sure else "unknown"
         return CallerAnswer(request_id, outcome, latency_ms=latency_ms, error=error)
     answer = result.ok_value
-    outcome = answer.headers.get(OUTCOME_HEADER, "")
-    return CallerAnswer(request_id, outcome, answer.status, answer.body, latency_ms)
+    return CallerAnswer(
+        request_id,
+        answer.headers.get(OUTCOME_HEADER, ""),
+        answer.headers.get(REASON_HEADER, ""),
+        answer.status,
+        answer.body,
+        latency_ms,
+    )
 
 
 def call_operator(
@@ -122,7 +130,7 @@
         if isinstance(answer, Ok):
             return Ok(answer.ok_value.body)
         error = answer.err_value
-        if "infeasible" in error.detail or "malformed" in error.detail:
+        if error.kind not in (ErrorKind.UNREACHABLE, ErrorKind.LOST):
             break
     return Err(error)
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -128,9 +128,11 @@
         _start_platform(site)
         _register_workers(site)
         domains = [d for d in deployment.domains for _ in range(d.entries)]
-        stack.callback(_kill_entries, site)
-        add_entries(site, domains)
-        yield site
+        try:
+            add_entries(site, domains)
+            yield site
+        finally:
+            _kill_entries(site)
 
 
 def add_entries(site: Site, domains: Sequence[DomainPlan]) -> list[Entry]:
--- /dev/null
+++ b/standins/tests/test_failures.py
@@ -0,0 +1,352 @@
+"""Failures of whole processes, judged by what workers and runners saw."""
+
+import os
+import random
+import signal
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+
+import pytest
+from result import Err, Ok
+
+from plantainyard.clients import build_peer
+from plantainyard.errors import ErrorKind
+from plantainyard.routing import Reason
+from standins.callers import (
+    build_request_id,
+    call_operator,
+    run_load,
+    send_caller_request,
+    wait_done,
+    wait_until,
+)
+from standins.deployments import SMALL
+from standins.operators import (
+    apply_configuration,
+    ask_site,
+    count_done,
+    create_job,
+    create_service,
+    find_lies,
+    list_runs,
+    wait_job,
+    wait_runners,
+)
+from standins.site import (
+    Pace,
+    add_entry,
+    cut_links,
+    describe_site,
+    judge_site,
+    kill_entry,
+    list_addresses,
+    post_json,
+    retire_entry,
+    start_site,
+    wait_ready,
+)
+
+PACE = Pace(lease_s=4.0, credit_s=1.5, request_max_s=3.0)
+NEAR, FAR = (plan.name for plan in SMALL.domains)
+SERVICE = SMALL.service
+SLOW_REQUESTS = 4
+DONE_SLOW = ["done"] * SLOW_REQUESTS
+SLOW_BODY = b'{"work_ms": 1500}'
+
+
+@pytest.fixture
+def site():
+    with start_site(SMALL, PACE) as started:
+        wait_ready(started)
+        create_service(started)
+        wait_runners(started)
+        yield started
+
+
+def list_owned(site, name):
+    """Return the racks that an instance owns and may decide for."""
+    control = [site.entries[name].control_address]
+    status = call_status(site, control)
+    return [r["rack"] for r in status.get("racks", []) if r.get("authority")]
+
+
+def call_status(site, controls):
+    answer = call_operator(controls, site.token, "Status", {})
+    return answer.ok_value if isinstance(answer, Ok) else {}
+
+
+def find_owner(site, domain):
+    def find():
+        return next(
+            (
+                n
+                for n, e in site.entries.items()
+                if e.domain == domain and list_owned(site, n)
+            ),
+            None,
+        )
+
+    return wait_until(find, f"an owner in {domain}")
+
+
+def wait_running(site, job, tasks):
+    def count():
+        return sum(r["ended"] is None for r in list_runs(site, job))
+
+    wait_until(lambda: count() >= tasks, f"{tasks} tasks of {job} to run")
+
+
+def has_done(site, job, tasks):
+    return count_done(site, job) >= tasks
+
+
+def is_cut_off(answer):
+    """Return whether the request was sent and its answer never came."""
+    is_lost = answer.error is not None and answer.error.kind == ErrorKind.LOST
+    return is_lost or answer.reason == Reason.LOST
+
+
+def list_endings(site, job):
+    return sorted((r["attempt"], r["outcome"]) for r in list_runs(site, job))
+
+
+def assert_promises_hold(site, load, stops_are_planned=True):
+    """No place, slot, request id or answer is wrong, whatever failed."""
+    verdict = judge_site(site)
+    if not stops_are_planned:
+        # Runners whose lease lapsed with their owner are stopped by the worker.
+        verdict = verdict._replace(cut_off=())
+    assert not any(verdict), verdict
+    assert not find_lies(site, load.answers)
+
+
+def test_killed_instance(site):
+    """An owner dies; its tasks and its callers' requests must not be done twice.
+
+    A job runs and requests flow. The instance that owns the rack is killed by the
+    system. The other instance of the domain takes the rack over: it knows the places
+    of the running tasks from the log, and the slots lent from the gateways.
+    """
+    job = create_job(site, 16, 3.0, domain=NEAR).unwrap()
+    with run_load(lambda: list_addresses(site), SERVICE) as load:
+        wait_running(site, job, 1)
+        wait_done(load, 20)
+        kill_entry(site, find_owner(site, NEAR))
+        wait_job(site, job, 16)
+        wait_done(load, 50)
+    assert_promises_hold(site, load, stops_are_planned=False)
+
+
+def test_paused_instance_wakes_after_its_lease(site):
+    """A paused owner wakes up and goes on commanding the workers it has lost.
+
+    The owner is paused longer than its lease. Another instance claims the rack and
+    starts what is left. The first wakes with its old state in hand and must not start,
+    renew or send anything on it.
+    """
+    job = create_job(site, 24, 2.0, domain=NEAR).unwrap()
+    owner = find_owner(site, NEAR)
+    paused = site.entries[owner]
+    with run_load(
+        lambda: [a for a in list_addresses(site) if a != paused.address], SERVICE
+    ) as load:
+        wait_running(site, job, 1)
+        os.kill(paused.child.pid, signal.SIGSTOP)
+        others = [n for n, e in site.entries.items() if e.domain == NEAR]
+        others.remove(owner)
+        wait_until(
+            lambda: any(list_owned(site, name) for name in others),
+            "another owner",
+        )
+        os.kill(paused.child.pid, signal.SIGCONT)
+        wait_job(site, job, 24)
+        wait_done(load, 50)
+    assert_promises_hold(site, load, stops_are_planned=False)
+
+
+def test_log_outage(site):
+    """The log is down for longer than a lease; running work must not be lost.
+
+    Tasks longer than a lease run and requests flow. The log goes out, and a job is
+    sent in meanwhile, which nobody may call accepted. Once the log is back, the results
+    that were held reach it.
+    """
+    job = create_job(site, 12, 7.0, domain=NEAR).unwrap()
+    wait_running(site, job, 12)
+    request_id = "statements-in-the-outage"
+    with run_load(lambda: list_addresses(site), SERVICE) as load:
+        wait_done(load, 20)
+        post_json(site.log, "/faults", {"outage": True})
+        answer = create_job(site, 2, 0.5, domain=NEAR, request_id=request_id)
+        assert isinstance(answer, Err)
+        wait_until(
+            lambda: all(r["ended"] for r in list_runs(site, job)), "all tasks to end"
+        )
+        wait_done(load, 50)
+        post_json(site.log, "/faults", {"outage": False})
+        wait_job(site, job, 12)
+        repeated = wait_until(
+            lambda: create_job(site, 2, 0.5, domain=NEAR, request_id=request_id).ok(),
+            "the repeated call",
+        )
+        wait_job(site, repeated, 2)
+        wait_done(load, 20)
+    assert list_endings(site, job) == [(1, "done")] * 12
+    assert len(ask_site(site, "ListJobs", {"kind": 1}).unwrap()["jobs"]) == 2
+    assert_promises_hold(site, load)
+
+
+def test_lost_answers_of_the_log(site):
+    """A job is accepted twice, or a task is started twice, after a lost answer.
+
+    The log takes a record and its answer is lost. Whoever appended it can't tell and
+    must neither append it again as something new nor take it as not done.
+    """
+    request_id = "statements-lost"
+    with run_load(lambda: list_addresses(site), SERVICE) as load:
+        post_json(site.log, "/faults", {"lose_next_answers": 2})
+        job = wait_until(
+            lambda: create_job(site, 16, 1.0, request_id=request_id).ok(), "a job id"
+        )
+        assert create_job(site, 16, 1.0, request_id=request_id).ok() == job
+        for done in (1, 6, 11):
+            post_json(site.log, "/faults", {"lose_next_answers": 3})
+            wait_until(partial(has_done, site, job, done), f"{done} tasks done")
+        wait_job(site, job, 16)
+        wait_done(load, 50)
+    jobs = ask_site(site, "ListJobs", {"kind": 1}).unwrap()["jobs"]
+    assert [found["job_id"] for found in jobs] == [job]
+    assert list_endings(site, job) == [(1, "done")] * 16
+    assert_promises_hold(site, load)
+
+
+def test_domain_is_cut_off_and_healed(site):
+    """A failure domain is cut off from the others and from the platform.
+
+    Its tasks go on and its callers are served there. Nobody else may rerun its tasks,
+    however long it is silent. Once healed, it tells its results, and the configuration
+    that was accepted meanwhile is in force there too.
+    """
+    job = create_job(site, 8, 6.0, domain=FAR).unwrap()
+    wait_running(site, job, 8)
+    with run_load(
+        lambda: list_addresses(site, FAR), SERVICE, callers=2, home=FAR
+    ) as far_load:
+        wait_done(far_load, 10)
+        cut_links(site, FAR)
+        quota = {f"teams.{SMALL.team}.cores": 90}
+        version = wait_until(
+            lambda: apply_configuration(site, quota, NEAR).ok(), "a new version"
+        )
+        other = wait_until(
+            lambda: create_job(site, 8, 0.5, domain=NEAR, via=NEAR).ok(), "a job near"
+        )
+        wait_until(lambda: count_done(site, other, NEAR) == 8, "the job near")
+        wait_until(
+            lambda: all(r["ended"] for r in list_runs(site, job)), "the tasks far"
+        )
+        wait_done(far_load, 30)
+        cut_links(site, FAR, healed=True)
+        wait_job(site, job, 8)
+        wait_until(lambda: is_in_force(site, version), "the version everywhere")
+        wait_done(far_load, 10)
+    assert list_endings(site, job) == [(1, "done")] * 8
+    assert_promises_hold(site, far_load)
+
+
+def is_in_force(site, version):
+    def read(control):
+        answer = call_operator([control], site.token, "GetConfiguration", {})
+        return int(answer.unwrap().get("version", 0)) if answer.is_ok() else -1
+
+    controls = [e.control_address for e in site.entries.values()]
+    return all(read(control) >= version for control in controls)
+
+
+def test_leaving_runner_gets_no_new_work(site):
+    """Requests still reach an upstream that is about to go.
+
+    One worker's runners say that they are leaving, while callers go on. The gateways
+    learn it from the worker's word, and the other runners take the load.
+    """
+    with run_load(lambda: list_addresses(site), SERVICE) as load:
+        wait_done(load, 20)
+        left = next(
+            run["worker"]
+            for run in list_runs(site)
+            if run["ended"] is None and run["worker"].startswith(NEAR)
+        )
+        body = {"workers": [left], "runners_leaving": True}
+        post_json(site.domains[NEAR], "/faults", body)
+        wait_until(lambda: is_left_alone(site, load, left), "no more requests to it")
+        assert is_left_alone(site, load, left)
+    assert_promises_hold(site, load)
+
+
+def is_left_alone(site, load, worker):
+    """Return whether the worker's runners got none of the next requests."""
+    before = count_requests(site, worker)
+    wait_done(load, 40)
+    return count_requests(site, worker) == before
+
+
+def count_requests(site, worker):
+    parts = describe_site(site)
+    names = {
+        f"{run['task']}#{run['attempt']}"
+        for part in parts
+        for run in part["runs"]
+        if run["worker"] == worker
+    }
+    return sum(
+        sum(runner["runs"].values())
+        for part in parts
+        for runner in part["runners"]
+        if runner["name"] in names
+    )
+
+
+def send_slow(site, entry, callers):
+    """Return the coming answers of requests that are in progress at a runner."""
+    peer = build_peer(entry.address)
+    rng = random.Random(entry.id)
+    ids = [build_request_id(rng, FAR) for _ in range(SLOW_REQUESTS)]
+    answers = [
+        callers.submit(send_caller_request, peer, SERVICE, SLOW_BODY, i, 3000)
+        for i in ids
+    ]
+    wait_until(lambda: set(ids) <= list_requests(site), "the slow requests to run")
+    return answers
+
+
+def list_requests(site):
+    runners = [r for part in describe_site(site) for r in part["runners"]]
+    return {name for runner in runners for name in runner["runs"]}
+
+
+def test_rolling_replacement_cuts_off_nothing(site):
+    """All instances of a domain are replaced at load, one after the other.
+
+    Each new one is ready before an old one is told to stop. The old one hands over
+    its racks and credits, finishes the requests that are in progress, and exits by
+    itself.
+    """
+    job = create_job(site, 24, 2.0, domain=NEAR).unwrap()
+    old = [n for n, e in site.entries.items() if e.domain == NEAR]
+    with (
+        run_load(lambda: list_addresses(site), SERVICE) as load,
+        ThreadPoolExecutor(SLOW_REQUESTS) as callers,
+    ):
+        wait_done(load, 20)
+        for name in old:
+            add_entry(site, NEAR)
+            wait_ready(site)
+            answers = send_slow(site, site.entries[name], callers)
+            assert retire_entry(site, name) == 0
+            assert [answer.result().outcome for answer in answers] == DONE_SLOW
+            wait_done(load, 20)
+        wait_job(site, job, 24)
+        wait_done(load, 20)
+    assert not [answer for answer in load.answers if is_cut_off(answer)]
+    assert list_endings(site, job) == [(1, "done")] * 24
+    assert_promises_hold(site, load)
