Tell results and place tasks anew where the backlog refused them

In an outage of the log longer than the backlog of appends lasts, records of results and of assignments were refused, and their writer went on waiting for a verdict: the results were never told again in that term, and the tasks never placed. A refused record now makes both count as not written. Workers keep results until they are acknowledged, so nothing else is needed.

Seen to fail without each of the two: jobs that never ended, a job that never started.

--- a/plantainyard/execution/__init__.py
+++ b/plantainyard/execution/__init__.py
@@ -15,6 +15,7 @@
     learn_record,
     learn_usage,
     learn_workers,
+    withdraw,
 )
 from .rack import (
     Action,
@@ -28,6 +29,7 @@
     Tick,
     WorkerAnswered,
     WorkersListed,
+    forget_reports,
     step,
 )
 from .views import (
@@ -62,6 +64,7 @@
     "decide",
     "estimate_clock",
     "forget_incarnation",
+    "forget_reports",
     "has_lapsed",
     "keep_only_renewals",
     "learn_rack",
@@ -71,5 +74,6 @@
     "note_sent",
     "note_until",
     "step",
+    "withdraw",
     "withhold_leases",
 ]
--- a/plantainyard/execution/planning.py
+++ b/plantainyard/execution/planning.py
@@ -34,6 +34,7 @@
     "learn_record",
     "learn_usage",
     "learn_workers",
+    "withdraw",
 ]
 
 _SUSPECT_AFTER = 2
@@ -301,6 +302,19 @@
     )
 
 
+def withdraw(plan: PlanState, items: Iterable[AssignItem], now: float) -> None:
+    """Let the policy place `items` anew, whose record never gets into the log.
+
+    Notes
+    -----
+    Guards against tasks that wait for ever: in a long outage the backlog of appends is
+    full, the record is refused, and the policy goes on waiting for its verdict.
+    """
+    for item in items:
+        if plan.pending.pop(item.task, None) is not None:
+            _end(plan, *item, placement.Outcome.UNPLACED, "", now)
+
+
 def _note_wish(plan: PlanState, rack: RackState, action: placement.Action) -> None:
     match action:
         case placement.Throttle(task, attempt, worker, share):
--- a/plantainyard/execution/rack.py
+++ b/plantainyard/execution/rack.py
@@ -6,7 +6,7 @@
 """
 
 import itertools
-from collections.abc import Callable, Mapping, Set
+from collections.abc import Callable, Iterable, Mapping, Set
 from typing import NamedTuple
 
 from plantainyard.clients import Commands, FinishedTask, WorkerAnswer
@@ -42,6 +42,7 @@
     "Tick",
     "WorkerAnswered",
     "WorkersListed",
+    "forget_reports",
     "step",
 ]
 
@@ -205,6 +206,17 @@
             return _close_difference(state, domain, now)
 
 
+def forget_reports(state: RackState, items: Iterable[ResultItem]) -> None:
+    """Let ended attempts be told again, whose record never gets into the log.
+
+    Notes
+    -----
+    Guards against results that are lost in a long outage of the log: the backlog of
+    appends is full and refuses them, while workers keep them until acknowledged.
+    """
+    state.reported -= {AttemptKey(item.task, item.attempt) for item in items}
+
+
 def _take_list(
     state: RackState, workers: tuple[WorkerInfo, ...], gone: frozenset[str]
 ) -> list[Action]:
--- a/plantainyard/node/domain.py
+++ b/plantainyard/node/domain.py
@@ -8,6 +8,7 @@
 import logging
 import random
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Any
 
 import pykka
@@ -319,7 +320,9 @@
         decision = self._decide(term, now)
         if decision.assign:
             record = log_state.make_assign(rack, term.offset, decision.assign)
-            self._submit(record, now)
+            items = decision.assign
+            withdraw = partial(execution.withdraw, term.plan, items, now)
+            self._submit(record, now, withdraw)
         for give_up in decision.give_up:
             self._give_up_job(give_up, now)
         for note in decision.notes:
@@ -354,7 +357,8 @@
                     )
                 case execution.AppendResults(items):
                     record = log_state.make_results(rack, term.offset, items)
-                    self._submit(record, now)
+                    forget = partial(execution.forget_reports, term.rack, items)
+                    self._submit(record, now, forget)
                 case execution.Fenced(worker, sent_at):
                     note_accepted(term.authority, worker, sent_at, now)
                 case execution.Superseded(worker, newer, holder):
@@ -389,16 +393,20 @@
         _logger.warning("job given up: %s", give_up.error, extra={"step": "placement"})
         self._submit(log_state.make_cancel(request_id, [give_up.job]), now)
 
-    def _submit(self, record: Any, now: float) -> None:
+    def _submit(
+        self, record: Any, now: float, on_not_run: Callable[[], object] = lambda: None
+    ) -> None:
+        """Append `record`; what took effect is told by the folded record itself."""
+
+        def take_report(report: log_state.AppendReport) -> None:
+            if report.status == log_state.AppendStatus.NOT_RUN:
+                on_not_run()
+
         urgent = record["type"] == log_state.RecordType.CLAIM
         self.submitted += 1
         key = f"{record['type']}.{self.submitted}"
         submit = log_state.Submit(record, key, urgent=urgent)
-        submit_record(self.stream, self.io, submit, _ignore_report, now)
-
-
-def _ignore_report(_: log_state.AppendReport) -> None:
-    """Take no notice: the folded record itself tells what took effect."""
+        submit_record(self.stream, self.io, submit, take_report, now)
 
 
 def _take_instances(node: DomainNode, message: InstancesListed, now: float) -> None:
--- a/plantainyard/node/tests/test_domain.py
+++ b/plantainyard/node/tests/test_domain.py
@@ -521,6 +521,28 @@
     assert has_authority(third.actor.node.terms[RACK].authority, world.now)
 
 
+def test_outage_that_fills_the_backlog_loses_nothing(world: World) -> None:
+    """After a long outage of the log some statement runs never end, others never start.
+
+    More records gather than the backlog holds. Those past its bound are refused, and
+    nobody tells the results again or places the tasks anew.
+    """
+    owner, *_ = pick_owner(world)
+    for process in world.processes:
+        settings = process.actor.stream.appender.settings._replace(max_backlog=1)
+        process.actor.stream.appender.settings = settings
+    for count, run_s in enumerate((4.0, 6.0, 8.0), 1):
+        world.accept(f"short{count}", 1, run_s)
+    world.run(3.0)
+    world.log_up = False
+    world.run(120.0)
+    world.log_up = True
+    world.accept("late", 2, 1.0)
+    world.run(60.0)
+    assert pick_owner(world)[0] is owner
+    assert not owner.actor.node.domain.jobs
+
+
 def test_checkpoint_is_resumed_once_though_the_worker_restarts(world: World) -> None:
     """Half of the invoices of an evicted run are sent twice.
 
