Name the worker's incarnation in assignments

A start arrived and its answer was lost; the worker restarted, its owner died. The next owner found the attempt assigned and not listed, and started it again from the same checkpoint. An assignment now names the incarnation that it was made for: in another one the attempt is not started, and counts as lapsed once the worker has accepted the new owner.

Ruled out: counting every assigned and unlisted attempt as over at a take-over, which would lose a checkpoint at each planned stop.

Seen to fail without each half: resumed twice; never ended.

--- a/plantainyard/execution/commands.py
+++ b/plantainyard/execution/commands.py
@@ -85,6 +85,7 @@
         if key not in view.running
         and key not in view.finished
         and key not in view.seen
+        and wanted[key].incarnation in (-1, view.incarnation)
         and key.task not in cancelled
         and not view.info.leaving
     ]
--- a/plantainyard/execution/planning.py
+++ b/plantainyard/execution/planning.py
@@ -20,6 +20,7 @@
     get_assigned,
     list_jobs,
     list_ranges,
+    parse_assign_item,
 )
 from plantainyard.work import TaskKey, WorkerInfo, parse_task
 
@@ -175,10 +176,9 @@
     now: float,
 ) -> None:
     void = {AttemptKey(item.task, item.attempt) for item in change.void}
-    for text, attempt, worker in data["items"]:
-        task = parse_task(text)
-        expected = plan.pending.get(task)
-        if expected is None or expected != AssignItem(task, attempt, worker):
+    for item in map(parse_assign_item, data["items"]):
+        task, attempt, worker, _ = item
+        if plan.pending.get(task) != item:
             continue
         del plan.pending[task]
         entry = domain.jobs.get(task.job)
@@ -287,7 +287,7 @@
     """
     actions = placement.step(plan.policy, placement.Tick(), now)
     assign = tuple(
-        AssignItem(a.task, a.attempt, a.worker)
+        AssignItem(a.task, a.attempt, a.worker, rack.views[a.worker].incarnation)
         for a in actions
         if isinstance(a, placement.Place)
     )
@@ -312,7 +312,7 @@
     """
     for item in items:
         if plan.pending.pop(item.task, None) is not None:
-            _end(plan, *item, placement.Outcome.UNPLACED, "", now)
+            _end(plan, *item[:3], placement.Outcome.UNPLACED, "", now)
 
 
 def _note_wish(plan: PlanState, rack: RackState, action: placement.Action) -> None:
--- a/plantainyard/execution/rack.py
+++ b/plantainyard/execution/rack.py
@@ -341,6 +341,8 @@
         return _translate_end(finished)
     if has_lapsed(view, key, state.confirmed_at, state.terms.drift):
         return ResultItem(*key, Outcome.LAPSED, "lease over")
+    if _was_lost_by_restart(view, key, assignment):
+        return ResultItem(*key, Outcome.LAPSED, "worker restarted")
     if _was_never_started(view, key):
         return ResultItem(*key, Outcome.EVICTED, assignment.checkpoint)
     return None
@@ -353,6 +355,22 @@
     return ResultItem(*key, finished.outcome, finished.detail)
 
 
+def _was_lost_by_restart(
+    view: WorkerView, key: AttemptKey, assignment: Assignment
+) -> bool:
+    """Tell whether a restarted worker may have run the attempt and forgotten it.
+
+    Notes
+    -----
+    Guards against resuming twice from a checkpoint: the former owner's start arrived,
+    then the worker restarted, and a new owner finds the attempt assigned and not
+    listed. Nobody starts it now, for the worker accepted this epoch.
+    """
+    listed = key in view.running or key in view.finished
+    known = view.fenced and assignment.incarnation >= 0
+    return known and not listed and view.incarnation != assignment.incarnation
+
+
 def _was_never_started(view: WorkerView, key: AttemptKey) -> bool:
     return (
         view.info.leaving
--- a/plantainyard/node/tests/test_domain.py
+++ b/plantainyard/node/tests/test_domain.py
@@ -543,11 +543,15 @@
     assert not owner.actor.node.domain.jobs
 
 
-def test_checkpoint_is_resumed_once_though_the_worker_restarts(world: World) -> None:
+@pytest.mark.parametrize("replaced", [False, True])
+def test_checkpoint_is_resumed_once_though_the_worker_restarts(
+    world: World, replaced: bool
+) -> None:
     """Half of the invoices of an evicted run are sent twice.
 
     The run is evicted with a checkpoint and resumed; the answer to its start is
-    lost, and the worker restarts before it is asked again.
+    lost, and the worker restarts before it is asked again, by the same owner or by
+    its successor.
     """
     owner, *_ = pick_owner(world)
     for view in owner.actor.node.terms[RACK].rack.views.values():
@@ -556,9 +560,13 @@
     while not any(r.checkpoint for r in world.list_runs()):
         world.run(0.5)
     world.fail_starts = False
+    owner.paused = replaced
     for machine in world.machines.values():
         restart_machine(machine, world.now)
     world.run(30.0)
+    owner.resume()
+    world.run(90.0)
+    assert any(r.outcome == "done" for r in world.list_runs())
 
 
 logging.getLogger("plantainyard").setLevel(logging.CRITICAL)
--- a/plantainyard/state/__init__.py
+++ b/plantainyard/state/__init__.py
@@ -125,6 +125,7 @@
     make_move,
     make_results,
     make_snapshot,
+    parse_assign_item,
 )
 from plantainyard.state.requests import (
     MAX_VERDICTS,
@@ -272,6 +273,7 @@
     "note_record",
     "note_snapshot",
     "note_snapshot_tried",
+    "parse_assign_item",
     "read_age",
     "remember_request",
     "remove_number",
--- a/plantainyard/state/checks.py
+++ b/plantainyard/state/checks.py
@@ -126,10 +126,11 @@
 
 
 def _check_assign_item(item: Any) -> str:
-    text, attempt, worker = item
+    text, attempt, worker, *rest = item
     parse_task(text)
-    good = _is_number(attempt, 1) and isinstance(worker, str) and worker
-    return "" if good else "bad assign item"
+    good = _is_number(attempt, 1) and isinstance(worker, str) and bool(worker)
+    known = all(map(_is_number, rest[:1]))
+    return "" if good and known else "bad assign item"
 
 
 def _check_results(data: Mapping[str, Any]) -> str:
--- a/plantainyard/state/jobs.py
+++ b/plantainyard/state/jobs.py
@@ -38,11 +38,15 @@
         Id of the worker.
     checkpoint : str
         Checkpoint that this attempt resumes from; empty for none.
+    incarnation : int
+        The worker's when the attempt was assigned, -1 for not known. After a restart
+        the worker can't tell whether the attempt ran.
     """
 
     attempt: int
     worker: str
     checkpoint: str = ""
+    incarnation: int = -1
 
 
 class Retry(NamedTuple):
--- a/plantainyard/state/records.py
+++ b/plantainyard/state/records.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, Literal, NamedTuple, NotRequired, TypedDict
 
-from plantainyard.work import Job, TaskKey, encode_job, format_task
+from plantainyard.work import Job, TaskKey, encode_job, format_task, parse_task
 
 __all__ = [
     "AbandonRecord",
@@ -37,6 +37,7 @@
     "make_move",
     "make_results",
     "make_snapshot",
+    "parse_assign_item",
 ]
 
 
@@ -77,11 +78,20 @@
 
 
 class AssignItem(NamedTuple):
-    """One task's attempt given to a worker; attempts are numbered from one."""
+    """One task's attempt given to a worker.
+
+    Attributes
+    ----------
+    attempt : int
+        Attempts are numbered from one.
+    incarnation : int
+        The worker's present incarnation; -1 where it is not known.
+    """
 
     task: TaskKey
     attempt: int
     worker: str
+    incarnation: int = -1
 
 
 class ResultItem(NamedTuple):
@@ -269,10 +279,16 @@
         "type": "assign",
         "rack": rack,
         "term": term,
-        "items": [[format_task(i.task), i.attempt, i.worker] for i in items],
+        "items": [[format_task(item.task), *item[1:]] for item in items],
     }
 
 
+def parse_assign_item(item: Sequence[Any]) -> AssignItem:
+    """Return the item that `make_assign` wrote; later fields are passed over."""
+    text, attempt, worker, *rest = item
+    return AssignItem(parse_task(text), attempt, worker, *rest[:1])
+
+
 def make_results(rack: str, term: int, items: Iterable[ResultItem]) -> ResultsRecord:
     """Return the record that ends the attempts in `items`.
 
--- a/plantainyard/state/tasks.py
+++ b/plantainyard/state/tasks.py
@@ -15,7 +15,12 @@
     take_waiting,
 )
 from plantainyard.state.ranges import Ranges, add_number
-from plantainyard.state.records import Outcome, RecordType
+from plantainyard.state.records import (
+    AssignItem,
+    Outcome,
+    RecordType,
+    parse_assign_item,
+)
 from plantainyard.work import TaskKey, parse_task
 
 __all__ = [
@@ -81,12 +86,8 @@
         RecordType.ASSIGN,
         offset,
         (
-            (
-                parse_task(text),
-                attempt,
-                _assign_task(state, data, text, attempt, worker),
-            )
-            for text, attempt, worker in data["items"]
+            (item.task, item.attempt, _assign_task(state, data["rack"], item))
+            for item in map(parse_assign_item, data["items"])
         ),
     )
 
@@ -101,14 +102,8 @@
     return Change(kind, offset, applied, reason, void=void)
 
 
-def _assign_task(
-    state: DomainState,
-    data: Mapping[str, Any],
-    text: str,
-    attempt: int,
-    worker: str,
-) -> str:
-    task, rack = parse_task(text), data["rack"]
+def _assign_task(state: DomainState, rack: str, item: AssignItem) -> str:
+    task = item.task
     entry = state.jobs.get(task.job)
     if entry is None:
         return Reason.NO_JOB
@@ -117,10 +112,12 @@
         return Reason.NOT_WAITING
     # A record of an earlier attempt that arrives late must not be taken for a new
     # decision: the owner that wrote it has long known that the attempt ended.
-    if retry.attempts + 1 != attempt:
+    if retry.attempts + 1 != item.attempt:
         _put_waiting(state, entry, rack, task.number, retry)
         return Reason.ATTEMPT
-    assignment = Assignment(attempt, worker, retry.checkpoint)
+    assignment = Assignment(
+        item.attempt, item.worker, retry.checkpoint, item.incarnation
+    )
     state.assigned.setdefault(rack, {})[task] = assignment
     entry.assigned += 1
     if not count_waiting(entry, rack):
