--- a/plantainyard/placement/decision.py
+++ b/plantainyard/placement/decision.py
@@ -1,6 +1,5 @@
 """One round of decisions: which waiting task goes where, and which waits for what."""
 
-from typing import NamedTuple
 
 from plantainyard.placement.accounting import occupy
 from plantainyard.placement.actions import Action, HoldBack, Place
@@ -8,6 +7,7 @@
 from plantainyard.placement.filters import check_worker, find_candidates
 from plantainyard.placement.gangs import place_gang, roll_back_gangs
 from plantainyard.placement.order import (
+    Choice,
     Order,
     return_job,
     start_order,
@@ -19,7 +19,6 @@
 from plantainyard.placement.state import (
     JobState,
     PlacementState,
-    Waiting,
     WorkerState,
 )
 
@@ -54,13 +53,6 @@
             holder.holds += 1
 
 
-class _Choice(NamedTuple):
-    value: float
-    owner: JobState
-    worker: WorkerState
-    task: Waiting
-
-
 def _place_waiting(state: PlacementState, now: float) -> list[Action]:
     order = start_order(state, now)
     actions: list[Action] = []
@@ -84,7 +76,9 @@
     """Place a task of that one of `heads` which suits the room best."""
     held: list[tuple[JobState, str]] = []
     actions: list[Action] = []
-    choices: list[_Choice] = []
+    choices: list[Choice] = []
+    settings = state.settings
+    count = max(settings.candidates_min, settings.candidates_max // len(heads))
     for owner in heads:
         if owner.job.gang and not owner.placed:
             made, reason = place_gang(state, owner, now)
@@ -94,8 +88,8 @@
                 return actions, held
             held.append((owner, reason))
             continue
-        choice = _choose(state, owner, now)
-        if isinstance(choice, _Choice):
+        choice = _choose(state, order, owner, count, now)
+        if isinstance(choice, Choice):
             choices.append(choice)
             continue
         actions += choice[0]
@@ -120,16 +114,25 @@
 
 
 def _choose(
-    state: PlacementState, owner: JobState, now: float
-) -> _Choice | tuple[list[Action], str]:
-    """Return the best worker for the job's next task, or why it waits."""
+    state: PlacementState, order: Order, owner: JobState, count: int, now: float
+) -> Choice | tuple[list[Action], str]:
+    """Return the best worker for the job's next task, or why it waits.
+
+    Notes
+    -----
+    A choice made earlier in this step stands while nothing was placed on its worker:
+    room only shrinks within a step, so the other workers got no better.
+    """
     task = owner.next_waiting(now)
     if task is None:
         return [], "backing off"
     if not check_quota(state, owner):
         made = make_room(state, owner, now) if owner.job.urgent else []
         return made, "team quota"
-    candidates = avoid_failed(owner, find_candidates(state, owner))
+    known = order.choices.get(owner.job.id)
+    if known and known.task == task and known.worker.profile is known.profile:
+        return known
+    candidates = avoid_failed(owner, find_candidates(state, owner, count))
     if not candidates:
         return _claim_room(state, owner, task.since, now), "no room"
     costs = [
@@ -139,10 +142,14 @@
     cost, _, worker = min(costs, key=lambda item: item[:2])
     if _may_wait(state, owner, task.since, now) and _is_loss(state, owner, worker, now):
         return [], "would harm more than it gains"
-    return _Choice(cost / max(owner.expected.cores, 1e-3), owner, worker, task)
+    value = cost / max(owner.expected.cores, 1e-3)
+    choice = Choice(value, owner, task, worker, worker.profile)
+    if worker.profile is not None:
+        order.choices[owner.job.id] = choice
+    return choice
 
 
-def _commit(state: PlacementState, choice: _Choice, now: float) -> Place:
+def _commit(state: PlacementState, choice: Choice, now: float) -> Place:
     owner = choice.owner
     owner.take(choice.task)
     placement = occupy(state, owner, choice.task, choice.worker)
--- a/plantainyard/placement/filters.py
+++ b/plantainyard/placement/filters.py
@@ -143,14 +143,17 @@
     return check_worker(owner.job, info)
 
 
-def find_candidates(state: PlacementState, owner: JobState) -> list[WorkerState]:
+def find_candidates(
+    state: PlacementState, owner: JobState, most: int = 0
+) -> list[WorkerState]:
     """Return workers on which a task of the job can start now.
 
     Notes
     -----
     Goes round the workers from where the last search ended and stops at
-    ``candidates_max``, so that a decision costs no more on many workers than on few.
-    A search that found nothing is not repeated for the same shape until room is made.
+    `most`, or ``candidates_max``, so that a decision costs no more on many workers than
+    on few. A search that found nothing is not repeated for the same shape until room is
+    made.
     """
     shape = (
         owner.reserved,
@@ -160,13 +163,14 @@
     )
     if not owner.holds and state.full.get(shape) == state.room_version:
         return []
+    limit = most or state.settings.candidates_max
     found: list[WorkerState] = []
     count = len(state.ring)
     for offset in range(count):
         worker = state.ring[(state.cursor + offset) % count]
         if check_now(owner, worker, state.settings.crowd_max) is None:
             found.append(worker)
-            if len(found) == state.settings.candidates_max:
+            if len(found) == limit:
                 state.cursor = (state.cursor + offset + 1) % count
                 break
     if not found and not owner.holds:
--- a/plantainyard/placement/order.py
+++ b/plantainyard/placement/order.py
@@ -5,9 +5,23 @@
 from typing import NamedTuple
 
 from plantainyard.placement.quotas import get_team_load
-from plantainyard.placement.state import JobState, PlacementState
-
-__all__ = ["Order", "get_rank", "list_order", "return_job", "start_order", "take_turn"]
+from plantainyard.placement.state import (
+    JobState,
+    PlacementState,
+    Profile,
+    Waiting,
+    WorkerState,
+)
+
+__all__ = [
+    "Choice",
+    "Order",
+    "get_rank",
+    "list_order",
+    "return_job",
+    "start_order",
+    "take_turn",
+]
 
 _RANKS = 3
 
@@ -18,6 +32,30 @@
     id: str
 
 
+class Choice(NamedTuple):
+    """The best place for a job's next task, while `profile` is its worker's.
+
+    Attributes
+    ----------
+    value : float
+        Cost for each core.
+    owner : JobState
+        The job.
+    task : Waiting
+        Its next task.
+    worker : WorkerState
+        The best worker.
+    profile : Profile or None
+        The worker's, by which the choice was made.
+    """
+
+    value: float
+    owner: JobState
+    task: Waiting
+    worker: WorkerState
+    profile: Profile | None
+
+
 class Order:
     """Waiting jobs by rank, team and workload, for the length of one step."""
 
@@ -26,6 +64,7 @@
         self.teams: list[dict[str, float]] = [{} for _ in range(_RANKS)]
         self.jobs: dict[tuple[int, str], dict[str, list[_Entry]]] = {}
         self.dropped: set[str] = set()
+        self.choices: dict[str, Choice] = {}
 
 
 def get_rank(owner: JobState) -> int:
--- a/plantainyard/placement/settings.py
+++ b/plantainyard/placement/settings.py
@@ -41,8 +41,9 @@
         Difference of teams' dominant shares within which the better fit goes first.
     crowd_max : float
         Expected use of a worker's cores beyond which it takes no more, by its cores.
-    candidates_max : int
-        Workers with room that are scored for one decision.
+    candidates_min, candidates_max : int
+        Workers with room that are scored for one job: the greatest number, shared
+        among the jobs of one turn, but not less than the least.
     places_max : int
         Placements decided in one step.
     declared_floor : float
@@ -95,6 +96,7 @@
     caution: float = 0.3
     fair_slack: float = 0.25
     crowd_max: float = 1.1
+    candidates_min: int = 4
     candidates_max: int = 24
     places_max: int = 512
     declared_floor: float = 1.0
--- a/plantainyard/placement/tests/test_policy.py
+++ b/plantainyard/placement/tests/test_policy.py
@@ -84,8 +84,9 @@
 class Yard:
     """An account of its own of what `step` did, to judge it by."""
 
-    def __init__(self):
-        self.state = create_state()
+    def __init__(self, state=None, take=step):
+        self.state = state or create_state()
+        self.take = take
         self.now = 0.0
         self.jobs: dict[str, Job] = {}
         self.placed: dict[TaskKey, tuple[int, str]] = {}
@@ -97,7 +98,7 @@
 
     def feed(self, event):
         before = set(self.placed)
-        actions = step(self.state, event, self.now)
+        actions = self.take(self.state, event, self.now)
         self.log += actions
         for action in actions:
             if isinstance(action, Place):
