--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,6 +3,7 @@
 import sys
 from collections.abc import Callable
 
+from bench.placement import run_command as run_placement
 from bench.proofs import run_proofs
 from bench.replay import run_replay
 from bench.requests import main as run_requests
@@ -11,6 +12,7 @@
 
 COMMANDS: dict[str, Callable[[list[str]], int]] = {
     "proofs": run_proofs,
+    "placement": run_placement,
     "replay": run_replay,
     "requests": run_requests,
 }
