--- a/plantainyard/state/__init__.py
+++ b/plantainyard/state/__init__.py
@@ -1,11 +1,15 @@
 """Records of the log, their folding, snapshots, reading and appending."""
 
 from plantainyard.state.appender import (
+    AppenderState,
+    count_backlog,
+    step_appender,
+)
+from plantainyard.state.appends import (
     Answered,
     Append,
     AppendAction,
     AppenderSettings,
-    AppenderState,
     AppendEvent,
     AppendReport,
     AppendStatus,
@@ -15,8 +19,6 @@
     Seen,
     Skipped,
     Submit,
-    count_backlog,
-    step_appender,
 )
 from plantainyard.state.changes import (
     Change,
