--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,6 +6,7 @@
 from bench.placement import run_command as run_placement
 from bench.proofs import run_proofs
 from bench.replay import run_replay
+from bench.report import run_report
 from bench.requests import main as run_requests
 
 __all__ = ["COMMANDS", "main"]
@@ -15,6 +16,7 @@
     "placement": run_placement,
     "replay": run_replay,
     "requests": run_requests,
+    "report": run_report,
 }
 
 
