--- a/bench/report.py
+++ b/bench/report.py
@@ -15,6 +15,7 @@
 from tabulate import tabulate
 
 from bench.control import run_control
+from bench.placement import HELD_OUT_SEEDS, run_placement
 from bench.plots import plot_rows
 from bench.requests import run_requests
 
@@ -46,9 +47,15 @@
     measure: Callable[[int], dict[str, Any]]
 
 
+def _measure_placement(run: int) -> dict[str, Any]:
+    """Replay all traces with one of the seeds that the policy was not tuned with."""
+    return run_placement((HELD_OUT_SEEDS[run % len(HELD_OUT_SEEDS)],))
+
+
 SECTIONS: dict[str, Section] = {
     "control": Section("Control in whole sites", lambda _: run_control()),
     "requests": Section("Requests on a simple clock", run_requests),
+    "placement": Section("Placement by replay", _measure_placement),
 }
 
 
@@ -111,6 +118,6 @@
         for item in value:
             label, *_ = item.values()
             yield from _flatten(f"{path}[{label}]", item)
-    elif isinstance(value, list) and value:
+    elif isinstance(value, list) and value and isinstance(value[0], int | float):
         yield f"{path}.p50", float(statistics.median(value))
         yield f"{path}.worst", float(max(value))
