--- a/bench/control.py
+++ b/bench/control.py
@@ -52,11 +52,11 @@
     lease_s=10.0,
     credit_s=5.0,
     request_max_s=30.0,
-    tick_s=0.2,
+    tick_s=0.5,
     heartbeat_s=1.0,
     silence_s=4.0,
     instances_s=2.0,
-    worker_s=1.0,
+    worker_s=2.0,
     stop_s=40.0,
 )
 
--- a/plantainyard/gateway/actor.py
+++ b/plantainyard/gateway/actor.py
@@ -51,7 +51,7 @@
     "tell_event",
 ]
 
-_TICK_S = 0.05
+_TICK_S = 0.1
 _DUMP_TIMEOUT_S = 2.0
 _STOP_TIMEOUT_S = 5.0
 
--- a/plantainyard/settings/model.py
+++ b/plantainyard/settings/model.py
@@ -154,12 +154,12 @@
         Longest graceful shutdown.
     """
 
-    tick_s: float = 0.2
+    tick_s: float = 0.5
     heartbeat_s: float = 1.0
     silence_s: float = 4.0
     log_wait_s: float = 2.0
     instances_s: float = 2.0
-    worker_s: float = 1.0
+    worker_s: float = 2.0
     stop_s: float = 60.0
 
 
