--- a/plantainyard/execution/__init__.py
+++ b/plantainyard/execution/__init__.py
@@ -7,31 +7,29 @@
     note_sent,
     withhold_leases,
 )
-from .planning import (
-    Decision,
-    PlanState,
-    decide,
-    learn_rack,
-    learn_record,
-    learn_usage,
-    learn_workers,
-    withdraw,
-)
-from .rack import (
+from .events import (
     Action,
     AppendResults,
     Call,
     CallFailed,
     Event,
     Fenced,
-    RackState,
     Superseded,
     Tick,
     WorkerAnswered,
     WorkersListed,
-    forget_reports,
-    step,
 )
+from .planning import (
+    Decision,
+    PlanState,
+    decide,
+    learn_rack,
+    learn_record,
+    learn_usage,
+    learn_workers,
+    withdraw,
+)
+from .rack import RackState, forget_reports, step
 from .views import (
     AttemptKey,
     WorkerView,
--- a/plantainyard/execution/rack.py
+++ b/plantainyard/execution/rack.py
@@ -7,15 +7,12 @@
 
 import itertools
 from collections.abc import Callable, Iterable, Mapping, Set
-from typing import NamedTuple
 
-from plantainyard.clients import Commands, FinishedTask, WorkerAnswer
-from plantainyard.errors import CallError
+from plantainyard.clients import Commands, WorkerAnswer
 from plantainyard.state import (
     Assignment,
     DomainState,
     JobState,
-    Outcome,
     ResultItem,
     get_assigned,
     get_job,
@@ -30,24 +27,24 @@
     note_sent,
     withhold_leases,
 )
-from .views import AttemptKey, WorkerView, absorb_state, has_lapsed
-
-__all__ = [
-    "AppendResults",
-    "Call",
-    "CallFailed",
-    "Fenced",
-    "RackState",
-    "Superseded",
-    "Tick",
-    "WorkerAnswered",
-    "WorkersListed",
-    "forget_reports",
-    "step",
-]
+from .ends import judge_end
+from .events import (
+    Action,
+    AppendResults,
+    Call,
+    CallFailed,
+    Event,
+    Fenced,
+    Superseded,
+    Tick,
+    WorkerAnswered,
+    WorkersListed,
+)
+from .views import AttemptKey, WorkerView, absorb_state
+
+__all__ = ["RackState", "forget_reports", "step"]
 
 _RESEND_S = 0.5
-_STOPPED = "stopped"
 _SILENT_AFTER = 3
 _RETRY_S = 0.5
 _MARGIN_S = 0.02
@@ -55,74 +52,6 @@
 _RETRY_MAX_S = 4.0
 
 
-class WorkersListed(NamedTuple):
-    """The rack's workers, by the lagging list and the operators' word.
-
-    Attributes
-    ----------
-    workers : tuple of WorkerInfo
-        Workers that are live or leaving.
-    gone : frozenset of str
-        Identifiers of workers vouched to run nothing any more.
-    """
-
-    workers: tuple[WorkerInfo, ...]
-    gone: frozenset[str] = frozenset()
-
-
-class WorkerAnswered(NamedTuple):
-    """A worker answered; `sent_at` is the owner's clock before the sending."""
-
-    worker: str
-    answer: WorkerAnswer
-    sent_at: float
-    fencing: bool
-
-
-class CallFailed(NamedTuple):
-    """A call to a worker brought no answer."""
-
-    worker: str
-    error: CallError
-
-
-class Tick(NamedTuple):
-    """Time has passed or the log's view has advanced."""
-
-
-class Call(NamedTuple):
-    """Send `commands` to a worker, or read its state where they are None."""
-
-    worker: str
-    address: str
-    commands: Commands | None
-
-
-class AppendResults(NamedTuple):
-    """Write ended attempts to the log as one record."""
-
-    items: tuple[ResultItem, ...]
-
-
-class Fenced(NamedTuple):
-    """A worker accepted the epoch in a call sent at `sent_at`."""
-
-    worker: str
-    sent_at: float
-
-
-class Superseded(NamedTuple):
-    """A worker holds a newer epoch: another instance has taken the rack."""
-
-    worker: str
-    epoch: int
-    holder: str
-
-
-Event = WorkersListed | WorkerAnswered | CallFailed | Tick
-Action = Call | AppendResults | Fenced | Superseded
-
-
 class RackState:
     """One term of one rack at its owner.
 
@@ -277,7 +206,7 @@
         entry = get_job(domain, job)
         return entry.job if isinstance(entry, JobState) else None
 
-    results = _collect_results(state, assigned, now)
+    results = _collect_results(state, assigned)
     calls = [
         call
         for view in state.views.values()
@@ -305,7 +234,7 @@
 
 
 def _collect_results(
-    state: RackState, assigned: Mapping[TaskKey, Assignment], now: float
+    state: RackState, assigned: Mapping[TaskKey, Assignment]
 ) -> list[Action]:
     open_keys = {AttemptKey(task, a.attempt): a for task, a in assigned.items()}
     state.reported &= open_keys.keys()
@@ -316,7 +245,12 @@
         for key, assignment in open_keys.items()
         if key not in state.reported
         and (view := state.views.get(assignment.worker)) is not None
-        and (item := _judge_end(state, view, key, assignment, now)) is not None
+        and (
+            item := judge_end(
+                view, key, assignment, state.confirmed_at, state.terms.drift
+            )
+        )
+        is not None
     ]
     state.reported |= {AttemptKey(i.task, i.attempt) for i in items}
     return [AppendResults(tuple(items))] if items else []
@@ -329,57 +263,6 @@
     view.throttles = {k: v for k, v in view.throttles.items() if k in open_keys}
 
 
-def _judge_end(
-    state: RackState,
-    view: WorkerView,
-    key: AttemptKey,
-    assignment: Assignment,
-    now: float,
-) -> ResultItem | None:
-    finished = view.finished.get(key)
-    if finished is not None:
-        return _translate_end(finished)
-    if has_lapsed(view, key, state.confirmed_at, state.terms.drift):
-        return ResultItem(*key, Outcome.LAPSED, "lease over")
-    if _was_lost_by_restart(view, key, assignment):
-        return ResultItem(*key, Outcome.LAPSED, "worker restarted")
-    if _was_never_started(view, key):
-        return ResultItem(*key, Outcome.EVICTED, assignment.checkpoint)
-    return None
-
-
-def _translate_end(finished: FinishedTask) -> ResultItem:
-    key = AttemptKey(finished.task, finished.attempt)
-    if finished.outcome == _STOPPED:
-        return ResultItem(*key, Outcome.EVICTED, "")
-    return ResultItem(*key, finished.outcome, finished.detail)
-
-
-def _was_lost_by_restart(
-    view: WorkerView, key: AttemptKey, assignment: Assignment
-) -> bool:
-    """Tell whether a restarted worker may have run the attempt and forgotten it.
-
-    Notes
-    -----
-    Guards against resuming twice from a checkpoint: the former owner's start arrived,
-    then the worker restarted, and a new owner finds the attempt assigned and not
-    listed. Nobody starts it now, for the worker accepted this epoch.
-    """
-    listed = key in view.running or key in view.finished
-    known = view.fenced and assignment.incarnation >= 0
-    return known and not listed and view.incarnation != assignment.incarnation
-
-
-def _was_never_started(view: WorkerView, key: AttemptKey) -> bool:
-    return (
-        view.info.leaving
-        and view.fenced
-        and key not in view.seen
-        and key not in view.untils
-    )
-
-
 def _plan_call(
     state: RackState,
     view: WorkerView,
--- a/plantainyard/node/__init__.py
+++ b/plantainyard/node/__init__.py
@@ -2,7 +2,7 @@
 
 from .configuration import CONFIG_STREAM, ConfigActor, ConfigView, ReadConfig
 from .control import build_peer_app
-from .domain import DomainActor, DomainNode, name_stream
+from .domain import DomainActor, name_stream
 from .lending import DumpLenders, LenderActor, RackAuthority, RackRunners
 from .messages import (
     ConfigChanged,
@@ -15,7 +15,9 @@
     SubmitRecord,
     Tick,
 )
-from .peers import HeartbeatHeard, PeersActor, PeerView, read_peers
+from .peer_calls import HeartbeatHeard
+from .peers import PeersActor, PeerView, read_peers
+from .racks import DomainNode
 from .reports import count_epochs, dump_domain, find_untils, list_racks
 from .streams import StreamEvent, StreamIO, StreamRole, StreamState
 from .threads import run_every, run_forever
--- a/plantainyard/node/domain.py
+++ b/plantainyard/node/domain.py
@@ -7,7 +7,7 @@
 
 import logging
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -15,7 +15,6 @@
 
 from plantainyard import execution, placement
 from plantainyard import state as log_state
-from plantainyard.clients import InstanceKind, InstanceState
 from plantainyard.clock import read_clock
 from plantainyard.membership import (
     BeginTerm,
@@ -30,7 +29,6 @@
     OwnershipTick,
     Superseded,
     find_confirmed,
-    find_end,
     forget_claim,
     has_authority,
     has_majority,
@@ -40,9 +38,7 @@
     step_ownership,
 )
 from plantainyard.settings import Settings
-from plantainyard.work import Size, WorkerInfo
 
-from .lending import RackAuthority, RackRunners
 from .messages import (
     ConfigChanged,
     ConfigKnown,
@@ -54,6 +50,14 @@
     SubmitRecord,
     Tick,
 )
+from .racks import (
+    DomainNode,
+    end_term,
+    start_term,
+    take_instances,
+    take_values,
+    tell_runners,
+)
 from .streams import (
     StreamEvent,
     StreamIO,
@@ -66,19 +70,14 @@
 )
 from .terms import (
     Term,
-    begin_term,
     empty_workers,
     feed_record,
     find_patience,
-    iter_runners,
-    list_leaving,
-    set_policy_inputs,
     spare_runners,
 )
-from .values import list_flagged, read_shares, read_weights
 from .workers import WorkerCaller, start_call
 
-__all__ = ["DomainActor", "DomainNode", "name_stream"]
+__all__ = ["DomainActor", "name_stream"]
 
 _STOP = "stop"
 
@@ -90,63 +89,6 @@
     return f"domain.{domain}"
 
 
-class DomainNode:
-    """What a failure domain's actor owns.
-
-    Attributes
-    ----------
-    domain : DomainState
-        The folded stream.
-    terms : dict of str to Term
-        For each rack that this instance owns, its present term.
-    workers : dict of str to dict of str to WorkerInfo
-        Live and leaving workers of each rack, by the lagging list.
-    gone : frozenset of str
-        Workers vouched to run nothing.
-    name : str
-        This process as claims and fences name it; unique for each start, so that a
-        restarted instance is not taken for the owner that it was.
-    live : frozenset of str
-        Processes of the domain that are thought to live, this one included.
-    leaving_peers : frozenset of str
-        Other processes of the domain that are stopping as planned.
-    """
-
-    def __init__(
-        self,
-        settings: Settings,
-        name: str,
-        caller: WorkerCaller,
-        tell: Callable[[Any], object],
-        tell_lender: Callable[[Any], object],
-    ) -> None:
-        self.settings = settings
-        self.name = name
-        self.caller = caller
-        self.tell = tell
-        self.tell_lender = tell_lender
-        self.domain = log_state.DomainState()
-        self.terms: dict[str, Term] = {}
-        self.workers: dict[str, dict[str, WorkerInfo]] = {}
-        self.gone: frozenset[str] = frozenset()
-        self.live: frozenset[str] = frozenset()
-        self.leaving_peers: frozenset[str] = frozenset()
-        self.weights = placement.Weights()
-        self.shares: dict[str, Size] = {}
-        self.stopped = False
-        self.stopping = False
-        self.racks = 1
-        self.listed_gone: frozenset[str] = frozenset()
-        self.fenced_off: frozenset[str] = frozenset()
-        self.draining: frozenset[str] = frozenset()
-        self.ownerships: dict[str, OwnershipState] = {}
-        self.config_known_at = float("-inf")
-        stops = settings.cut_off.new_starts == _STOP
-        self.config_patience_s = (
-            settings.cut_off.max_config_age_s if stops else float("inf")
-        )
-
-
 class DomainActor(pykka.ThreadingActor):
     """Owns a `DomainNode`.
 
@@ -217,11 +159,11 @@
             case RackReply():
                 self._take_reply(message, now)
             case InstancesListed():
-                _take_instances(self.node, message, now)
+                take_instances(self.node, message, now)
             case PeersHeard(live, leaving):
                 self.node.live, self.node.leaving_peers = live, leaving
             case ConfigChanged(values):
-                _take_values(self.node, values, now)
+                take_values(self.node, values, now)
             case ConfigKnown(known_at):
                 self.node.config_known_at = known_at
             case Stop():
@@ -247,7 +189,7 @@
         self.node.domain = restored
         # The terms were fed from records that this instance never saw the end of.
         for rack in list(self.node.terms):
-            _end_term(self.node, rack)
+            end_term(self.node, rack)
         for ownership in self.node.ownerships.values():
             forget_claim(ownership)
         self._follow_claims(read_clock())
@@ -273,14 +215,14 @@
         node = self.node
         match action:
             case BeginTerm():
-                _start_term(node, rack, action, now)
+                start_term(node, rack, action, now)
             case EndTerm():
-                _end_term(node, rack)
+                end_term(node, rack)
             case ClaimRack(base, workers):
                 # Claiming on top of its own claim, this process must first have
                 # stopped acting under it.
                 if rack in node.terms:
-                    _end_term(node, rack)
+                    end_term(node, rack)
                 record = log_state.make_claim(
                     rack, node.name, base, workers, established
                 )
@@ -341,7 +283,7 @@
     def _run_rack(self, rack: str, term: Term, now: float) -> None:
         actions = _step_rack(term, self.node.domain, execution.Tick(), now)
         self._act(rack, term, actions, now)
-        _tell_lender(self.node, rack, term, now)
+        tell_runners(self.node, rack, term, now)
 
     def _act(
         self, rack: str, term: Term, actions: list[execution.Action], now: float
@@ -409,80 +351,9 @@
         submit_record(self.stream, self.io, submit, take_report, now)
 
 
-def _take_instances(node: DomainNode, message: InstancesListed, now: float) -> None:
-    workers: dict[str, dict[str, WorkerInfo]] = {}
-    gone = set()
-    for instance in message.instances:
-        if instance.kind != InstanceKind.WORKER or instance.worker is None:
-            continue
-        if instance.domain != node.settings.instance.domain:
-            continue
-        if instance.state == InstanceState.GONE:
-            gone.add(instance.id)
-            continue
-        rack = workers.setdefault(instance.worker.rack, {})
-        rack[instance.id] = instance.worker
-    node.workers = workers
-    node.racks = max(len({(w.domain, w.rack) for w in _iter_workers(message)}), 1)
-    node.listed_gone = frozenset(gone)
-    _judge_gone(node)
-
-
-def _iter_workers(message: InstancesListed) -> Iterator[WorkerInfo]:
-    return (i.worker for i in message.instances if i.worker is not None)
-
-
-def _judge_gone(node: DomainNode) -> None:
-    listed = node.listed_gone if node.settings.platform.trust_gone else frozenset()
-    node.gone = listed | node.fenced_off
-
-
-def _take_values(node: DomainNode, values: dict[str, Any], now: float) -> None:
-    node.weights = read_weights(values)
-    node.shares = read_shares(values, node.racks)
-    node.fenced_off = list_flagged(values, "workers", "fenced")
-    node.draining = list_flagged(values, "workers", "draining")
-    draining = list_flagged(values, "instances", "draining")
-    node.stopping = node.stopped or node.settings.instance.id in draining
-    _judge_gone(node)
-    for term in node.terms.values():
-        set_policy_inputs(term, node.weights, node.shares, now)
-
-
 def _step_rack(
     term: Term, domain: log_state.DomainState, event: execution.Event, now: float
 ) -> list[execution.Action]:
     term.rack.confirmed_at = find_confirmed(term.authority)
     term.rack.has_majority = has_majority(term.authority)
     return execution.step(term.rack, domain, event, now)
-
-
-def _start_term(node: DomainNode, rack: str, began: BeginTerm, now: float) -> None:
-    term = begin_term(node.settings, node.name, node.domain, rack, began, now)
-    set_policy_inputs(term, node.weights, node.shares, now)
-    node.terms[rack] = term
-    _logger.info(
-        "rack owned",
-        extra={"step": "ownership", "rack": rack, "epoch": began.epoch},
-    )
-
-
-def _end_term(node: DomainNode, rack: str) -> None:
-    if node.terms.pop(rack, None) is None:
-        return
-    # Waits until the lender and the arbiter of request ids have stopped: a successor
-    # to which the rack is handed over acts at once.
-    node.tell_lender(RackAuthority(rack, 0, 0.0))
-    _logger.info("rack given up", extra={"step": "ownership", "rack": rack})
-
-
-def _tell_lender(node: DomainNode, rack: str, term: Term, now: float) -> None:
-    until = find_end(term.authority)
-    epoch = term.rack.epoch if has_authority(term.authority, now) else 0
-    runners = tuple(runner for runner, _ in iter_runners(term, node.domain))
-    node.tell_lender(RackAuthority(rack, epoch, until))
-    node.tell_lender(
-        RackRunners(
-            rack, runners, list_leaving(term, node.domain), frozenset(term.fresh)
-        )
-    )
--- /dev/null
+++ b/plantainyard/node/peer_calls.py
@@ -0,0 +1,108 @@
+"""Calls about other instances, made outside the actor that knows them."""
+
+from typing import Any, NamedTuple
+
+import pykka
+import urllib3
+from result import Ok
+
+from plantainyard.clients import (
+    Instance,
+    build_instances_client,
+    build_peer,
+    decode_instance,
+    digest_instances,
+    read_instances,
+)
+from plantainyard.gateway import call_peer
+from plantainyard.protocol import (
+    HEARTBEAT_PATH,
+    INSTANCES_PATH,
+    Heartbeat,
+    InstancesAnswer,
+    InstancesAsk,
+)
+from plantainyard.settings import Settings
+
+from .messages import InstancesListed
+
+__all__ = [
+    "HeartbeatEnded",
+    "HeartbeatHeard",
+    "ask_list",
+    "read_list",
+    "send_heartbeat",
+]
+
+
+class HeartbeatHeard(NamedTuple):
+    """A peer's word about itself, as a message or as an answer."""
+
+    heartbeat: Heartbeat
+
+
+class HeartbeatEnded(NamedTuple):
+    """A heartbeat to `peer`, with words up to `version`, arrived or not."""
+
+    peer: str
+    version: int
+    arrived: bool
+
+
+def read_list(
+    settings: Settings, pool: urllib3.PoolManager, ref: pykka.ActorRef[Any]
+) -> None:
+    """Read the platform's list and tell the actor of it."""
+    platform = settings.platform
+    client = build_instances_client(platform.instances, pool, platform.timeout_s)
+    answer = read_instances(client)
+    if isinstance(answer, Ok):
+        instances = answer.ok_value
+        ref.tell(InstancesListed(instances, digest_instances(instances)))
+
+
+def ask_list(
+    settings: Settings,
+    pool: urllib3.PoolManager,
+    ref: pykka.ActorRef[Any],
+    peer: Instance,
+    digest: str,
+) -> None:
+    """Ask the domain's relay for its list, where it differs from `digest`."""
+    answer = call_peer(
+        build_peer(_make_url(peer.control_address), pool),
+        settings.security.token.reveal(),
+        INSTANCES_PATH,
+        InstancesAsk(digest),
+        InstancesAnswer,
+        settings.platform.timeout_s,
+    )
+    if isinstance(answer, Ok) and answer.ok_value.instances:
+        items = tuple(decode_instance(item) for item in answer.ok_value.instances)
+        ref.tell(InstancesListed(items, answer.ok_value.digest))
+
+
+def send_heartbeat(
+    settings: Settings,
+    pool: urllib3.PoolManager,
+    ref: pykka.ActorRef[Any],
+    peer: Instance,
+    beat: Heartbeat,
+    version: int,
+) -> None:
+    """Send a heartbeat and tell the actor of the answer and of its end."""
+    answer = call_peer(
+        build_peer(_make_url(peer.control_address), pool),
+        settings.security.token.reveal(),
+        HEARTBEAT_PATH,
+        beat,
+        Heartbeat,
+        settings.intervals.silence_s / 2,
+    )
+    if isinstance(answer, Ok):
+        ref.tell(HeartbeatHeard(answer.ok_value))
+    ref.tell(HeartbeatEnded(peer.id, version, isinstance(answer, Ok)))
+
+
+def _make_url(address: str) -> str:
+    return address if "://" in address else f"http://{address}"
--- a/plantainyard/node/peers.py
+++ b/plantainyard/node/peers.py
@@ -7,24 +7,15 @@
 
 import pykka
 import urllib3
-from result import Ok
 
 from plantainyard.clients import (
     Instance,
     InstanceKind,
     InstanceState,
-    build_instances_client,
-    build_peer,
-    decode_instance,
-    digest_instances,
     encode_instance,
-    read_instances,
 )
 from plantainyard.clock import read_clock
-from plantainyard.gateway import call_peer
 from plantainyard.protocol import (
-    HEARTBEAT_PATH,
-    INSTANCES_PATH,
     Heartbeat,
     InstancesAnswer,
     InstancesAsk,
@@ -43,25 +34,18 @@
 from plantainyard.settings import Settings
 
 from .messages import InstancesListed, PeersHeard, Query, Tick
+from .peer_calls import (
+    HeartbeatEnded,
+    HeartbeatHeard,
+    ask_list,
+    read_list,
+    send_heartbeat,
+)
 
 _LIST_PATIENCE = 2.5
 _RELAYED_SILENCES = 2.0
 
-__all__ = ["HeartbeatHeard", "PeerView", "PeersActor", "read_peers"]
-
-
-class HeartbeatHeard(NamedTuple):
-    """A peer's word about itself, as a message or as an answer."""
-
-    heartbeat: Heartbeat
-
-
-class HeartbeatEnded(NamedTuple):
-    """A heartbeat to `peer`, with words up to `version`, arrived or not."""
-
-    peer: str
-    version: int
-    arrived: bool
+__all__ = ["PeerView", "PeersActor", "read_peers"]
 
 
 class PeerView(NamedTuple):
@@ -199,7 +183,7 @@
         """Read the platform's list where this instance relays or nobody else does."""
         patience = _LIST_PATIENCE * self.settings.intervals.instances_s
         if self.is_relay or now - self.list_read_at > patience:
-            self.executor.submit(_read_list, self.settings, self.pool, self.actor_ref)
+            self.executor.submit(read_list, self.settings, self.pool, self.actor_ref)
 
     def _take_list(
         self, instances: tuple[Instance, ...], digest: str, now: float
@@ -235,7 +219,7 @@
             ages = self._list_ages(now) if near and self.is_relay else {}
             beat = own._replace(members=sending.words, domain_ages=ages)
             self.executor.submit(
-                _send_heartbeat,
+                send_heartbeat,
                 self.settings,
                 self.pool,
                 self.actor_ref,
@@ -311,7 +295,7 @@
         elif heartbeat.instance in self.listed and not self.is_relay:
             peer = self.listed[heartbeat.instance]
             self.executor.submit(
-                _ask_list,
+                ask_list,
                 self.settings,
                 self.pool,
                 self.actor_ref,
@@ -327,67 +311,11 @@
         self.publish(PeersHeard(live | {self.name}, draining))
 
 
-def _read_list(
-    settings: Settings, pool: urllib3.PoolManager, ref: pykka.ActorRef[Any]
-) -> None:
-    platform = settings.platform
-    client = build_instances_client(platform.instances, pool, platform.timeout_s)
-    answer = read_instances(client)
-    if isinstance(answer, Ok):
-        instances = answer.ok_value
-        ref.tell(InstancesListed(instances, digest_instances(instances)))
-
-
-def _ask_list(
-    settings: Settings,
-    pool: urllib3.PoolManager,
-    ref: pykka.ActorRef[Any],
-    peer: Instance,
-    digest: str,
-) -> None:
-    answer = call_peer(
-        build_peer(_make_url(peer.control_address), pool),
-        settings.security.token.reveal(),
-        INSTANCES_PATH,
-        InstancesAsk(digest),
-        InstancesAnswer,
-        settings.platform.timeout_s,
-    )
-    if isinstance(answer, Ok) and answer.ok_value.instances:
-        items = tuple(decode_instance(item) for item in answer.ok_value.instances)
-        ref.tell(InstancesListed(items, answer.ok_value.digest))
-
-
-def _send_heartbeat(
-    settings: Settings,
-    pool: urllib3.PoolManager,
-    ref: pykka.ActorRef[Any],
-    peer: Instance,
-    beat: Heartbeat,
-    version: int,
-) -> None:
-    answer = call_peer(
-        build_peer(_make_url(peer.control_address), pool),
-        settings.security.token.reveal(),
-        HEARTBEAT_PATH,
-        beat,
-        Heartbeat,
-        settings.intervals.silence_s / 2,
-    )
-    if isinstance(answer, Ok):
-        ref.tell(HeartbeatHeard(answer.ok_value))
-    ref.tell(HeartbeatEnded(peer.id, version, isinstance(answer, Ok)))
-
-
 def _is_older(heartbeat: Heartbeat, earlier: Heartbeat) -> bool:
     same = heartbeat.incarnation == earlier.incarnation
     return same and heartbeat.sequence < earlier.sequence
 
 
-def _make_url(address: str) -> str:
-    return address if "://" in address else f"http://{address}"
-
-
 def read_peers(actor: PeersActor, now: float) -> tuple[PeerView, ...]:
     """Return what is known of each other instance; for a `Query`."""
     names = sorted(actor.listed.keys() | actor.heard.keys())
--- /dev/null
+++ b/plantainyard/node/racks.py
@@ -0,0 +1,177 @@
+"""The racks of a failure domain at one instance: its terms and what they need."""
+
+import logging
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from plantainyard import placement
+from plantainyard import state as log_state
+from plantainyard.clients import InstanceKind, InstanceState
+from plantainyard.membership import (
+    BeginTerm,
+    OwnershipState,
+    find_end,
+    has_authority,
+)
+from plantainyard.settings import Settings
+from plantainyard.work import Size, WorkerInfo
+
+from .lending import RackAuthority, RackRunners
+from .messages import (
+    InstancesListed,
+)
+from .terms import (
+    Term,
+    begin_term,
+    iter_runners,
+    list_leaving,
+    set_policy_inputs,
+)
+from .values import list_flagged, read_shares, read_weights
+from .workers import WorkerCaller
+
+__all__ = [
+    "DomainNode",
+    "end_term",
+    "start_term",
+    "take_instances",
+    "take_values",
+    "tell_runners",
+]
+
+_STOP = "stop"
+
+_logger = logging.getLogger(__name__)
+
+
+class DomainNode:
+    """What a failure domain's actor owns.
+
+    Attributes
+    ----------
+    domain : DomainState
+        The folded stream.
+    terms : dict of str to Term
+        For each rack that this instance owns, its present term.
+    workers : dict of str to dict of str to WorkerInfo
+        Live and leaving workers of each rack, by the lagging list.
+    gone : frozenset of str
+        Workers vouched to run nothing.
+    name : str
+        This process as claims and fences name it; unique for each start, so that a
+        restarted instance is not taken for the owner that it was.
+    live : frozenset of str
+        Processes of the domain that are thought to live, this one included.
+    leaving_peers : frozenset of str
+        Other processes of the domain that are stopping as planned.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        name: str,
+        caller: WorkerCaller,
+        tell: Callable[[Any], object],
+        tell_lender: Callable[[Any], object],
+    ) -> None:
+        self.settings = settings
+        self.name = name
+        self.caller = caller
+        self.tell = tell
+        self.tell_lender = tell_lender
+        self.domain = log_state.DomainState()
+        self.terms: dict[str, Term] = {}
+        self.workers: dict[str, dict[str, WorkerInfo]] = {}
+        self.gone: frozenset[str] = frozenset()
+        self.live: frozenset[str] = frozenset()
+        self.leaving_peers: frozenset[str] = frozenset()
+        self.weights = placement.Weights()
+        self.shares: dict[str, Size] = {}
+        self.stopped = False
+        self.stopping = False
+        self.racks = 1
+        self.listed_gone: frozenset[str] = frozenset()
+        self.fenced_off: frozenset[str] = frozenset()
+        self.draining: frozenset[str] = frozenset()
+        self.ownerships: dict[str, OwnershipState] = {}
+        self.config_known_at = float("-inf")
+        stops = settings.cut_off.new_starts == _STOP
+        self.config_patience_s = (
+            settings.cut_off.max_config_age_s if stops else float("inf")
+        )
+
+
+def take_instances(node: DomainNode, message: InstancesListed, now: float) -> None:
+    """Take over the domain's workers from the platform's list."""
+    workers: dict[str, dict[str, WorkerInfo]] = {}
+    gone = set()
+    for instance in message.instances:
+        if instance.kind != InstanceKind.WORKER or instance.worker is None:
+            continue
+        if instance.domain != node.settings.instance.domain:
+            continue
+        if instance.state == InstanceState.GONE:
+            gone.add(instance.id)
+            continue
+        rack = workers.setdefault(instance.worker.rack, {})
+        rack[instance.id] = instance.worker
+    node.workers = workers
+    node.racks = max(len({(w.domain, w.rack) for w in _iter_workers(message)}), 1)
+    node.listed_gone = frozenset(gone)
+    _judge_gone(node)
+
+
+def _iter_workers(message: InstancesListed) -> Iterator[WorkerInfo]:
+    return (i.worker for i in message.instances if i.worker is not None)
+
+
+def _judge_gone(node: DomainNode) -> None:
+    listed = node.listed_gone if node.settings.platform.trust_gone else frozenset()
+    node.gone = listed | node.fenced_off
+
+
+def take_values(node: DomainNode, values: dict[str, Any], now: float) -> None:
+    """Take over the configuration in force."""
+    node.weights = read_weights(values)
+    node.shares = read_shares(values, node.racks)
+    node.fenced_off = list_flagged(values, "workers", "fenced")
+    node.draining = list_flagged(values, "workers", "draining")
+    draining = list_flagged(values, "instances", "draining")
+    node.stopping = node.stopped or node.settings.instance.id in draining
+    _judge_gone(node)
+    for term in node.terms.values():
+        set_policy_inputs(term, node.weights, node.shares, now)
+
+
+def start_term(node: DomainNode, rack: str, began: BeginTerm, now: float) -> None:
+    """Begin to act for a rack."""
+    term = begin_term(node.settings, node.name, node.domain, rack, began, now)
+    set_policy_inputs(term, node.weights, node.shares, now)
+    node.terms[rack] = term
+    _logger.info(
+        "rack owned",
+        extra={"step": "ownership", "rack": rack, "epoch": began.epoch},
+    )
+
+
+def end_term(node: DomainNode, rack: str) -> None:
+    """Stop acting for a rack; nothing of it goes on once this returns."""
+    if node.terms.pop(rack, None) is None:
+        return
+    # Waits until the lender and the arbiter of request ids have stopped: a successor
+    # to which the rack is handed over acts at once.
+    node.tell_lender(RackAuthority(rack, 0, 0.0))
+    _logger.info("rack given up", extra={"step": "ownership", "rack": rack})
+
+
+def tell_runners(node: DomainNode, rack: str, term: Term, now: float) -> None:
+    """Tell the lender of the authority over a rack and of its runners."""
+    until = find_end(term.authority)
+    epoch = term.rack.epoch if has_authority(term.authority, now) else 0
+    runners = tuple(runner for runner, _ in iter_runners(term, node.domain))
+    node.tell_lender(RackAuthority(rack, epoch, until))
+    node.tell_lender(
+        RackRunners(
+            rack, runners, list_leaving(term, node.domain), frozenset(term.fresh)
+        )
+    )
--- a/plantainyard/operators/__init__.py
+++ b/plantainyard/operators/__init__.py
@@ -16,11 +16,12 @@
 from .creation import cancel_jobs, create_job, create_service
 from .explaining import explain_task
 from .listing import describe_job, list_jobs, list_teams
-from .node import Node, make_url
+from .node import Node, ask_actor, make_url
 from .standing import describe_state, dump, find_faults, find_waits, tell_status
 
 __all__ = [
     "Node",
+    "ask_actor",
     "build_handlers",
     "describe_state",
     "find_faults",
--- a/plantainyard/operators/node.py
+++ b/plantainyard/operators/node.py
@@ -36,6 +36,7 @@
 
 __all__ = [
     "Node",
+    "ask_actor",
     "call_operator",
     "explain_report",
     "explain_silence",
@@ -88,9 +89,14 @@
     started_at: float
 
 
+def ask_actor(ref: pykka.ActorRef[Any], message: Any) -> Any:
+    """Return an actor's answer to `message`."""
+    return ref.ask(message, timeout=_QUERY_S)
+
+
 def query(ref: pykka.ActorRef[Any], read: Any) -> Any:
     """Run `read` on an actor's state and return its plain values."""
-    return ref.ask(Query(read), timeout=_QUERY_S)
+    return ask_actor(ref, Query(read))
 
 
 def read_config(node: Node) -> ConfigView:
