Tell operators of parts, silent domains and age as they are

Cause, found by driving the calls: a service accepted in one domain and refused in the next was told as "nothing was done"; a home was chosen among the domains that this instance happened to see alive; an unread list made work "infeasible"; a domain that could not be asked was left out of lists without a word; in an outage every instance said that it knows its configuration to be the newest, and went on not reading for up to 15 s after it. Ruled out: asking all domains before each acceptance (a silent one would block the rest). Change: the errors and ages say so; a home is chosen among all domains with a fitting worker, gone or not; a failed read is tried again within 3 s.

--- a/plantainyard/node/__init__.py
+++ b/plantainyard/node/__init__.py
@@ -1,6 +1,12 @@
 """The actors and threads of one process, around the deciding modules."""
 
-from .configuration import CONFIG_STREAM, ConfigActor, ConfigView, ReadConfig
+from .configuration import (
+    CONFIG_STREAM,
+    ConfigActor,
+    ConfigView,
+    ReadConfig,
+    knows_newest,
+)
 from .control import build_peer_app
 from .domain import DomainActor, name_stream
 from .lending import DumpLenders, LenderActor, RackAuthority, RackRunners
@@ -55,6 +61,7 @@
     "count_epochs",
     "dump_domain",
     "find_untils",
+    "knows_newest",
     "list_racks",
     "name_stream",
     "read_peers",
--- a/plantainyard/node/configuration.py
+++ b/plantainyard/node/configuration.py
@@ -8,6 +8,7 @@
 
 from plantainyard import state as log_state
 from plantainyard.clock import read_clock
+from plantainyard.settings import Settings
 
 from .messages import Query, SubmitRecord, Tick
 from .streams import (
@@ -26,9 +27,11 @@
     "ConfigActor",
     "ConfigView",
     "ReadConfig",
+    "knows_newest",
 ]
 
 CONFIG_STREAM = "config"
+_READS = 3.0
 
 
 class ReadConfig(NamedTuple):
@@ -65,6 +68,18 @@
     is_current: bool
 
 
+def knows_newest(settings: Settings, view: ConfigView) -> bool:
+    """Tell whether an instance can know that its configuration is the newest.
+
+    Notes
+    -----
+    In an outage of the log nothing newer is heard of, which proves nothing: after a few
+    read intervals without an answer the instance says that it can't know.
+    """
+    oldest = max(settings.intervals.silence_s, _READS * settings.intervals.log_wait_s)
+    return view.is_current and view.age_s <= oldest
+
+
 class ConfigActor(pykka.ThreadingActor):
     """Owns the folded configuration.
 
--- a/plantainyard/operators/configurations.py
+++ b/plantainyard/operators/configurations.py
@@ -10,7 +10,7 @@
 from plantainyard.api import ApiError, ErrorCode, read_changes, write_value
 from plantainyard.api import operators_pb2 as schema
 from plantainyard.configuration import name_instance_draining, name_worker_draining
-from plantainyard.node import ConfigView
+from plantainyard.node import ConfigView, knows_newest
 
 from .node import (
     Node,
@@ -143,13 +143,12 @@
 
 def _write_own(node: Node, view: ConfigView) -> schema.InstanceConfiguration:
     instance = node.settings.instance
-    oldest = node.settings.cut_off.max_config_age_s
     return schema.InstanceConfiguration(
         instance=instance.id,
         domain=instance.domain,
         version=view.version,
         age_s=view.age_s,
-        knows_current=view.is_current and view.age_s <= oldest,
+        knows_current=knows_newest(node.settings, view),
     )
 
 
--- a/plantainyard/operators/creation.py
+++ b/plantainyard/operators/creation.py
@@ -18,6 +18,7 @@
 from plantainyard.clients import InstanceState
 from plantainyard.metrics import add_count
 from plantainyard.node.values import read_shares
+from plantainyard.placement import check_possible
 from plantainyard.work import Job, Size, WorkerInfo
 
 from .homes import (
@@ -43,6 +44,7 @@
 __all__ = ["cancel_jobs", "create_job", "create_service", "list_workers"]
 
 _DRY_OFFSET = -1
+_RETRY_S = 2.0
 
 
 def list_workers(node: Node) -> list[WorkerInfo]:
@@ -60,9 +62,13 @@
     """Accept a batch job in its home domain."""
     job = read_job(request, make_job_id(request.request_id))
     workers = list_workers(node)
-    home = pick_home(request.request_id, list_allowed(job, workers))
+    listed = [i.worker for i in list_instances(node) if i.worker is not None]
+    if not listed:
+        return Err(_refuse_unread())
+    home = pick_home(request.request_id, list_allowed(job, listed))
     if home is None:
-        return Err(_refuse_infeasible("constraints", "no such failure domain"))
+        failing = check_possible(job, listed) or "constraints"
+        return Err(_refuse_infeasible("size", f"no worker meets: {failing}"))
     named = name_request(request.request_id, home)
     if home != node.settings.instance.domain:
         forwarded = schema.CreateJobRequest()
@@ -85,17 +91,19 @@
     the error says so and a repeat with the same id completes the rest.
     """
     workers = list_workers(node)
+    if not workers:
+        return Err(_refuse_unread())
     stem = make_job_id(request.request_id)
     parts = list(iter_service_parts(request, stem))
     unknown = {d for d in request.runners if not any(w.domain == d for w in workers)}
     if unknown:
         field = f"runners.{min(unknown)}"
         return Err(_refuse_infeasible(field, "no such failure domain"))
-    accepted = []
+    accepted: list[schema.AcceptedJob] = []
     for part in parts:
         result = _accept_part(node, request, part, workers)
         if isinstance(result, Err):
-            return result
+            return Err(_tell_partial(result.err_value, [a.domain for a in accepted]))
         accepted.append(result.ok_value)
     return Ok(schema.CreateServiceResponse(jobs=accepted))
 
@@ -153,6 +161,26 @@
     return read_shares(read_config(node).values, racks).get(team)
 
 
+def _refuse_unread() -> ApiError:
+    detail = "the platform's list is not read yet"
+    return ApiError(ErrorCode.REFUSED, detail, retry_after_s=_RETRY_S)
+
+
+def _tell_partial(error: ApiError, done: list[str]) -> ApiError:
+    """Return the error of a call that took effect in some domains already.
+
+    Notes
+    -----
+    Guards against "nothing was done" where a part runs: the operator would send the
+    work again under another id. Told as unknown, the repeat has the same id and
+    completes the rest.
+    """
+    if not done:
+        return error
+    detail = f"done in {', '.join(done)}; then {error.code}: {error.detail}"
+    return error._replace(code=ErrorCode.UNKNOWN, detail=detail, retry_after_s=_RETRY_S)
+
+
 def _refuse_infeasible(field: str, detail: str) -> ApiError:
     return ApiError(ErrorCode.INFEASIBLE, detail, field)
 
@@ -166,7 +194,8 @@
     for domain, jobs in groups:
         result = _cancel_in(node, request.request_id, domain, list(jobs))
         if isinstance(result, Err):
-            return result
+            done = sorted({job.domain for job in cancelled})
+            return Err(_tell_partial(result.err_value, done))
         cancelled.extend(result.ok_value)
     return Ok(schema.CancelJobsResponse(jobs=cancelled))
 
--- a/plantainyard/operators/homes.py
+++ b/plantainyard/operators/homes.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from plantainyard.placement import check_possible
+from plantainyard.placement.filters import check_worker
 from plantainyard.routing.identity import find_home
 from plantainyard.work import Job, Size, WorkerInfo
 
@@ -21,16 +22,17 @@
 
 
 def list_allowed(job: Job, workers: Iterable[WorkerInfo]) -> list[str]:
-    """Return the failure domains where the constraints let the job run, sorted."""
-    limits = job.constraints
-    return sorted(
-        {
-            w.domain
-            for w in workers
-            if (not limits.domains or w.domain in limits.domains)
-            and (not limits.regions or w.region in limits.regions)
-        }
-    )
+    """Return the failure domains that have a worker for the job, sorted.
+
+    Parameters
+    ----------
+    job : Job
+        The job.
+    workers : iterable of WorkerInfo
+        All workers that are listed, those that are gone included: the choice of a home
+        must not change because a domain's workers are away for a while.
+    """
+    return sorted({w.domain for w in workers if check_worker(job, w) is None})
 
 
 def pick_home(request_id: str, allowed: Iterable[str]) -> str | None:
@@ -39,7 +41,9 @@
     Notes
     -----
     It follows from the id alone, so that a repeat at any instance finds the first
-    acceptance: a choice by load would accept the same work in two domains.
+    acceptance: a choice by load would accept the same work in two domains. It still
+    rests on the platform's list: a domain that is new on it changes the choice for
+    ids without a prefix.
     """
     names = list(allowed)
     return find_home(request_id, names) if names else None
--- a/plantainyard/operators/listing.py
+++ b/plantainyard/operators/listing.py
@@ -21,6 +21,7 @@
     call_operator,
     explain_silence,
     find_peer,
+    list_instances,
     list_peers,
     query,
     read_config,
@@ -31,6 +32,8 @@
 _PAGE = 100
 _PLACES = 100
 _MAX_PAGE = 1000
+# Age that is told of a domain that could not be asked at all.
+_UNREAD_S = 1e9
 
 
 def list_jobs(
@@ -46,7 +49,9 @@
         ages.append(schema.DomainAge(domain=own, age_s=query(node.domain, _read_age)))
     for domain in sorted(wanted - {own}):
         remote = _list_remote(node, domain, request)
-        if remote is not None:
+        if remote is None:
+            ages.append(schema.DomainAge(domain=domain, age_s=_UNREAD_S))
+        else:
             jobs += remote.jobs
             ages += remote.ages
     matching = sorted(
@@ -60,7 +65,7 @@
 
 def _list_domains(node: Node) -> set[str]:
     own = node.settings.instance.domain
-    return {own, *(peer.domain for peer in list_peers(node) if peer.is_live)}
+    return {own, *(instance.domain for instance in list_instances(node))}
 
 
 def _list_remote(
--- /dev/null
+++ b/plantainyard/operators/tests/test_homes.py
@@ -0,0 +1,54 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from plantainyard.operators.homes import allot, list_allowed, name_request, pick_home
+from plantainyard.work import Constraints, Job, Size, WorkerInfo
+
+WORKERS = [
+    WorkerInfo(f"w{n}", "", f"r{n % 2}", f"d{n % 3}", f"rack{n % 5}", Size(8 * n, 64))
+    for n in range(1, 11)
+]
+
+
+def _job(cores=1, tasks=10, **more):
+    return Job("j", "j", "t", False, tasks, Size(cores, 1), 1.0, **more)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.text("abc0123", min_size=8, max_size=20))
+def test_repeat_of_a_request_finds_the_same_home(request_id):
+    # A call's answer is lost and the operator repeats it at another instance, in
+    # another domain. A home that followed from anything but the id would accept the
+    # same work in two domains.
+    allowed = list_allowed(_job(), WORKERS)
+    home = pick_home(request_id, allowed)
+    assert home in allowed
+    named = name_request(request_id, home)
+    assert pick_home(named, allowed) == home
+    assert name_request(named, home) == named
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(1, 80), st.integers(1, 500), st.booleans())
+def test_all_tasks_are_allotted_where_they_fit(cores, tasks, gang):
+    allotment, failing = allot(_job(cores, tasks, gang=gang), WORKERS)
+    if failing:
+        assert not allotment
+        return
+    assert sum(allotment.values()) == tasks
+    assert not gang or len(allotment) == 1
+    for rack in allotment:
+        assert any(w.rack == rack and w.capacity.cores >= cores for w in WORKERS)
+
+
+@pytest.mark.parametrize(
+    ("limits", "expected"),
+    [
+        (Constraints(domains=("d1",)), ["d1"]),
+        (Constraints(regions=("r9",)), []),
+        (Constraints(accelerator="gpu"), []),
+    ],
+)
+def test_homes_meet_the_constraints(limits, expected):
+    assert list_allowed(_job(constraints=limits), WORKERS) == expected
--- a/plantainyard/presence.py
+++ b/plantainyard/presence.py
@@ -13,6 +13,7 @@
     read_room,
     tell_event,
 )
+from plantainyard.logs import log_call_error
 from plantainyard.node import (
     ConfigKnown,
     ConfigView,
@@ -22,6 +23,7 @@
     StreamRole,
     count_epochs,
     find_untils,
+    knows_newest,
     read_peers,
 )
 from plantainyard.operators import (
@@ -93,7 +95,7 @@
         draining=own.draining,
         incarnation=own.name,
         config_age_s=min(config.age_s, _LONG_S) if config else _LONG_S,
-        knows_config=config.is_current if config else False,
+        knows_config=config is not None and knows_newest(own.settings, config),
     )
 
 
@@ -216,6 +218,6 @@
     token = node.settings.security.token.reveal()
     asked = ask_owner(target, token, action.ask, _ASK_TIMEOUT_S)
     if isinstance(asked, Err):
-        _logger.info("credit ask failed: %s", asked.err_value)
+        log_call_error(_logger, asked.err_value, level=logging.DEBUG)
         return
     tell_event(node.gateway, CreditsAnswered(asked.ok_value))
--- a/plantainyard/state/reader.py
+++ b/plantainyard/state/reader.py
@@ -144,7 +144,7 @@
     wait_ms: int = 1000
     pause_s: float = 0.0
     retry_s: float = 0.5
-    retry_max_s: float = 15.0
+    retry_max_s: float = 3.0
 
 
 class ReaderState:
