Record placement's deciding events on request

Cause: a recording could be replayed, but the daemon made none. Ruled out: recording always (each event is encoded, also where nobody looks); standard output, where the lines of several racks would mix. Change: logs.decisions_mb keeps the events of each owned rack from the beginning of its ownership on, up to that bound; the dump shows them. A recording that is full says so.

--- a/plantainyard/execution/__init__.py
+++ b/plantainyard/execution/__init__.py
@@ -22,11 +22,13 @@
 from .planning import (
     Decision,
     PlanState,
+    Recording,
     decide,
     learn_rack,
     learn_record,
     learn_usage,
     learn_workers,
+    start_plan,
     withdraw,
 )
 from .rack import RackState, forget_reports, step
@@ -52,6 +54,7 @@
     "LeaseTerms",
     "PlanState",
     "RackState",
+    "Recording",
     "Superseded",
     "Tick",
     "WorkerAnswered",
@@ -71,6 +74,7 @@
     "learn_workers",
     "note_sent",
     "note_until",
+    "start_plan",
     "step",
     "withdraw",
     "withhold_leases",
--- a/plantainyard/execution/planning.py
+++ b/plantainyard/execution/planning.py
@@ -6,11 +6,12 @@
 and then each record with `learn_record`.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NamedTuple
 
 from plantainyard import placement
 from plantainyard.clients import Usage
+from plantainyard.placement.recording import create_recorded_state
 from plantainyard.state import (
     AssignItem,
     Change,
@@ -27,9 +28,15 @@
 from .rack import RackState
 from .views import AttemptKey, WorkerView
 
+PolicyStep = Callable[
+    [placement.PlacementState, placement.Event, float], list[placement.Action]
+]
+
 __all__ = [
     "Decision",
     "PlanState",
+    "Recording",
+    "start_plan",
     "decide",
     "learn_rack",
     "learn_record",
@@ -59,6 +66,45 @@
     notes: tuple[placement.Action, ...] = ()
 
 
+class Recording:
+    """The deciding events of a term, as lines that replay to the same decisions.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Bound on the lines together; past it the recording ends, since one without its
+        beginning replays to nothing.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.lines: list[str] = []
+        self.size = 0
+        self.complete = True
+
+
+def record_line(recording: Recording, line: str) -> None:
+    """Keep a line of a recording, as long as there is room."""
+    if not recording.complete or recording.size + len(line) > recording.limit_bytes:
+        recording.complete = False
+        return
+    recording.lines.append(line)
+    recording.size += len(line)
+
+
+def start_plan(record_bytes: int) -> "PlanState":
+    """Return a fresh plan, recorded where `record_bytes` is above zero."""
+    if not record_bytes:
+        return PlanState(placement.create_state())
+    recording = Recording(record_bytes)
+    policy, step = create_recorded_state(
+        placement.PlacementSettings(),
+        placement.Weights(),
+        lambda line: record_line(recording, line),
+    )
+    return PlanState(policy, step, recording)
+
+
 class PlanState:
     """The policy of one rack under one term.
 
@@ -66,6 +112,10 @@
     ----------
     policy : placement.PlacementState
         The policy's own state.
+    step : callable
+        Advances the policy, and records it where that is wanted.
+    recording : Recording or None
+        What was recorded since the term began.
     pending : dict of TaskKey to AssignItem
         Placements whose record is not folded yet.
     suspects : set of str
@@ -74,8 +124,15 @@
         For each job, why its next task waits.
     """
 
-    def __init__(self, policy: placement.PlacementState) -> None:
+    def __init__(
+        self,
+        policy: placement.PlacementState,
+        step: PolicyStep = placement.step,
+        recording: Recording | None = None,
+    ) -> None:
         self.policy = policy
+        self.step = step
+        self.recording = recording
         self.pending: dict[TaskKey, AssignItem] = {}
         self.suspects: set[str] = set()
         self.reasons: dict[str, placement.HoldBack] = {}
@@ -99,15 +156,15 @@
             started = placement.TaskStarted(
                 job.job, task.number, assignment.attempt, assignment.worker
             )
-            placement.step(plan.policy, started, now)
-    placement.step(plan.policy, placement.Cancelled(tuple(domain.cancelled)), now)
+            plan.step(plan.policy, started, now)
+    plan.step(plan.policy, placement.Cancelled(tuple(domain.cancelled)), now)
 
 
 def _learn_waiting(plan: PlanState, entry: JobState, rack: str, now: float) -> None:
     fresh = entry.fresh.get(rack)
     for first, stop in list_ranges(fresh) if fresh else ():
         waiting = placement.TasksWaiting(entry.job, first, stop, 1, now)
-        placement.step(plan.policy, waiting, now)
+        plan.step(plan.policy, waiting, now)
     for number, retry in entry.retries.get(rack, {}).items():
         failure = entry.failures.get(number)
         again = placement.TasksWaiting(
@@ -118,7 +175,7 @@
             now,
             failure.failures if failure else 0,
         )
-        placement.step(plan.policy, again, now)
+        plan.step(plan.policy, again, now)
 
 
 def learn_record(
@@ -161,7 +218,7 @@
     elif change.type == RecordType.RESULTS and data["rack"] == rack:
         _learn_results(plan, domain, data, change, now)
     elif change.type == RecordType.CANCEL:
-        placement.step(plan.policy, placement.Cancelled(tuple(data["jobs"])), now)
+        plan.step(plan.policy, placement.Cancelled(tuple(data["jobs"])), now)
         for job in data["jobs"]:
             plan.reasons.pop(job, None)
     elif change.type == RecordType.MOVE:
@@ -186,7 +243,7 @@
             _end(plan, task, attempt, worker, placement.Outcome.UNPLACED, "", now)
         else:
             started = placement.TaskStarted(entry.job, task.number, attempt, worker)
-            placement.step(plan.policy, started, now)
+            plan.step(plan.policy, started, now)
 
 
 def _learn_results(
@@ -219,7 +276,7 @@
     if data["rack"] == rack:
         for task in tasks:
             gone = placement.TasksGone(task.job, task.number, task.number + 1)
-            placement.step(plan.policy, gone, now)
+            plan.step(plan.policy, gone, now)
     elif data["to_rack"] == rack:
         for job in {task.job for task in tasks} & domain.jobs.keys():
             _learn_waiting(plan, domain.jobs[job], rack, now)
@@ -235,7 +292,7 @@
     now: float,
 ) -> None:
     ended = placement.TaskEnded(task, attempt, worker, outcome, detail)
-    placement.step(plan.policy, ended, now)
+    plan.step(plan.policy, ended, now)
 
 
 def learn_workers(plan: PlanState, rack: RackState, now: float) -> None:
@@ -247,12 +304,12 @@
     )
     if workers != plan.workers:
         plan.workers = workers
-        placement.step(plan.policy, placement.WorkersChanged(workers), now)
+        plan.step(plan.policy, placement.WorkersChanged(workers), now)
     suspects = {worker for worker, view in rack.views.items() if not _is_trusted(view)}
     for worker in suspects - plan.suspects:
-        placement.step(plan.policy, placement.WorkerSuspect(worker), now)
+        plan.step(plan.policy, placement.WorkerSuspect(worker), now)
     for worker in plan.suspects - suspects:
-        placement.step(plan.policy, placement.WorkerBack(worker), now)
+        plan.step(plan.policy, placement.WorkerBack(worker), now)
     plan.suspects = suspects
 
 
@@ -274,7 +331,7 @@
             report.memory_gb,
             report.latency_ms,
         )
-        placement.step(plan.policy, event, now)
+        plan.step(plan.policy, event, now)
 
 
 def decide(plan: PlanState, rack: RackState, now: float) -> Decision:
@@ -285,7 +342,7 @@
     Decision
         What has to be written to the log.
     """
-    actions = placement.step(plan.policy, placement.Tick(), now)
+    actions = plan.step(plan.policy, placement.Tick(), now)
     assign = tuple(
         AssignItem(a.task, a.attempt, a.worker, rack.views[a.worker].incarnation)
         for a in actions
--- /dev/null
+++ b/plantainyard/execution/tests/test_planning.py
@@ -0,0 +1,30 @@
+from plantainyard import placement
+from plantainyard.execution import start_plan
+from plantainyard.placement.recording import replay_recording
+from plantainyard.work import Job, Size, WorkerInfo
+
+WORKER = WorkerInfo("w", "", "r", "d", "rack", Size(8, 32))
+JOB = Job("j", "j", "t", False, 20, Size(1, 1), 1.0)
+
+
+def _drive(plan):
+    plan.step(plan.policy, placement.WorkersChanged((WORKER,)), 0.0)
+    plan.step(plan.policy, placement.TasksWaiting(JOB, 0, 20), 0.1)
+    return plan.step(plan.policy, placement.Tick(), 0.2)
+
+
+def test_recorded_plan_replays_to_the_same_decisions():
+    plan = start_plan(1_000_000)
+    assert _drive(plan)
+    assert plan.recording is not None and plan.recording.complete
+    assert replay_recording(plan.recording.lines) == []
+
+
+def test_recording_that_is_full_says_that_it_is_not_whole():
+    # An operator replays a recording that left out its middle and is shown decisions
+    # that the daemon never made.
+    plan = start_plan(600)
+    _drive(plan)
+    assert plan.recording is not None
+    assert not plan.recording.complete
+    assert plan.recording.size <= 600
--- a/plantainyard/node/reports.py
+++ b/plantainyard/node/reports.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from plantainyard import state as log_state
+from plantainyard.execution import Recording
 from plantainyard.membership import find_end, has_authority
 from plantainyard.work import format_task
 
@@ -90,11 +91,18 @@
             format_task(task): assignment._asdict()
             for task, assignment in log_state.get_assigned(node.domain, rack).items()
         },
+        "recording": _dump_recording(term.plan.recording),
         "pending": [format_task(task) for task in term.plan.pending],
         "waiting": {job: held._asdict() for job, held in term.plan.reasons.items()},
     }
 
 
+def _dump_recording(recording: Recording | None) -> dict[str, Any] | None:
+    if recording is None:
+        return None
+    return {"complete": recording.complete, "lines": list(recording.lines)}
+
+
 def _dump_view(view: Any) -> dict[str, Any]:
     return {
         "fenced": view.fenced,
--- a/plantainyard/node/terms.py
+++ b/plantainyard/node/terms.py
@@ -30,6 +30,7 @@
 ]
 
 _COMMAND_S = 2.0
+_BYTES_IN_MB = 1_000_000
 
 
 class Term:
@@ -93,7 +94,7 @@
         settings.intervals.worker_s,
         began.caretaker,
     )
-    plan = execution.PlanState(placement.create_state())
+    plan = execution.start_plan(int(settings.logs.decisions_mb * _BYTES_IN_MB))
     execution.learn_rack(plan, domain, rack, now)
     claim = began.claim
     # A caretaker's rival is the owner itself, whose authority rests on the same set.
@@ -112,8 +113,8 @@
     term: Term, weights: placement.Weights, shares: Mapping[str, Size], now: float
 ) -> None:
     """Tell the policy the weights and the teams' quotas."""
-    placement.step(term.plan.policy, placement.WeightsChanged(weights), now)
-    placement.step(term.plan.policy, placement.QuotasChanged(dict(shares)), now)
+    term.plan.step(term.plan.policy, placement.WeightsChanged(weights), now)
+    term.plan.step(term.plan.policy, placement.QuotasChanged(dict(shares)), now)
 
 
 def feed_record(
--- a/plantainyard/settings/model.py
+++ b/plantainyard/settings/model.py
@@ -185,9 +185,13 @@
     ----------
     level : str
         ``debug``, ``info``, ``warning`` or ``error``.
+    decisions_mb : float
+        Megabytes of placement's deciding events kept for each owned rack from the
+        beginning of its ownership on, and shown in the dump; 0 keeps none.
     """
 
     level: str = "info"
+    decisions_mb: float = 0.0
 
 
 class Metrics(NamedTuple):
--- a/plantainyard/settings/rules.py
+++ b/plantainyard/settings/rules.py
@@ -149,7 +149,10 @@
         "stop_s": _number(0, 3_600, "seconds", open_low=True),
     },
     "security": {"token": _TOKEN, "token_file": _PATH},
-    "logs": {"level": _choice("debug", "info", "warning", "error")},
+    "logs": {
+        "level": _choice("debug", "info", "warning", "error"),
+        "decisions_mb": _number(0, 64, "megabytes"),
+    },
     "metrics": {
         "host": _TEXT,
         "port": _integer(1, 65_535, "a UDP port"),
