--- a/bench/control.py
+++ b/bench/control.py
@@ -41,6 +41,7 @@
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 _REST_S = 6.0
 _INSTANCES = (2, 8, 32)
+_WORKERS = (3, 30, 90)
 _STARTS = (200, 1000)
 _TASKS = (50, 200)
 _CHANGES = 5
@@ -82,6 +83,7 @@
     return {
         "appends": measure_appends(_STARTS),
         "rest": [measure_rest(count) for count in _INSTANCES],
+        "owner": [measure_owner(count) for count in _WORKERS],
         "takeover_s": measure_takeover(),
         "configuration_s": measure_configuration(),
         "recovery": measure_recovery(_TASKS),
@@ -166,6 +168,23 @@
         return int(file.read().split()[1]) * _PAGE_BYTES
 
 
+def measure_owner(workers: int) -> dict[str, float]:
+    """Return what the owner of a rack uses at rest, against the rack's workers."""
+    first, *others = SMALL.domains
+    domains = (first._replace(workers=workers), *others)
+    with _start_ready(SMALL._replace(domains=domains, rack_size=workers)) as site:
+        owner = wait_until(lambda: _find_owner(site, first.name), "owner", _LIMIT_S)
+        pid = site.entries[owner].child.pid
+        used, began = _read_cpu(pid), read_clock()
+        time.sleep(_REST_S)
+        seconds = read_clock() - began
+        return {
+            "workers": workers,
+            "core_share": (_read_cpu(pid) - used) / seconds,
+            "memory_mb": _read_memory(pid) / 1e6,
+        }
+
+
 def measure_takeover() -> float:
     """Return the seconds from an owner's death to its successor's authority."""
     with _start_ready(_spread(SMALL, 8)) as site:
--- a/bench/report.py
+++ b/bench/report.py
@@ -15,6 +15,7 @@
 from tabulate import tabulate
 
 from bench.control import run_control
+from bench.folding import run_folding
 from bench.placement import HELD_OUT_SEEDS, run_placement
 from bench.plots import plot_rows
 from bench.requests import run_requests
@@ -54,6 +55,7 @@
 
 SECTIONS: dict[str, Section] = {
     "control": Section("Control in whole sites", lambda _: run_control()),
+    "state": Section("Folded state", lambda _: run_folding()),
     "requests": Section("Requests on a simple clock", run_requests),
     "placement": Section("Placement by replay", _measure_placement),
 }
--- a/plantainyard/node/domain.py
+++ b/plantainyard/node/domain.py
@@ -81,6 +81,9 @@
 
 _STOP = "stop"
 
+# Records after which there is new work to place, or new room for it.
+_NEWS = {log_state.RecordType.ACCEPT, log_state.RecordType.RESULTS}
+
 _logger = logging.getLogger(__name__)
 
 
@@ -127,6 +130,7 @@
             settings, writer, caller, self.actor_ref.tell, tell_lender
         )
         self.submitted = 0
+        self.news: set[str] = set()
         self.ownership_settings = OwnershipSettings(
             silence_s=settings.intervals.silence_s,
             outage_s=settings.intervals.log_wait_s + settings.intervals.silence_s,
@@ -152,6 +156,7 @@
                 self._tick(now)
             case StreamEvent():
                 handle_stream(self.stream, self.io, message, now)
+                self._decide_on_news(now)
             case StreamRole():
                 take_role(self.stream, message)
             case SubmitRecord(submit, on_report):
@@ -178,8 +183,11 @@
         change = log_state.apply_record(node.domain, record.offset, record.data)
         for term in list(node.terms.values()):
             feed_record(term, node.domain, record.data, change, now)
-        if any(c.type == log_state.RecordType.CLAIM for c in (change, *change.parts)):
+        kinds = {part.type for part in (change, *change.parts) if part.applied}
+        if log_state.RecordType.CLAIM in kinds:
             self._follow_claims(now)
+        if kinds & _NEWS:
+            self.news.update(node.terms)
         return change
 
     def _restore(self, record: log_state.LogRecord) -> None:
@@ -230,6 +238,16 @@
             case GiveUpRack(base):
                 self._submit(log_state.make_claim(rack, "", base, (), established), now)
 
+    def _decide_on_news(self, now: float) -> None:
+        """Let placement decide at once where new work or free room was folded.
+
+        Waiting for the next tick would leave a rack of short tasks idle for most of the
+        time, and shorter ticks would cost as much at rest.
+        """
+        racks, self.news = self.news, set()
+        for rack in racks & self.node.terms.keys():
+            self._advance_term(rack, self.node.terms[rack], now)
+
     def _tick(self, now: float) -> None:
         node, reader = self.node, self.stream.reader
         for rack in node.workers.keys() | node.domain.claims.keys():
--- a/plantainyard/node/streams.py
+++ b/plantainyard/node/streams.py
@@ -6,6 +6,7 @@
 
 import logging
 import random
+import time
 from collections.abc import Callable, Mapping
 from concurrent.futures import Executor
 from typing import Any, NamedTuple
@@ -31,6 +32,7 @@
 ]
 
 _SLOW_S = 4.0
+_WAKE_S = 0.1
 
 _logger = logging.getLogger(__name__)
 
@@ -97,6 +99,8 @@
         Whether it is read from the log, and who is told.
     folded : list of LogRecord
         Records folded in the present step, to be handed on.
+    waking : bool
+        Whether a wake-up for the backlog is under way.
     waiters : dict
         For each submission's key, who is told what became of it.
     """
@@ -124,6 +128,7 @@
         self.snapshot_type = reader_settings.snapshot_type
         self.waiters: dict[str, Callable[[log_state.AppendReport], None]] = {}
         self.appends = 0
+        self.waking = False
         self.role = StreamRole()
         self.folded: list[log_state.LogRecord] = []
 
@@ -157,6 +162,7 @@
         _advance_appender(stream, io, log_state.AppendTick(), now)
         _hand_on(stream, io)
         return
+    stream.waking = stream.waking and not isinstance(event, log_state.AppendTick)
     _advance_appender(stream, io, event, now)  # type: ignore[arg-type]
 
 
@@ -278,6 +284,7 @@
 def _advance_appender(
     stream: StreamState, io: StreamIO, event: log_state.AppendEvent, now: float
 ) -> None:
+    _wake_for_backlog(stream, io)
     for action in log_state.step_appender(stream.appender, event, now):
         if isinstance(action, log_state.Append):
             stream.appends += 1
@@ -286,6 +293,19 @@
             _report(stream, action)
 
 
+def _wake_for_backlog(stream: StreamState, io: StreamIO) -> None:
+    """Come back when the pace allows the next append, without waiting for a tick."""
+    if stream.waking or not log_state.count_backlog(stream.appender):
+        return
+    stream.waking = True
+    io.executor.submit(_wake, stream.name, io)
+
+
+def _wake(name: str, io: StreamIO) -> None:
+    time.sleep(_WAKE_S)
+    io.deliver(StreamEvent(name, log_state.AppendTick(), read_clock()))
+
+
 def _report(stream: StreamState, report: log_state.AppendReport) -> None:
     waiter = stream.waiters.get(report.key)
     if waiter is None:
--- a/plantainyard/presence.py
+++ b/plantainyard/presence.py
@@ -148,7 +148,9 @@
 
 
 def _make_peer(view: PeerView) -> Peer:
-    room = view.heartbeat.room if view.heartbeat else {}
+    # A stopping instance is still asked about the ids that it judges, for nothing else.
+    usable = view.heartbeat is not None and not view.heartbeat.draining
+    room = view.heartbeat.room if view.heartbeat and usable else {}
     return Peer(view.instance, view.domain, view.region, view.address, room)
 
 
