--- a/plantainyard/process.py
+++ b/plantainyard/process.py
@@ -183,8 +183,8 @@
     Guards against a request that is cut off at a planned stop. The failure: the
     balancer, or a gateway that still takes this instance for the arbiter of an id,
     sends on a connection just as it is closed; the answer is lost and nobody knows
-    whether the request ran. The grace covers the lag of the list, and the heartbeats by which
-    the word of a rack's new owner reaches the gateways of other domains.
+    whether the request ran. The grace covers the lag of the list, and the heartbeats
+    by which the word of a rack's new owner reaches the gateways of other domains.
     """
     intervals = settings.intervals
     return intervals.instances_s + _GRACE_BEATS * intervals.heartbeat_s
