Let the stop tests beat faster

Their stops last four heartbeats longer since the grace grew; the settings of the tests have heartbeats of 0.1 s. What is checked is unchanged.

--- a/plantainyard/tests/test_daemon.py
+++ b/plantainyard/tests/test_daemon.py
@@ -17,6 +17,7 @@
 [intervals]
 stop_s = 60
 instances_s = 0.1
+heartbeat_s = 0.1
 """
 STOPS = 5
 
