--- a/bench/control.py
+++ b/bench/control.py
@@ -80,13 +80,22 @@
         instance at rest against the number of instances, seconds to take over, for a
         configuration to be in force, and to recover against the number of tasks.
     """
+    rest = [measure_rest(count) for count in _INSTANCES]
+    owner = [measure_owner(count) for count in _WORKERS]
+    recovery = measure_recovery(_TASKS)
     return {
         "appends": measure_appends(_STARTS),
-        "rest": [measure_rest(count) for count in _INSTANCES],
-        "owner": [measure_owner(count) for count in _WORKERS],
+        "rest": rest,
+        "owner": owner,
         "takeover_s": measure_takeover(),
         "configuration_s": measure_configuration(),
-        "recovery": measure_recovery(_TASKS),
+        "recovery": recovery,
+        "slopes": {
+            "core_share_an_instance": fit_slope(rest, "instances", "core_share")[1],
+            "core_share_a_worker": fit_slope(owner, "workers", "core_share")[1],
+            "memory_mb_a_worker": fit_slope(owner, "workers", "memory_mb")[1],
+            "recovery_s_a_task": fit_slope(recovery, "tasks", "seconds")[1],
+        },
     }
 
 
--- a/bench/model.py
+++ b/bench/model.py
@@ -46,7 +46,6 @@
 _BAD_JOB_S = 4.0
 _SUSPECT_S = 3.0
 _LAPSE_S = 12.0
-_NOT_RUNNING = 10.0
 
 
 class Truth(NamedTuple):
--- a/plantainyard/node/domain.py
+++ b/plantainyard/node/domain.py
@@ -79,7 +79,6 @@
 
 __all__ = ["DomainActor", "name_stream"]
 
-_STOP = "stop"
 
 # Records after which there is new work to place, or new room for it.
 _NEWS = {log_state.RecordType.ACCEPT, log_state.RecordType.RESULTS}
--- a/plantainyard/placement/accounting.py
+++ b/plantainyard/placement/accounting.py
@@ -14,7 +14,6 @@
     "drop_idle_job",
     "find_placement",
     "get_job",
-    "get_worker_load",
     "list_residents",
     "occupy",
     "rebuild_ring",
@@ -129,12 +128,6 @@
     return present + past
 
 
-def get_worker_load(worker: WorkerState) -> float:
-    """Return the share of the worker's cores in use, as far as known."""
-    used = sum(placement.cores for placement in worker.placed.values())
-    return used / max(worker.info.capacity.cores, 1e-9)
-
-
 def find_placement(state: PlacementState, task: TaskKey) -> Placement | None:
     """Return the placement of `task`, or None."""
     owner = state.jobs.get(task.job)
