--- /dev/null
+++ b/plantainyard/batch/__init__.py
@@ -0,0 +1,50 @@
+"""Jobs as every instance knows them: values, checks, stored records and the replica.
+
+Nothing here opens a socket or decides where a task runs; `plantainyard.dispatch` does
+the latter.
+"""
+
+from plantainyard.batch.checks import find_cycle, find_fault
+from plantainyard.batch.records import (
+    decode_progress,
+    decode_submission,
+    encode_progress,
+    encode_submission,
+)
+from plantainyard.batch.replica import (
+    JobView,
+    Replica,
+    apply_record,
+    count_pending,
+    describe_state,
+)
+from plantainyard.batch.values import (
+    JobEnd,
+    JobState,
+    Resources,
+    Step,
+    StepProgress,
+    Submission,
+    TaskProgress,
+)
+
+__all__ = [
+    "JobEnd",
+    "JobState",
+    "JobView",
+    "Replica",
+    "Resources",
+    "Step",
+    "StepProgress",
+    "Submission",
+    "TaskProgress",
+    "apply_record",
+    "count_pending",
+    "decode_progress",
+    "decode_submission",
+    "describe_state",
+    "encode_progress",
+    "encode_submission",
+    "find_cycle",
+    "find_fault",
+]
--- /dev/null
+++ b/plantainyard/batch/records.py
@@ -0,0 +1,113 @@
+"""The stored form of submissions and of the progress of steps.
+
+Every value replaces the one before it under the same key, so that the newest record
+of each key is the whole truth and a repeated or reordered read does no harm.
+"""
+
+import json
+from typing import Any
+
+from plantainyard.batch.values import (
+    Resources,
+    Step,
+    StepProgress,
+    Submission,
+    TaskProgress,
+)
+
+__all__ = [
+    "decode_progress",
+    "decode_submission",
+    "encode_progress",
+    "encode_submission",
+    "make_cancel_key",
+    "make_end_key",
+    "make_progress_key",
+    "make_submission_key",
+]
+
+_DEFAULTS = Step(count=1)._asdict()
+
+
+def make_submission_key(job_id: str) -> str:
+    """Return the key of a job's submission."""
+    return f"j/{job_id}"
+
+
+def make_cancel_key(job_id: str) -> str:
+    """Return the key of the request to cancel a job."""
+    return f"c/{job_id}"
+
+
+def make_end_key(job_id: str) -> str:
+    """Return the key of a job's final state."""
+    return f"e/{job_id}"
+
+
+def make_progress_key(job_id: str, occurrence: int, step: int) -> str:
+    """Return the key of the progress of one step of one occurrence."""
+    return f"p/{job_id}/{occurrence}/{step}"
+
+
+def encode_submission(submission: Submission) -> bytes:
+    """Return the stored form of `submission`; see `decode_submission`."""
+    data = submission._asdict()
+    data["steps"] = [_pack_step(step) for step in submission.steps]
+    return _dump(data)
+
+
+def decode_submission(value: bytes) -> Submission:
+    """Return the submission that `encode_submission` wrote.
+
+    Raises
+    ------
+    ValueError, TypeError, KeyError
+        If the bytes aren't such a record.
+    """
+    data = json.loads(value)
+    data["steps"] = tuple(_unpack_step(step) for step in data["steps"])
+    return Submission(**data)
+
+
+def encode_progress(progress: StepProgress) -> bytes:
+    """Return the stored form of `progress`; see `decode_progress`.
+
+    Notes
+    -----
+    Finished tasks are a bit set in hexadecimal, so that a wide step costs a quarter
+    of a byte for each finished task.
+    """
+    done = sum(1 << index for index in progress.done)
+    tasks = {str(index): list(task) for index, task in progress.tasks.items()}
+    return _dump({"done": f"{done:x}", "tasks": tasks})
+
+
+def decode_progress(value: bytes) -> StepProgress:
+    """Return the progress that `encode_progress` wrote.
+
+    Examples
+    --------
+    >>> progress = StepProgress(frozenset({0, 5}), {1: TaskProgress(2, "r@7", 1, "")})
+    >>> decode_progress(encode_progress(progress)) == progress
+    True
+    """
+    data = json.loads(value)
+    bits = int(data["done"], 16)
+    done = frozenset(n for n in range(bits.bit_length()) if bits >> n & 1)
+    tasks = {int(index): TaskProgress(*task) for index, task in data["tasks"].items()}
+    return StepProgress(done, tasks)
+
+
+def _pack_step(step: Step) -> dict[str, Any]:
+    data = step._asdict()
+    return {k: v for k, v in data.items() if v != _DEFAULTS[k] or k == "count"}
+
+
+def _unpack_step(data: dict[str, Any]) -> Step:
+    resources = Resources(*data.get("resources", ()))
+    after = tuple(data.get("after", ()))
+    return Step(**{**data, "resources": resources, "after": after})
+
+
+def _dump(data: Any) -> bytes:
+    return json.dumps(data, separators=(",", ":")).encode()
--- /dev/null
+++ b/plantainyard/batch/replica.py
@@ -0,0 +1,132 @@
+"""A copy of one unit's jobs, made of nothing but the newest stored records."""
+
+import logging
+from dataclasses import dataclass, field
+
+from plantainyard.batch.records import decode_progress, decode_submission
+from plantainyard.batch.values import JobState, StepProgress, Submission
+
+__all__ = [
+    "JobView",
+    "Replica",
+    "apply_record",
+    "count_pending",
+    "describe_state",
+    "is_cancelled",
+]
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class JobView:
+    """What the store says of one job.
+
+    Attributes
+    ----------
+    submission : Submission or None
+        None until its record is read; other records may come first.
+    cancelled : bool
+        A caller asked to cancel it.
+    ended : str
+        Final state, or empty.
+    steps : dict
+        Progress by (occurrence, step).
+    """
+
+    submission: Submission | None = None
+    cancelled: bool = False
+    ended: str = ""
+    steps: dict[tuple[int, int], StepProgress] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Replica:
+    """Jobs of a unit by id, and the address of the unit's owner."""
+
+    jobs: dict[str, JobView] = field(default_factory=dict)
+    owner: str = ""
+
+
+def apply_record(replica: Replica, key: str, value: bytes) -> str:
+    """Take the newest record of `key` into `replica` and return the job's id.
+
+    Parameters
+    ----------
+    replica : Replica
+        Changed in place.
+    key : str
+        One of the keys of `plantainyard.batch.records`, or ``"owner"``.
+    value : bytes
+        Empty where the key was dropped.
+
+    Returns
+    -------
+    str
+        Empty where the record is about no job, or can't be read.
+
+    Notes
+    -----
+    A record that can't be read is passed over with one log line: it must not stop
+    the reading of all that follow.
+    """
+    if key == "owner":
+        replica.owner = value.decode(errors="replace")
+        return ""
+    kind, _, rest = key.partition("/")
+    job_id = rest.partition("/")[0]
+    try:
+        _apply_to_job(replica, kind, job_id, rest, value)
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        _logger.warning("unreadable record %s: %r", key, error)
+        return ""
+    return job_id
+
+
+def _apply_to_job(
+    replica: Replica, kind: str, job_id: str, rest: str, value: bytes
+) -> None:
+    if kind == "j" and not value:
+        replica.jobs.pop(job_id, None)
+        return
+    if not value and job_id not in replica.jobs:
+        return
+    view = replica.jobs.setdefault(job_id, JobView())
+    if kind == "j":
+        view.submission = decode_submission(value)
+    elif kind == "c":
+        view.cancelled = bool(value)
+    elif kind == "e":
+        view.ended = value.decode()
+    elif kind == "p":
+        _, occurrence, step = rest.split("/")
+        place = int(occurrence), int(step)
+        if value:
+            view.steps[place] = decode_progress(value)
+        else:
+            view.steps.pop(place, None)
+
+
+def is_cancelled(view: JobView) -> bool:
+    """Return whether a cancel is in force: it was asked for before the job ended."""
+    return view.ended == JobState.CANCELLED or (view.cancelled and not view.ended)
+
+
+def describe_state(view: JobView) -> str:
+    """Return the name of the state that a caller is told of an accepted job."""
+    if view.ended:
+        return view.ended
+    if view.cancelled:
+        return JobState.CANCELLED
+    return JobState.RUNNING if view.steps else JobState.QUEUED
+
+
+def count_pending(replica: Replica, queue: str) -> int:
+    """Return the number of the queue's accepted jobs for which no task has started."""
+    return sum(
+        1
+        for view in list(replica.jobs.values())
+        if view.submission is not None
+        and view.submission.queue == queue
+        and describe_state(view) == JobState.QUEUED
+    )
--- a/plantainyard/clients/__init__.py
+++ b/plantainyard/clients/__init__.py
@@ -1,6 +1,5 @@
 """Clients of the platform: log, workers, instance list and runners."""
 
-from plantainyard.clients.http import HttpAnswer, HttpPeer, build_peer, build_pool
 from plantainyard.clients.instances import (
     Instance,
     InstanceKind,
@@ -44,6 +43,7 @@
     read_state,
     send_commands,
 )
+from plantainyard.transport import HttpAnswer, HttpPeer, build_peer, build_pool
 
 __all__ = [
     "Commands",
--- a/plantainyard/clients/instances.py
+++ b/plantainyard/clients/instances.py
@@ -8,8 +8,8 @@
 import xxhash
 from result import Err, Ok, Result
 
-from plantainyard.clients.http import DEFAULT_TIMEOUT_S, HttpPeer, build_peer, call_json
 from plantainyard.errors import CallError, ErrorKind
+from plantainyard.transport import DEFAULT_TIMEOUT_S, HttpPeer, build_peer, call_json
 from plantainyard.work import Size, WorkerInfo
 
 __all__ = [
--- a/plantainyard/clients/log.py
+++ b/plantainyard/clients/log.py
@@ -10,8 +10,8 @@
 import urllib3
 from result import Err, Ok, Result
 
-from plantainyard.clients.http import DEFAULT_TIMEOUT_S, HttpPeer, build_peer, call_json
 from plantainyard.errors import CallError, ErrorKind
+from plantainyard.transport import DEFAULT_TIMEOUT_S, HttpPeer, build_peer, call_json
 
 __all__ = ["LogClient", "LogPage", "LogRecord", "append", "build_log_client", "read"]
 
--- a/plantainyard/clients/runner.py
+++ b/plantainyard/clients/runner.py
@@ -6,7 +6,8 @@
 import urllib3
 from result import Err
 
-from plantainyard.clients.http import (
+from plantainyard.errors import CallError, ErrorKind
+from plantainyard.transport import (
     DEFAULT_TIMEOUT_S,
     HttpAnswer,
     HttpPeer,
@@ -14,7 +15,6 @@
     read_retry_after,
     send_request,
 )
-from plantainyard.errors import CallError, ErrorKind
 
 __all__ = [
     "RunnerAnswer",
--- a/plantainyard/clients/worker.py
+++ b/plantainyard/clients/worker.py
@@ -11,7 +11,8 @@
 import urllib3
 from result import Err, Ok, Result
 
-from plantainyard.clients.http import (
+from plantainyard.errors import CallError, ErrorKind
+from plantainyard.transport import (
     CONFLICT,
     DEFAULT_TIMEOUT_S,
     GONE,
@@ -20,7 +21,6 @@
     build_peer,
     call_json,
 )
-from plantainyard.errors import CallError, ErrorKind
 from plantainyard.work import Size, TaskKey, format_task, parse_task
 
 __all__ = [
--- a/plantainyard/commands/caller.py
+++ b/plantainyard/commands/caller.py
@@ -7,11 +7,11 @@
 
 from plantainyard.api import METHODS, SERVICE, ApiError, ErrorCode, decode_error
 from plantainyard.api.codec import BINARY
-from plantainyard.clients.http import HttpAnswer
 from plantainyard.commands.access import Access
 from plantainyard.commands.exits import EXIT_OF_CODE, ExitCode
 from plantainyard.commands.world import World
 from plantainyard.errors import CallError, ErrorKind, describe_error
+from plantainyard.transport import HttpAnswer
 
 __all__ = ["Failure", "call"]
 
--- a/plantainyard/commands/tests/test_run.py
+++ b/plantainyard/commands/tests/test_run.py
@@ -26,12 +26,12 @@
 )
 from plantainyard.api import operators_pb2 as schema
 from plantainyard.api.errors import STATUS_OF_CODE
-from plantainyard.clients.http import HttpAnswer
 from plantainyard.commands import COMMANDS, ExitCode, World, create_world, run_command
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.metrics import create_meter
 from plantainyard.settings import Metrics, parse_settings
 from plantainyard.settings.tests.test_load import MINIMAL
+from plantainyard.transport import HttpAnswer
 
 ENVIRON = {
     "PLANTAINYARD_ADDRESSES": "127.0.0.1:1,127.0.0.1:2",
--- a/plantainyard/commands/world.py
+++ b/plantainyard/commands/world.py
@@ -9,9 +9,9 @@
 
 from result import Result
 
-from plantainyard.clients.http import HttpAnswer, build_peer, build_pool, send_request
 from plantainyard.clock import read_clock
 from plantainyard.errors import CallError
+from plantainyard.transport import HttpAnswer, build_peer, build_pool, send_request
 
 __all__ = ["Send", "World", "create_world"]
 
--- /dev/null
+++ b/plantainyard/dispatch/__init__.py
@@ -0,0 +1,47 @@
+"""Decisions about one unit's jobs and runners: a function of state, event and time.
+
+The state is a `Dispatcher`; `step` changes it and returns actions. Nothing here has a
+clock, a socket or a thread. `docs/design/platform.md` says why it is built so.
+"""
+
+from plantainyard.dispatch.dispatcher import Dispatcher, restore_dispatcher, step
+from plantainyard.dispatch.events import (
+    Action,
+    Cancelled,
+    Commit,
+    Committed,
+    EntryChanged,
+    Event,
+    Guarded,
+    HoldAnswered,
+    HoldFailed,
+    OrderAnswered,
+    OrderKind,
+    SendHold,
+    SendOrder,
+    Submitted,
+    Tick,
+)
+from plantainyard.dispatch.limits import Limits
+
+__all__ = [
+    "Action",
+    "Cancelled",
+    "Commit",
+    "Committed",
+    "Dispatcher",
+    "EntryChanged",
+    "Event",
+    "Guarded",
+    "HoldAnswered",
+    "HoldFailed",
+    "Limits",
+    "OrderAnswered",
+    "OrderKind",
+    "SendHold",
+    "SendOrder",
+    "Submitted",
+    "Tick",
+    "restore_dispatcher",
+    "step",
+]
--- /dev/null
+++ b/plantainyard/dispatch/dispatcher.py
@@ -0,0 +1,158 @@
+"""The dispatcher of one unit: its state, and what each event makes of it."""
+
+from plantainyard.batch.records import (
+    encode_progress,
+    make_end_key,
+    make_progress_key,
+)
+from plantainyard.batch.replica import Replica
+from plantainyard.batch.values import StepProgress, TaskProgress
+from plantainyard.dispatch import reports, runs
+from plantainyard.dispatch.events import (
+    Action,
+    Cancelled,
+    Commit,
+    Committed,
+    EntryChanged,
+    Event,
+    Guarded,
+    HoldAnswered,
+    HoldFailed,
+    OrderAnswered,
+    Submitted,
+    Tick,
+)
+from plantainyard.dispatch.jobs import add_job, cancel_job, open_due_occurrences
+from plantainyard.dispatch.limits import Limits
+from plantainyard.dispatch.model import Phase, StepRun
+from plantainyard.dispatch.planning import plan_starts
+from plantainyard.dispatch.restoring import restore_jobs
+from plantainyard.dispatch.state import Dispatcher
+from plantainyard.platform.store import Record
+
+__all__ = ["Dispatcher", "restore_dispatcher", "step"]
+
+
+def restore_dispatcher(
+    replica: Replica, limits: Limits, now: float, wall_ms: float
+) -> Dispatcher:
+    """Return a dispatcher that goes on where the stored records end.
+
+    Parameters
+    ----------
+    replica : Replica
+        All records of the unit, read after every predecessor was fenced off.
+    limits : Limits
+        Times and weights.
+    now : float
+        The dispatcher's clock.
+    wall_ms : float
+        Unix milliseconds at `now`, for due times of schedules and ages of jobs.
+    """
+    state = Dispatcher(limits=limits, wall_offset_s=wall_ms / 1000 - now)
+    restore_jobs(state, replica, now)
+    return state
+
+
+def step(state: Dispatcher, event: Event, now: float) -> list[Action]:
+    """Take `event` in and return what is to be done.
+
+    Parameters
+    ----------
+    state : Dispatcher
+        Changed in place.
+    event : Event
+        What happened.
+    now : float
+        Seconds on a clock that is never set back.
+    """
+    _take(state, event, now)
+    if isinstance(event, Tick | Committed):
+        open_due_occurrences(state, now)
+        runs.repeat_orders(state, now)
+        reports.expire_leases(state, now)
+    if not state.commit_out:
+        plan_starts(state, now)
+        _commit(state)
+    reports.ask_runners(state, now)
+    actions = state.actions
+    state.actions = []
+    return actions
+
+
+def _take(state: Dispatcher, event: Event, now: float) -> None:
+    match event:
+        case HoldAnswered():
+            reports.take_report(state, event, now)
+        case HoldFailed():
+            reports.take_silence(state, event, now)
+        case OrderAnswered():
+            runs.take_answer(state, event, now)
+        case Committed():
+            _take_commit(state, now)
+        case Submitted(submission):
+            add_job(state, submission, now)
+        case Cancelled(job_id):
+            cancel_job(state, job_id, now)
+        case EntryChanged(runner, entry):
+            reports.take_entry(state, runner, entry, now)
+        case Guarded(services):
+            state.guarded = services
+
+
+def _commit(state: Dispatcher) -> None:
+    """Put all that changed since the last commit into the next one."""
+    records = [
+        Record(_progress_key(item), _encode_step(item))
+        for item in state.dirty.values()
+        if not item.job.ended
+    ]
+    for job_id, ended in state.ending.items():
+        records.append(Record(make_end_key(job_id), ended.encode()))
+        records += [
+            Record(make_progress_key(job_id, *place), b"")
+            for place in state.jobs[job_id].steps
+        ]
+    seen = {life: r.seen for life, r in state.runners.items() if r.seen > r.stored_seen}
+    if not records:
+        for life, number in seen.items():
+            state.runners[life].stored_seen = number
+        return
+    state.commit_out = True
+    state.committing_seen = seen
+    state.committing_ends = list(state.ending)
+    state.committing_starts = state.assigned
+    state.dirty = {}
+    state.ending = {}
+    state.assigned = []
+    state.actions.append(Commit(records))
+
+
+def _take_commit(state: Dispatcher, now: float) -> None:
+    state.commit_out = False
+    for life, number in state.committing_seen.items():
+        if life in state.runners:
+            runner = state.runners[life]
+            runner.stored_seen = max(runner.stored_seen, number)
+    for job_id in state.committing_ends:
+        state.jobs.pop(job_id, None)
+    for task in state.committing_starts:
+        if task.phase == Phase.STORING:
+            runs.send_start(state, task, now)
+    state.committing_seen = {}
+    state.committing_ends = []
+    state.committing_starts = []
+
+
+def _progress_key(item: StepRun) -> str:
+    return make_progress_key(item.job.submission.job_id, item.occurrence, item.number)
+
+
+def _encode_step(item: StepRun) -> bytes:
+    done = frozenset(t.key.index for t in item.tasks if t.phase == Phase.DONE)
+    tasks = {
+        t.key.index: TaskProgress(t.run, t.life, t.failures, t.checkpoint)
+        for t in item.tasks
+        if t.phase != Phase.DONE and t.run
+    }
+    return encode_progress(StepProgress(done, tasks))
--- /dev/null
+++ b/plantainyard/dispatch/events.py
@@ -0,0 +1,162 @@
+"""What the dispatcher is told and what it asks for."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from plantainyard.batch.tasks import TaskKey
+from plantainyard.batch.values import Submission
+from plantainyard.platform.entries import RunnerEntry
+from plantainyard.platform.runners import Held, OrderResult
+from plantainyard.platform.store import Record
+
+__all__ = [
+    "Action",
+    "Cancelled",
+    "Commit",
+    "Committed",
+    "EntryChanged",
+    "Event",
+    "Guarded",
+    "HoldAnswered",
+    "HoldFailed",
+    "OrderAnswered",
+    "OrderKind",
+    "SendHold",
+    "SendOrder",
+    "Submitted",
+    "Tick",
+]
+
+
+class OrderKind:
+    """Names of the orders about a run."""
+
+    START = "start"
+    STOP = "stop"
+    PACE = "pace"
+
+
+class Submitted(NamedTuple):
+    """A job is in the store."""
+
+    submission: Submission
+
+
+class Cancelled(NamedTuple):
+    """A request to cancel a job is in the store."""
+
+    job_id: str
+
+
+class EntryChanged(NamedTuple):
+    """A runner's entry was written, or removed (None)."""
+
+    runner: str
+    entry: RunnerEntry | None
+
+
+class Guarded(NamedTuple):
+    """The services whose runners refuse what doesn't fit."""
+
+    services: frozenset[str]
+
+
+class Committed(NamedTuple):
+    """The records of the last `Commit` are in the store."""
+
+
+class OrderAnswered(NamedTuple):
+    """An order was answered, or certainly or possibly lost."""
+
+    kind: str
+    task: TaskKey
+    run: int
+    life: str
+    result: OrderResult
+    sent_at: float
+
+
+class HoldAnswered(NamedTuple):
+    """A runner has reported."""
+
+    life: str
+    held: Held
+    sent_at: float
+
+
+class HoldFailed(NamedTuple):
+    """A runner's report didn't come.
+
+    Attributes
+    ----------
+    other_life : bool
+        The address answered for another life of the runner.
+    fenced : bool
+        The runner has seen a higher fencing token.
+    """
+
+    life: str
+    sent_at: float
+    detail: str
+    other_life: bool = False
+    fenced: bool = False
+
+
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
+Event = (
+    Submitted
+    | Cancelled
+    | EntryChanged
+    | Guarded
+    | Committed
+    | OrderAnswered
+    | HoldAnswered
+    | HoldFailed
+    | Tick
+)
+
+
+class Commit(NamedTuple):
+    """Store records, then say `Committed`; one at a time, in order."""
+
+    records: Sequence[Record]
+
+
+class SendOrder(NamedTuple):
+    """Send an order about a run and say `OrderAnswered`.
+
+    Attributes
+    ----------
+    kind : str
+        One of `OrderKind`.
+    entry : RunnerEntry
+        The runner's life that it is meant for.
+    task, run : TaskKey, int
+        The run.
+    spec, lease_until_ms, checkpoint, percent
+        See `plantainyard.platform.Order`.
+    """
+
+    kind: str
+    entry: RunnerEntry
+    task: TaskKey
+    run: int
+    spec: str = ""
+    lease_until_ms: int = 0
+    checkpoint: str = ""
+    percent: int = 100
+
+
+class SendHold(NamedTuple):
+    """Ask a runner for its report; say `HoldAnswered` or `HoldFailed`."""
+
+    entry: RunnerEntry
+    last_seen: int
+    lease_until_ms: int
+    wait_s: float
+
+
+Action = Commit | SendOrder | SendHold
--- /dev/null
+++ b/plantainyard/dispatch/jobs.py
@@ -0,0 +1,121 @@
+"""Jobs of a dispatcher: adding, opening occurrences, cancelling, ending."""
+
+from plantainyard.batch.tasks import TaskKey
+from plantainyard.batch.values import JobState, Submission
+from plantainyard.dispatch import runs
+from plantainyard.dispatch.model import Job, Phase, StepRun, Task
+from plantainyard.dispatch.queue import find_deadline
+from plantainyard.dispatch.state import Dispatcher, mark_dirty
+
+__all__ = [
+    "add_job",
+    "cancel_job",
+    "check_end",
+    "finish_task",
+    "open_due_occurrences",
+    "open_occurrence",
+]
+
+
+def add_job(state: Dispatcher, submission: Submission, now: float) -> None:
+    """Take in an accepted job; a repeat of its submission changes nothing."""
+    job_id = submission.job_id
+    if job_id in state.jobs or job_id in state.ended:
+        return
+    job = Job(submission, find_deadline(submission, now))
+    state.jobs[job_id] = job
+    if not submission.times:
+        open_occurrence(job, 0)
+
+
+def open_occurrence(job: Job, occurrence: int) -> None:
+    """Add the steps of an occurrence that is due."""
+    for number, spec in enumerate(job.submission.steps):
+        step = StepRun(job, occurrence, number, spec)
+        step.tasks = [
+            Task(TaskKey(job.submission.job_id, occurrence, number, index), step)
+            for index in range(spec.count)
+        ]
+        job.steps[occurrence, number] = step
+
+
+def open_due_occurrences(state: Dispatcher, now: float) -> None:
+    """Open the occurrences of scheduled jobs whose time has come."""
+    wall_ms = (now + state.wall_offset_s) * 1000
+    for job in list(state.jobs.values()):
+        submission = job.submission
+        if submission.times and not job.cancelled:
+            _open_due(job, wall_ms)
+
+
+def _open_due(job: Job, wall_ms: float) -> None:
+    submission = job.submission
+    for occurrence in range(submission.times):
+        due_ms = submission.start_at_ms + occurrence * submission.interval_ms
+        if due_ms > wall_ms:
+            return
+        if (occurrence, 0) not in job.steps:
+            open_occurrence(job, occurrence)
+
+
+def finish_task(state: Dispatcher, task: Task) -> None:
+    """Take note that a task is done, and end the job if it was the last."""
+    task.phase = Phase.DONE
+    task.checkpoint = ""
+    task.step.done += 1
+    mark_dirty(state, task.step)
+    check_end(state, task.step.job)
+
+
+def cancel_job(state: Dispatcher, job_id: str, now: float) -> None:
+    """Let nothing of a job start any more and stop what runs."""
+    job = state.jobs.get(job_id)
+    if job is None or job.cancelled or job.ended:
+        return
+    job.cancelled = True
+    stop_all(state, job, now)
+    check_end(state, job)
+
+
+def fail_job(state: Dispatcher, job: Job, now: float) -> None:
+    """End a job one of whose tasks has failed too often."""
+    if job.ended or job.cancelled:
+        return
+    end_job(state, job, JobState.FAILED)
+    stop_all(state, job, now)
+
+
+def stop_all(state: Dispatcher, job: Job, now: float) -> None:
+    """Order all runs of a job to stop."""
+    for step in job.steps.values():
+        for task in step.tasks:
+            if task.phase == Phase.STORING:
+                runs.free_task(state, task)
+            elif task.phase in Phase.OUT:
+                runs.send_stop(state, task, now)
+
+
+def check_end(state: Dispatcher, job: Job) -> None:
+    """End the job if nothing of it is left to do."""
+    if job.ended:
+        return
+    if job.cancelled:
+        if not _is_out(job):
+            end_job(state, job, JobState.CANCELLED)
+        return
+    expected = max(1, job.submission.times) * len(job.submission.steps)
+    finished = sum(1 for s in job.steps.values() if s.done == len(s.tasks))
+    if finished == expected:
+        end_job(state, job, JobState.COMPLETED)
+
+
+def _is_out(job: Job) -> bool:
+    tasks = (task for step in job.steps.values() for task in step.tasks)
+    return any(task.phase in Phase.OUT for task in tasks)
+
+
+def end_job(state: Dispatcher, job: Job, ended: str) -> None:
+    """Give a job its final state, to be stored with the next commit."""
+    job.ended = ended
+    state.ending[job.submission.job_id] = ended
+    state.ended[job.submission.job_id] = 0.0
--- /dev/null
+++ b/plantainyard/dispatch/model.py
@@ -0,0 +1,217 @@
+"""State of jobs, steps, tasks and runners as the dispatcher sees them."""
+
+from dataclasses import dataclass, field
+
+from plantainyard.batch.tasks import TaskKey
+from plantainyard.batch.values import Step, Submission
+from plantainyard.platform.entries import RunnerEntry
+
+__all__ = ["Job", "Phase", "Runner", "StepRun", "Task"]
+
+
+class Phase:
+    """Names of the phases of a task.
+
+    Notes
+    -----
+    ``WAITING``
+        No run is out.
+    ``STORING``
+        A run is assigned to a runner; the record of it is on its way to the store.
+    ``ORDERED``
+        The start was sent, or may have been by a predecessor.
+    ``RUNNING``
+        The runner has it.
+    ``STOPPING``
+        It has to go; its end isn't known yet.
+    ``DONE``
+        Finished.
+    """
+
+    WAITING = "waiting"
+    STORING = "storing"
+    ORDERED = "ordered"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    DONE = "done"
+
+    OUT = frozenset({STORING, ORDERED, RUNNING, STOPPING})
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task.
+
+    Attributes
+    ----------
+    key : TaskKey
+        Its name.
+    step : StepRun
+        The step it belongs to.
+    phase : str
+        One of `Phase`.
+    run : int
+        Highest run number assigned so far.
+    life : str
+        Life of the runner where that run is or may be; empty while none is out.
+    settled : bool
+        The start was answered: a report that was asked for later and doesn't list
+        the run proves that it isn't there.
+    settled_at : float
+        When it was.
+    next_order_at : float
+        When to repeat an order that wasn't answered.
+    order_out : bool
+        An order about it is on its way.
+    starts_sent : int
+        How often the start of the newest run was sent.
+    failures : int
+        Runs that ended as failed.
+    checkpoint : str
+        Newest known.
+    not_before : float
+        Earliest time of the next start.
+    avoided : set of str
+        Runners that failed or refused it.
+    percent, moved_at : int, float
+        How far the run is, and when that last changed.
+    pace : int
+        Share of full speed that it was ordered to work at.
+    """
+
+    key: TaskKey
+    step: "StepRun"
+    phase: str = Phase.WAITING
+    run: int = 0
+    life: str = ""
+    settled: bool = False
+    settled_at: float = 0.0
+    next_order_at: float = 0.0
+    order_out: bool = False
+    starts_sent: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    not_before: float = 0.0
+    avoided: set[str] = field(default_factory=set)
+    percent: int = -1
+    moved_at: float = 0.0
+    pace: int = 100
+
+
+@dataclass(slots=True, eq=False)
+class StepRun:
+    """One step of one occurrence of a job.
+
+    Attributes
+    ----------
+    job : Job
+        The job.
+    occurrence, number : int
+        Which one.
+    spec : Step
+        What was submitted.
+    tasks : list of Task
+        All of them, by index.
+    done : int
+        Number of finished tasks.
+    """
+
+    job: "Job"
+    occurrence: int
+    number: int
+    spec: Step
+    tasks: list[Task] = field(default_factory=list)
+    done: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One job.
+
+    Attributes
+    ----------
+    submission : Submission
+        What was accepted.
+    deadline : float
+        Time until which the latency objective is met, on the dispatcher's clock.
+    steps : dict
+        Steps by (occurrence, number); an occurrence is added when it is due.
+    cancelled : bool
+        Nothing of it may start any more.
+    ended : str
+        Final state, or empty.
+    """
+
+    submission: Submission
+    deadline: float
+    steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
+    cancelled: bool = False
+    ended: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class Runner:
+    """One life of a runner.
+
+    Attributes
+    ----------
+    life : str
+        Its name.
+    entry : RunnerEntry or None
+        None for a life that only a predecessor's records name.
+    listed : bool
+        Its entry is in the store.
+    tasks : dict
+        Tasks whose run is or may be there, and those that are being stopped.
+    cpu, memory, gpu : int
+        Room taken by them.
+    backfill_cpu : int
+        Processor time that its backfilling tasks ask for.
+    known : bool
+        It has reported since this dispatcher took over.
+    answering : bool
+        Its last call was answered.
+    clock_ms, clock_at : int, float
+        Its clock at its last answer, and when that came.
+    lease_bound : float
+        Time after which nothing that was sent so far can still be running there.
+    seen, stored_seen : int
+        Number of the last end that was taken in, and of the last whose meaning is in
+        the store.
+    hold_out : bool
+        A report is being waited for.
+    hold_at : float
+        When to ask for the next one.
+    bad : float
+        Failures of tasks since its last success.
+    quarantined_until : float
+        No tasks with limited attempts until then.
+    pace : int
+        Share of full speed of its backfilling tasks.
+    paced_at, harmed_since : float
+        When the pace was last changed; since when a serving task is over its target
+        (zero: none is).
+    """
+
+    life: str
+    entry: RunnerEntry | None
+    listed: bool = True
+    tasks: dict[TaskKey, Task] = field(default_factory=dict)
+    cpu: int = 0
+    memory: int = 0
+    gpu: int = 0
+    backfill_cpu: int = 0
+    known: bool = False
+    answering: bool = False
+    clock_ms: int = 0
+    clock_at: float = 0.0
+    lease_bound: float = 0.0
+    seen: int = 0
+    stored_seen: int = 0
+    hold_out: bool = False
+    hold_at: float = 0.0
+    bad: float = 0.0
+    quarantined_until: float = 0.0
+    pace: int = 100
+    paced_at: float = 0.0
+    harmed_since: float = 0.0
--- /dev/null
+++ b/plantainyard/dispatch/planning.py
@@ -0,0 +1,128 @@
+"""Assigning waiting tasks to runners."""
+
+from itertools import groupby
+
+from plantainyard.dispatch.model import Job, Phase, Runner, StepRun, Task
+from plantainyard.dispatch.placing import choose_runner, release_room, take_room
+from plantainyard.dispatch.queue import has_waiting, order_steps
+from plantainyard.dispatch.state import Dispatcher, mark_dirty
+
+__all__ = ["plan_starts"]
+
+MOST_STARTS = 200
+"""Tasks assigned with one commit: bounds its size and the time until the first of
+them starts; about two seconds' worth of starts of a whole site."""
+
+
+def plan_starts(state: Dispatcher, now: float) -> None:
+    """Assign waiting tasks to runners, to be stored and then started.
+
+    Notes
+    -----
+    Once a task of a step finds no runner the rest of the step isn't tried: its tasks
+    are alike. The cost is one pass over the runners for each task that is placed and
+    each step that isn't.
+    """
+    ready = [s for job in state.jobs.values() for s in _find_ready(job)]
+    runners = list(state.runners.values())
+    for step in order_steps(ready, now):
+        if len(state.assigned) >= MOST_STARTS:
+            return
+        if step.spec.gang:
+            _place_gang(state, step, runners, now)
+        else:
+            _place_tasks(state, step, runners, now)
+
+
+def _find_ready(job: Job) -> list[StepRun]:
+    if job.cancelled or job.ended:
+        return []
+    return [
+        step
+        for step in job.steps.values()
+        if step.done < len(step.tasks)
+        and all(_is_done(job, step.occurrence, n) for n in step.spec.after)
+        and has_waiting(step)
+    ]
+
+
+def _is_done(job: Job, occurrence: int, number: int) -> bool:
+    step = job.steps[occurrence, number]
+    return step.done == len(step.tasks)
+
+
+def _place_tasks(
+    state: Dispatcher, step: StepRun, runners: list[Runner], now: float
+) -> None:
+    allowed = _narrow_to_rack(step, runners)
+    for task in step.tasks:
+        if task.phase != Phase.WAITING or task.not_before > now:
+            continue
+        runner = choose_runner(task, allowed, state.limits, now)
+        if runner is None:
+            return
+        _assign(state, task, runner, task.run + 1)
+
+
+def _place_gang(
+    state: Dispatcher, step: StepRun, runners: list[Runner], now: float
+) -> None:
+    """Place all tasks of a gang or none: a part of one only takes room."""
+    if any(t.phase != Phase.WAITING or t.not_before > now for t in step.tasks):
+        return
+    for allowed in _choices_of_racks(step, runners):
+        placed = _try_gang(state, step, allowed, now)
+        if placed:
+            run = max(task.run for task in step.tasks) + 1
+            checkpoint = next((t.checkpoint for t in step.tasks if t.checkpoint), "")
+            for task, runner in placed:
+                task.checkpoint = checkpoint
+                _assign(state, task, runner, run)
+            return
+
+
+def _try_gang(
+    state: Dispatcher, step: StepRun, runners: list[Runner], now: float
+) -> list[tuple[Task, Runner]]:
+    placed: list[tuple[Task, Runner]] = []
+    for task in step.tasks:
+        runner = choose_runner(task, runners, state.limits, now)
+        if runner is None:
+            break
+        take_room(runner, task)
+        placed.append((task, runner))
+    for task, runner in placed:
+        release_room(runner, task)
+    return placed if len(placed) == len(step.tasks) else []
+
+
+def _choices_of_racks(step: StepRun, runners: list[Runner]) -> list[list[Runner]]:
+    if not step.spec.same_rack:
+        return [runners]
+    by_rack = sorted(runners, key=_rack_of)
+    racks = [list(group) for _, group in groupby(by_rack, key=_rack_of)]
+    return [*racks, runners]
+
+
+def _narrow_to_rack(step: StepRun, runners: list[Runner]) -> list[Runner]:
+    """Return the runners of the rack that the step has begun on, if it must be one."""
+    if not step.spec.same_rack:
+        return runners
+    out = {task.life for task in step.tasks if task.life}
+    racks = {_rack_of(runner) for runner in runners if runner.life in out}
+    if len(racks) != 1:
+        return runners
+    return [runner for runner in runners if _rack_of(runner) in racks]
+
+
+def _rack_of(runner: Runner) -> str:
+    return runner.entry.rack if runner.entry else ""
+
+
+def _assign(state: Dispatcher, task: Task, runner: Runner, run: int) -> None:
+    task.phase = Phase.STORING
+    task.run = run
+    task.life = runner.life
+    take_room(runner, task)
+    state.assigned.append(task)
+    mark_dirty(state, task.step)
--- /dev/null
+++ b/plantainyard/dispatch/reports.py
@@ -0,0 +1,231 @@
+"""Reports and entries of runners: who is there, what runs, what has ended."""
+
+from plantainyard.batch.tasks import TaskKey
+from plantainyard.dispatch import runs
+from plantainyard.dispatch.events import (
+    HoldAnswered,
+    HoldFailed,
+    OrderKind,
+    SendHold,
+    SendOrder,
+)
+from plantainyard.dispatch.leases import has_lapsed, make_lease, note_clock
+from plantainyard.dispatch.model import Phase, Runner, Task
+from plantainyard.dispatch.pacing import (
+    choose_pace,
+    find_harm,
+    has_backfill,
+    has_targets,
+)
+from plantainyard.dispatch.placing import release_room, take_room
+from plantainyard.dispatch.state import Dispatcher
+from plantainyard.platform.entries import RunnerEntry
+from plantainyard.platform.runners import Held, HeldRun
+
+__all__ = [
+    "ask_runners",
+    "expire_leases",
+    "take_entry",
+    "take_report",
+    "take_silence",
+]
+
+FULL_REPORT = 500
+"""Ends that a runner lists at a time; with so many, others may be missing."""
+
+FULL_PACE = 100
+"""Share at which a task works as fast as it can."""
+
+
+def take_entry(
+    state: Dispatcher, runner_id: str, entry: RunnerEntry | None, now: float
+) -> None:
+    """Take in a runner's entry, or that it has none any more."""
+    old = state.runners.get(state.lives.get(runner_id, ""))
+    if entry is None:
+        if old is not None:
+            old.listed = False
+        return
+    runner = state.runners.get(entry.life)
+    if runner is None:
+        runner = Runner(entry.life, entry)
+        state.runners[entry.life] = runner
+    runner.entry = entry
+    runner.listed = True
+    state.lives[runner_id] = entry.life
+    for life in [k for k in state.runners if k.startswith(f"{runner_id}@")]:
+        if life != entry.life:
+            _bury_life(state, state.runners[life], runner, now)
+
+
+def _bury_life(state: Dispatcher, old: Runner, new: Runner, now: float) -> None:
+    """End a life of a runner that has started again.
+
+    Notes
+    -----
+    Guards against two runs of one task: an order that was on its way to the old life
+    is carried out by the new one, which has the same id. Such a run is stopped at the
+    new life before the task may start elsewhere; all others ended with the old life.
+    """
+    for task in list(old.tasks.values()):
+        unsettled = not task.settled and task.phase in (Phase.ORDERED, Phase.STOPPING)
+        if not unsettled:
+            runs.free_task(state, task)
+            continue
+        release_room(old, task)
+        task.life = new.life
+        take_room(new, task)
+        runs.send_stop(state, task, now)
+    new.lease_bound = max(new.lease_bound, old.lease_bound)
+    del state.runners[old.life]
+
+
+def take_report(state: Dispatcher, event: HoldAnswered, now: float) -> None:
+    """Take in what runs and has ended at a runner."""
+    runner = state.runners.get(event.life)
+    if runner is None or runner.entry is None:
+        return
+    runner.hold_out = False
+    held = event.held
+    if held.born_ms is not None and held.born_ms != runner.entry.born_ms:
+        _take_other_life(state, runner, now)
+        return
+    note_clock(runner, held.clock_ms, now)
+    runner.answering = True
+    runner.hold_at = now + state.limits.idle_hold_s
+    _take_ends(state, runner, held, now)
+    present = {
+        row.task
+        for row in held.running
+        if _take_row(state, runner, row, event.sent_at, now)
+    }
+    if len(held.ended) < FULL_REPORT:
+        _free_missing(state, runner, present, event.sent_at)
+        runner.known = True
+    _adjust_pace(state, runner, held, now)
+
+
+def _take_ends(state: Dispatcher, runner: Runner, held: Held, now: float) -> None:
+    for end in sorted(held.ended):
+        if end.number <= runner.seen:
+            continue
+        runner.seen = end.number
+        task = runner.tasks.get(end.task)
+        if task is not None and task.run == end.run:
+            runs.end_run(state, task, runner, end.how, end.checkpoint, now)
+
+
+def _take_row(
+    state: Dispatcher, runner: Runner, row: HeldRun, sent_at: float, now: float
+) -> bool:
+    """Take in one run that is there; return whether it is one of the unit's own."""
+    task = runner.tasks.get(row.task)
+    if task is None or task.run != row.run:
+        _stop_stray(state, runner, row.task, row.run)
+        return False
+    if row.checkpoint:
+        task.checkpoint = row.checkpoint
+    if row.percent != task.percent:
+        task.percent = row.percent
+        task.moved_at = now
+    if task.phase == Phase.ORDERED:
+        task.phase = Phase.RUNNING
+        task.settled = True
+        task.settled_at = sent_at
+    return True
+
+
+def _stop_stray(state: Dispatcher, runner: Runner, key: TaskKey, run: int) -> None:
+    """Stop a run that no record explains: its job has ended, or it was given up."""
+    assert runner.entry is not None
+    state.actions.append(SendOrder(OrderKind.STOP, runner.entry, key, run))
+
+
+def _free_missing(
+    state: Dispatcher, runner: Runner, present: set[TaskKey], sent_at: float
+) -> None:
+    """Free the tasks whose runs are certainly not at the runner any more."""
+    for task in list(runner.tasks.values()):
+        gone = task.key not in present and task.phase != Phase.STORING
+        if gone and task.settled and task.settled_at <= sent_at:
+            runs.free_task(state, task)
+
+
+def _take_other_life(state: Dispatcher, runner: Runner, now: float) -> None:
+    # The entry of the new life comes through the store and buries this one.
+    runner.answering = False
+    runner.hold_at = now + state.limits.hold_retry_s
+
+
+def take_silence(state: Dispatcher, event: HoldFailed, now: float) -> None:
+    """Take note that a runner's report didn't come."""
+    runner = state.runners.get(event.life)
+    if runner is None:
+        return
+    runner.hold_out = False
+    runner.answering = False
+    runner.hold_at = now + state.limits.hold_retry_s
+
+
+def expire_leases(state: Dispatcher, now: float) -> None:
+    """Free the tasks of silent runners whose leases have lapsed; forget dead lives."""
+    for runner in list(state.runners.values()):
+        silent = runner.entry is None or not runner.answering
+        if silent and has_lapsed(runner, now):
+            for task in list(runner.tasks.values()):
+                if task.phase != Phase.STORING:
+                    runs.free_task(state, task)
+        if runner.quarantined_until and runner.quarantined_until < now:
+            runner.quarantined_until = 0.0
+            runner.bad = state.limits.quarantine_after / 2
+        dead = runner.entry is None or not runner.listed
+        if dead and not runner.tasks and not runner.hold_out:
+            del state.runners[runner.life]
+
+
+def ask_runners(state: Dispatcher, now: float) -> None:
+    """Ask each runner for its report when it is due."""
+    for runner in state.runners.values():
+        if runner.hold_out or runner.entry is None:
+            continue
+        if not runner.known or not runner.answering or not runner.tasks:
+            if now >= runner.hold_at:
+                _ask(state, runner, now, 0.0, renew=False)
+        elif runner.seen == runner.stored_seen:
+            watched = has_targets(runner) and has_backfill(runner)
+            limits = state.limits
+            wait_s = limits.watch_wait_s if watched else limits.hold_wait_s
+            _ask(state, runner, now, wait_s, renew=True)
+        elif now >= runner.hold_at:
+            # The store is slow: ends can't be acknowledged, yet the lease must go on.
+            _ask(state, runner, now, 0.0, renew=True)
+
+
+def _ask(
+    state: Dispatcher, runner: Runner, now: float, wait_s: float, renew: bool
+) -> None:
+    assert runner.entry is not None
+    runner.hold_out = True
+    until_ms = make_lease(runner, state.limits, now) if renew else 0
+    state.actions.append(SendHold(runner.entry, runner.stored_seen, until_ms, wait_s))
+
+
+def _adjust_pace(state: Dispatcher, runner: Runner, held: Held, now: float) -> None:
+    """Slow the runner's backfilling tasks while they harm serving ones."""
+    if has_targets(runner):
+        loads: dict[object, float] = {
+            row.task: row.load for row in held.running if row.load is not None
+        }
+        if now - runner.paced_at >= state.limits.watch_wait_s * 0.8:
+            runner.pace = choose_pace(runner.pace, find_harm(runner, loads))
+            runner.paced_at = now
+    else:
+        runner.pace = FULL_PACE
+    for task in runner.tasks.values():
+        if _needs_pace(task, runner.pace):
+            runs.send_pace(state, task, runner, runner.pace, now)
+
+
+def _needs_pace(task: Task, pace: int) -> bool:
+    running = task.phase == Phase.RUNNING and task.step.spec.backfill
+    return running and task.pace != pace
--- /dev/null
+++ b/plantainyard/dispatch/restoring.py
@@ -0,0 +1,83 @@
+"""Jobs of a predecessor, from the stored records."""
+
+from plantainyard.batch.replica import JobView, Replica
+from plantainyard.batch.values import StepProgress
+from plantainyard.dispatch.jobs import (
+    add_job,
+    cancel_job,
+    check_end,
+    open_occurrence,
+)
+from plantainyard.dispatch.model import Phase, Runner, StepRun, Task
+from plantainyard.dispatch.placing import take_room
+from plantainyard.dispatch.queue import find_deadline
+from plantainyard.dispatch.state import Dispatcher
+
+__all__ = ["restore_jobs"]
+
+
+def restore_jobs(state: Dispatcher, replica: Replica, now: float) -> None:
+    """Fill `state` with the jobs of `replica`.
+
+    Notes
+    -----
+    A run that was out is counted at its runner until a report of that runner proves
+    otherwise or every lease that a predecessor can have granted has lapsed. The
+    predecessor's orders that are still on their way are refused by then: the report
+    was asked for with a higher fencing token.
+    """
+    state.taken_over_at = now
+    for job_id, view in list(replica.jobs.items()):
+        if view.ended:
+            state.ended[job_id] = now
+        elif view.submission is not None:
+            _restore_job(state, view, now)
+
+
+def _restore_job(state: Dispatcher, view: JobView, now: float) -> None:
+    submission = view.submission
+    assert submission is not None
+    add_job(state, submission, now)
+    job = state.jobs[submission.job_id]
+    accepted = submission.accepted_at_ms / 1000 - state.wall_offset_s
+    job.deadline = find_deadline(submission, min(now, accepted))
+    for (occurrence, number), progress in view.steps.items():
+        if (occurrence, number) not in job.steps:
+            open_occurrence(job, occurrence)
+        _restore_step(state, job.steps[occurrence, number], progress, now)
+    if view.cancelled:
+        cancel_job(state, submission.job_id, now)
+    else:
+        check_end(state, job)
+
+
+def _restore_step(
+    state: Dispatcher, step: StepRun, progress: StepProgress, now: float
+) -> None:
+    for task in step.tasks:
+        if task.key.index in progress.done:
+            task.phase = Phase.DONE
+            step.done += 1
+    for index, stored in progress.tasks.items():
+        task = step.tasks[index]
+        task.run = stored.run
+        task.failures = stored.failures
+        task.checkpoint = stored.checkpoint
+        if stored.runner:
+            _restore_run(state, task, stored.runner, now)
+
+
+def _restore_run(state: Dispatcher, task: Task, life: str, now: float) -> None:
+    task.phase = Phase.ORDERED
+    task.life = life
+    task.settled = True
+    task.settled_at = now
+    runner = state.runners.get(life)
+    if runner is None:
+        runner = Runner(life, None)
+        limits = state.limits
+        granted = limits.longest_lease_s * (1 + limits.clock_drift)
+        runner.lease_bound = now + granted + limits.lease_slack_s
+        state.runners[life] = runner
+        state.lives[life.partition("@")[0]] = life
+    take_room(runner, task)
--- /dev/null
+++ b/plantainyard/dispatch/state.py
@@ -0,0 +1,69 @@
+"""The whole state of a dispatcher."""
+
+from dataclasses import dataclass, field
+
+from plantainyard.dispatch.events import Action
+from plantainyard.dispatch.limits import Limits
+from plantainyard.dispatch.model import Job, Runner, StepRun, Task
+
+__all__ = ["Dispatcher", "mark_dirty"]
+
+
+@dataclass(slots=True, eq=False)
+class Dispatcher:
+    """Jobs and runners of one unit.
+
+    Attributes
+    ----------
+    limits : Limits
+        Times and weights.
+    wall_offset_s : float
+        Unix time less the dispatcher's clock, taken once: the time of day may jump.
+    jobs : dict
+        Jobs that haven't ended, by id.
+    ended : dict
+        When the jobs that ended here did, by id; a repeated submission of one is
+        passed over.
+    runners : dict
+        Lives of runners by name.
+    lives : dict
+        Newest life by the runner's id.
+    guarded : frozenset
+        Services whose runners refuse what doesn't fit.
+    dirty : dict
+        Steps whose stored progress is out of date, by their identity.
+    ending : dict
+        Final states that aren't stored yet, by job.
+    assigned : list of Task
+        Tasks assigned since the last commit.
+    commit_out : bool
+        A commit is on its way; the next one waits for it.
+    committing_seen, committing_ends, committing_starts
+        What it carries: acknowledged ends by life, ended jobs, tasks to start.
+    actions : list of Action
+        What the current step has asked for so far.
+    taken_over_at : float
+        When this dispatcher began.
+    """
+
+    limits: Limits
+    wall_offset_s: float = 0.0
+    jobs: dict[str, Job] = field(default_factory=dict)
+    ended: dict[str, float] = field(default_factory=dict)
+    runners: dict[str, Runner] = field(default_factory=dict)
+    lives: dict[str, str] = field(default_factory=dict)
+    guarded: frozenset[str] = frozenset()
+    dirty: dict[int, StepRun] = field(default_factory=dict)
+    ending: dict[str, str] = field(default_factory=dict)
+    assigned: list[Task] = field(default_factory=list)
+    commit_out: bool = False
+    committing_seen: dict[str, int] = field(default_factory=dict)
+    committing_ends: list[str] = field(default_factory=list)
+    committing_starts: list[Task] = field(default_factory=list)
+    actions: list[Action] = field(default_factory=list)
+    taken_over_at: float = 0.0
+
+
+def mark_dirty(state: Dispatcher, step: StepRun) -> None:
+    """Have the step's progress stored with the next commit."""
+    state.dirty[id(step)] = step
--- /dev/null
+++ b/plantainyard/entry/eventlog.py
@@ -0,0 +1,139 @@
+"""One line of JSON for each decision, on standard output, never in the way.
+
+Lines go through a bounded queue to a thread that writes them. Where the reader of
+standard output has stopped, or more comes than can be written, lines are lost and
+counted, and no decision waits.
+"""
+
+import contextlib
+import json
+import queue
+import sys
+import threading
+from collections.abc import Iterator
+from typing import Any, TextIO
+
+from plantainyard.clock import read_clock
+
+__all__ = ["EVENTS", "EventLog", "keep_event_log"]
+
+QUEUE_LINES = 2_000
+"""Lines that wait for the writer: some seconds of the busiest traffic, under 1 MB."""
+
+LINES_PER_EVENT_S = 50
+"""Lines of one event written in a second; more are counted in a line `left_out`.
+Fifty a second keep the cost of logging under one hundredth of a core."""
+
+EVENTS = frozenset(
+    {
+        "accepted",
+        "answered_unknown",
+        "assigned",
+        "cancel_accepted",
+        "configuration_in_force",
+        "dependency_lost",
+        "dependency_regained",
+        "ended",
+        "job_ended",
+        "left_out",
+        "order_failed",
+        "owner_gained",
+        "owner_lost",
+        "refused",
+        "reloaded",
+        "reload_failed",
+        "runner_changed",
+        "runner_silent",
+        "started",
+        "stopped",
+        "stopping",
+        "unreadable_entry",
+    }
+)
+"""All events; `docs/operators/events.md` says what each means."""
+
+
+class EventLog:
+    """Writes lines about events.
+
+    Parameters
+    ----------
+    instance : str
+        Named in each line.
+    stream : file
+        Where lines go.
+    """
+
+    def __init__(self, instance: str, stream: TextIO) -> None:
+        self.instance = instance
+        self.stream = stream
+        self.lines: queue.Queue[str | None] = queue.Queue(QUEUE_LINES)
+        self.lost = 0
+        self._counts: dict[str, int] = {}
+        self._second = 0
+        self._lock = threading.Lock()
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Queue a line about `event`; drop and count it if the queue is full.
+
+        Parameters
+        ----------
+        event : str
+            One of `EVENTS`.
+        **fields
+            What decided it and what became of it; encodable as JSON.
+        """
+        for name, left_out in self._count(event):
+            self._put("left_out", {"of": name, "lines": left_out})
+        if self._counts[event] <= LINES_PER_EVENT_S:
+            self._put(event, fields)
+
+    def _count(self, event: str) -> list[tuple[str, int]]:
+        """Count a line, and return what the last second left out."""
+        with self._lock:
+            second = int(read_clock())
+            finished: list[tuple[str, int]] = []
+            if second != self._second:
+                finished = [
+                    (name, count - LINES_PER_EVENT_S)
+                    for name, count in self._counts.items()
+                    if count > LINES_PER_EVENT_S
+                ]
+                self._second = second
+                self._counts = {}
+            self._counts[event] = self._counts.get(event, 0) + 1
+            return finished
+
+    def _put(self, event: str, fields: dict[str, Any]) -> None:
+        data = {
+            "t": round(read_clock(), 3),
+            "event": event,
+            "instance": self.instance,
+            **fields,
+        }
+        try:
+            self.lines.put_nowait(json.dumps(data, separators=(",", ":"), default=str))
+        except queue.Full:
+            self.lost += 1
+
+    def run(self) -> None:
+        """Write lines until a None is queued."""
+        while (line := self.lines.get()) is not None:
+            try:
+                self.stream.write(line + "\n")
+                if self.lines.empty():
+                    self.stream.flush()
+            except (OSError, ValueError):
+                self.lost += 1
+
+
+@contextlib.contextmanager
+def keep_event_log(instance: str, stream: TextIO | None = None) -> Iterator[EventLog]:
+    """Yield an event log whose writer runs for the length of the context."""
+    log = EventLog(instance, stream or sys.stdout)
+    threading.Thread(target=log.run, daemon=True, name="event-log").start()
+    try:
+        yield log
+    finally:
+        with contextlib.suppress(queue.Full):
+            log.lines.put_nowait(None)
--- /dev/null
+++ b/plantainyard/entry/front.py
@@ -0,0 +1,251 @@
+"""The callers' port: submit, ask, cancel and count jobs."""
+
+import json
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+from wsgiref.types import StartResponse, WSGIEnvironment
+
+from result import Err, Ok, Result
+
+from plantainyard.batch.checks import find_fault
+from plantainyard.batch.records import (
+    encode_submission,
+    make_cancel_key,
+    make_submission_key,
+)
+from plantainyard.batch.replica import JobView, count_pending, describe_state
+from plantainyard.batch.values import Submission
+from plantainyard.clock import read_clock
+from plantainyard.entry.instance import Instance
+from plantainyard.entry.peers import ask_owner
+from plantainyard.entry.tails import read_ahead
+from plantainyard.entry.topics import INTAKE
+from plantainyard.entry.wall import read_wall_ms
+from plantainyard.errors import ErrorKind
+from plantainyard.platform.configuration import Configuration, Queue, find_queue
+from plantainyard.platform.store import Append, Record
+from plantainyard.platform.submissions import decode_body
+
+__all__ = ["Answer", "build_front", "serve_request"]
+
+ID_LENGTH = 16
+"""Hexadecimal digits of a job's id."""
+
+STALE_S = 2.0
+"""Age from which the configuration isn't acted on: operators expect a change to be
+in force within 2.5 s, and an instance that can't reach the store doesn't see it."""
+
+RETRY_AFTER_S = 1
+"""When a caller that was refused should come back: most outages of the store for one
+instance last seconds, and a repeat reaches another instance."""
+
+ATTEMPT_S = 0.5
+"""Longest wait for one attempt to store a submission."""
+
+GIVE_UP_S = 1.6
+"""Time after which a request that couldn't be stored is given up: callers wait about
+three seconds, and an answer with half of it left lets them try elsewhere."""
+
+OWNER_S = 0.4
+"""Longest wait for the owner's answer about a job."""
+
+COUNT_STALE_S = 1.5
+"""Age from which the copy is too old to count waiting jobs; the count may be 2 s old."""
+
+
+class Answer(NamedTuple):
+    """An answer to a caller.
+
+    Attributes
+    ----------
+    status : str
+        Code and reason.
+    body : dict
+        Sent as JSON.
+    retry_after_s : int
+        Zero where the header is left out.
+    """
+
+    status: str
+    body: dict[str, Any]
+    retry_after_s: int = 0
+
+
+_OK = "200 OK"
+_NOT_FOUND = Answer("404 Not Found", {"error": "no such queue"})
+_GONE = Answer("410 Gone", {"error": "no such job"})
+
+
+def _refuse(error: str) -> Answer:
+    return Answer("503 Service Unavailable", {"error": error}, RETRY_AFTER_S)
+
+
+def _reject(error: str) -> Answer:
+    return Answer("400 Bad Request", {"error": error})
+
+
+def build_front(
+    instance: Instance,
+) -> Callable[[WSGIEnvironment, StartResponse], Iterable[bytes]]:
+    """Return the WSGI application of the callers' port."""
+
+    def serve(environ: WSGIEnvironment, start: StartResponse) -> Iterable[bytes]:
+        answer = serve_request(instance, environ)
+        body = json.dumps(answer.body).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        if answer.retry_after_s:
+            headers.append(("Retry-After", str(answer.retry_after_s)))
+        start(answer.status, headers)
+        return [body]
+
+    return serve
+
+
+def serve_request(instance: Instance, environ: WSGIEnvironment) -> Answer:
+    """Answer one request of a caller."""
+    configuration = instance.configuration
+    if configuration is None:
+        return _refuse("no configuration yet")
+    method = environ["REQUEST_METHOD"]
+    host = environ.get("HTTP_HOST", "")
+    found = find_queue(configuration, host, environ.get("PATH_INFO", ""))
+    fresh = instance.is_fresh(read_clock(), STALE_S)
+    if found is None:
+        return _NOT_FOUND if fresh else _refuse("the configuration may be out of date")
+    queue, job_id = found
+    if method == "GET" and not job_id:
+        return _count(instance, queue)
+    if not _is_job_id(job_id):
+        return _reject("a job's id is 16 hexadecimal digits")
+    if method == "POST":
+        if not fresh:
+            return _refuse("the configuration may be out of date")
+        return _submit(instance, configuration, queue, job_id, environ)
+    if method == "GET":
+        return _describe(instance, job_id)
+    if method == "DELETE":
+        return _cancel(instance, job_id)
+    return Answer("405 Method Not Allowed", {"error": f"no method {method}"})
+
+
+def _is_job_id(text: str) -> bool:
+    return len(text) == ID_LENGTH and all(c in "0123456789abcdefABCDEF" for c in text)
+
+
+def _submit(
+    instance: Instance,
+    configuration: Configuration,
+    queue: Queue,
+    job_id: str,
+    environ: WSGIEnvironment,
+) -> Answer:
+    known = instance.replica.jobs.get(job_id)
+    if known is not None and known.submission is not None:
+        return Answer(_OK, {"state": describe_state(known)})
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > configuration.body_bytes:
+        return Answer("413 Content Too Large", {"error": "the body is too long"})
+    body = environ["wsgi.input"].read(length)
+    decoded = _decode(body, job_id, queue)
+    if isinstance(decoded, Err):
+        instance.log.write("refused", job=job_id, why=decoded.err_value)
+        return _reject(decoded.err_value)
+    value = encode_submission(decoded.ok_value)
+    answer = _store(instance, make_submission_key(job_id), value)
+    event = "accepted" if answer.status == _OK else "refused"
+    instance.log.write(event, job=job_id, queue=queue.name, status=answer.status)
+    return answer
+
+
+def _decode(body: bytes, job_id: str, queue: Queue) -> Result[Submission, str]:
+    try:
+        submission = decode_body(body, job_id, queue, int(read_wall_ms()))
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        return Err(f"not a submission: {error}")
+    except RecursionError:
+        return Err("not a submission: nested too deep")
+    fault = find_fault(submission)
+    return Err(fault) if fault else Ok(submission)
+
+
+def _store(instance: Instance, key: str, value: bytes) -> Answer:
+    """Store a record and answer; what is told as not accepted certainly isn't.
+
+    Notes
+    -----
+    Guards against a job that was rejected and runs all the same: an append without an
+    answer may take effect seconds later. Once one has gone unanswered the caller is
+    told that the outcome is unknown, never that the job was refused.
+    """
+    append = Append(INTAKE, instance.unit, [Record(key, value)])
+    until = read_clock() + GIVE_UP_S
+    unknown = False
+    pause_s = 0.02
+    while True:
+        answer = instance.store.append(append, ATTEMPT_S)
+        if isinstance(answer, Ok) and answer.ok_value.accepted:
+            return Answer(_OK, {})
+        if isinstance(answer, Err):
+            kind = answer.err_value.kind
+            unknown |= kind not in (ErrorKind.REFUSED, ErrorKind.UNREACHABLE)
+        if read_clock() + pause_s > until or instance.stopping.wait(pause_s):
+            break
+        pause_s *= 2
+    if unknown:
+        instance.log.write("answered_unknown", key=key)
+        error = "the store did not answer; the outcome is not known"
+        return Answer("504 Gateway Timeout", {"error": error}, RETRY_AFTER_S)
+    return _refuse("not run: the store can't be reached")
+
+
+def _find(instance: Instance, job_id: str) -> Result[JobView | None, str]:
+    """Return what is known of a job; None if there certainly is no such job."""
+    view = instance.replica.jobs.get(job_id)
+    if view is not None and view.submission is not None:
+        return Ok(view)
+    if isinstance(read_ahead(instance.intake), Err):
+        return Err("the store can't be reached")
+    view = instance.replica.jobs.get(job_id)
+    known = view is not None and view.submission is not None
+    return Ok(view if known else None)
+
+
+def _describe(instance: Instance, job_id: str) -> Answer:
+    found = _find(instance, job_id)
+    if isinstance(found, Err):
+        return _refuse(found.err_value)
+    view = found.ok_value
+    if view is None:
+        return _GONE
+    state = describe_state(view)
+    if not view.ended and instance.owned is None:
+        # The copy is behind by up to the time between two reads.
+        state = ask_owner(instance, job_id, OWNER_S) or state
+    return Answer(_OK, {"state": state})
+
+
+def _cancel(instance: Instance, job_id: str) -> Answer:
+    found = _find(instance, job_id)
+    if isinstance(found, Err):
+        return _refuse(found.err_value)
+    view = found.ok_value
+    if view is None:
+        return _GONE
+    if view.ended or view.cancelled:
+        return Answer(_OK, {"state": describe_state(view)})
+    answer = _store(instance, make_cancel_key(job_id), b"1")
+    if answer.status == _OK:
+        instance.log.write("cancel_accepted", job=job_id)
+    return answer
+
+
+def _count(instance: Instance, queue: Queue) -> Answer:
+    oldest = min(instance.intake.synced_at, instance.progress.synced_at)
+    if instance.owned is not None:
+        oldest = instance.intake.synced_at
+    if read_clock() - oldest > COUNT_STALE_S:
+        return _refuse("the count may be out of date")
+    return Answer(_OK, {"pending": count_pending(instance.replica, queue.name)})
--- /dev/null
+++ b/plantainyard/entry/ownership.py
@@ -0,0 +1,99 @@
+"""Which units this instance owns, by the platform's group."""
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from result import Err
+
+from plantainyard.clock import read_clock
+from plantainyard.entry.eventlog import EventLog
+from plantainyard.entry.topics import GROUP, PROGRESS
+from plantainyard.platform.settings import InstanceSettings
+from plantainyard.platform.store import StoreCalls
+
+__all__ = ["Ownership", "follow_ownership"]
+
+JOIN_EVERY_S = 0.3
+"""Time between renewals: three may be lost before a successor is named."""
+
+TTL_S = 1.2
+"""Time of silence after which the group names a successor; a pause of the process
+shorter than this costs nothing, and runners' leases last four times as long."""
+
+JOIN_TIMEOUT_S = 0.8
+"""Longest wait for an answer to a renewal."""
+
+KEEP_S = 9.0
+"""How long an owner that can't reach the store goes on renewing its runners' leases.
+The store may be down for everyone, and then nobody could take over; a successor
+waits for the longest lease before it takes a silent runner's tasks for ended."""
+
+
+class Ownership(NamedTuple):
+    """What the group has said.
+
+    Attributes
+    ----------
+    generation : int
+        The group's generation.
+    units : frozenset of int
+        Units that this instance owns.
+    """
+
+    generation: int
+    units: frozenset[int]
+
+
+def follow_ownership(
+    settings: InstanceSettings,
+    store: StoreCalls,
+    units: int,
+    log: EventLog,
+    take: Callable[[Ownership], None],
+    deposed: threading.Event,
+    stopping: threading.Event,
+) -> None:
+    """Stay in the group and call `take` with each answer, until `stopping` is set.
+
+    Notes
+    -----
+    An instance that was fenced off although the group still names it leaves the group
+    and joins it anew: only a later generation is a higher fencing token.
+
+    After `KEEP_S` without an answer the instance gives up what it owned: it may have
+    a successor for long, and must not keep alive what that one counts as ended.
+    """
+    generation = 0
+    answered_at = read_clock()
+    lost = False
+    while not stopping.is_set():
+        if deposed.is_set():
+            store.leave(GROUP, settings.instance, JOIN_TIMEOUT_S)
+            generation = 0
+            deposed.clear()
+        sent_at = read_clock()
+        answer = store.join(
+            GROUP, settings.instance, [PROGRESS], TTL_S, generation, JOIN_TIMEOUT_S
+        )
+        if isinstance(answer, Err):
+            if not lost:
+                log.write("dependency_lost", of="store", detail=answer.err_value.detail)
+            lost = True
+            if read_clock() - answered_at > KEEP_S:
+                take(Ownership(generation, frozenset()))
+        else:
+            if lost:
+                log.write("dependency_regained", of="store")
+            lost = False
+            answered_at = sent_at
+            found = answer.ok_value
+            generation = found.generation
+            owned = frozenset(
+                row.partition
+                for row in found.assignments
+                if row.topic == PROGRESS and row.partition < units
+            )
+            take(Ownership(generation, owned))
+        stopping.wait(JOIN_EVERY_S)
+    store.leave(GROUP, settings.instance, JOIN_TIMEOUT_S)
--- /dev/null
+++ b/plantainyard/entry/process.py
@@ -0,0 +1,253 @@
+"""One process: threads, servers, signals, start and graceful shutdown."""
+
+import contextlib
+import os
+import select
+import signal
+import socket
+import sys
+import threading
+from collections.abc import Callable, Iterable, Iterator
+from pathlib import Path
+from wsgiref.types import StartResponse, WSGIApplication, WSGIEnvironment
+
+import waitress
+from result import Err
+from waitress import wasyncore
+
+from plantainyard.clock import read_clock
+from plantainyard.entry.eventlog import EventLog, keep_event_log
+from plantainyard.entry.front import build_front
+from plantainyard.entry.instance import (
+    FOLLOW_EVERY_S,
+    LONG_POLL_S,
+    Instance,
+    run_follower,
+)
+from plantainyard.entry.ownership import follow_ownership
+from plantainyard.entry.peers import build_peer_app
+from plantainyard.platform.settings import (
+    SETTINGS_VARIABLE,
+    InstanceSettings,
+    load_instance_settings,
+)
+
+__all__ = ["main", "run_instance"]
+
+EXIT_OK = 0
+EXIT_USAGE = 2
+
+UNITS = 1
+"""Units that the fleet is divided into: one owner commands 33 runners and 90 starts
+a second with a third of a core."""
+
+CALLER_THREADS = 24
+"""Requests served at once; each waits for the store for some 10 ms."""
+
+CALLER_CONNECTIONS = 2_000
+"""Open connections of callers; half of the descriptors that an instance has."""
+
+READY_S = 3.0
+"""An instance is ready while the store confirmed its configuration so lately."""
+
+SPARE_S = 1.2
+"""Part of the grace that is left for the last answers when a stop begins."""
+
+BODY_BYTES = 1_048_576
+"""Longest body that is read at all; the configuration's limit is checked after."""
+
+LOOP_S = 0.5
+"""Longest sleep of the servers' loop."""
+
+
+def main() -> int:
+    """Run an instance with the settings file that the environment names."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    loaded = load_instance_settings(Path(path))
+    if isinstance(loaded, Err):
+        fault = loaded.err_value
+        print(
+            f"{fault.path}:{fault.line}: {fault.key}: {fault.detail}", file=sys.stderr
+        )
+        return EXIT_USAGE
+    with keep_event_log(loaded.ok_value.instance) as log:
+        run_instance(loaded.ok_value, log)
+    return EXIT_OK
+
+
+def run_instance(settings: InstanceSettings, log: EventLog) -> None:
+    """Serve until SIGTERM, then finish what was begun."""
+    instance = Instance(settings, log)
+    draining = threading.Event()
+    with _catch_signals() as signals, _serve(instance, draining):
+        _start_threads(instance, draining)
+        log.write("started", domain=settings.domain, address=settings.caller_address)
+        _wait_for_stop(signals, log)
+        log.write("stopping")
+        draining.set()
+        # Others take the units over while this instance goes on answering callers.
+        _wait(signals, settings.grace_s - SPARE_S)
+        instance.stopping.set()
+    log.write("stopped")
+
+
+def _wait_for_stop(signals: socket.socket, log: EventLog) -> None:
+    while True:
+        select.select([signals], [], [])
+        received = signals.recv(64)
+        if signal.SIGTERM in received or signal.SIGINT in received:
+            return
+        if signal.SIGHUP in received:
+            _reload(log)
+
+
+def _reload(log: EventLog) -> None:
+    """Check the changed settings file; addresses stay those of the start."""
+    loaded = load_instance_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+    if isinstance(loaded, Err):
+        log.write("reload_failed", why=str(loaded.err_value))
+    else:
+        log.write("reloaded")
+
+
+def _wait(signals: socket.socket, seconds: float) -> None:
+    until = read_clock() + seconds
+    while (left := until - read_clock()) > 0:
+        if select.select([signals], [], [], left)[0]:
+            signals.recv(64)
+
+
+@contextlib.contextmanager
+def _catch_signals() -> Iterator[socket.socket]:
+    """Yield a socket that the numbers of received signals can be read from.
+
+    Notes
+    -----
+    A handler that takes a lock can run while the main thread holds it; the
+    interpreter's wakeup socket needs none.
+    """
+    receiver, sender = socket.socketpair()
+    with receiver, sender:
+        sender.setblocking(False)
+        signal.set_wakeup_fd(sender.fileno())
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda *_: None)
+        try:
+            yield receiver
+        finally:
+            signal.set_wakeup_fd(-1)
+
+
+def _start_threads(instance: Instance, draining: threading.Event) -> None:
+    def owning() -> bool:
+        return instance.owned is not None
+
+    def wait_for_intake() -> tuple[float, float]:
+        return (LONG_POLL_S, 0.0) if owning() else (0.0, FOLLOW_EVERY_S)
+
+    def wait_for_progress() -> tuple[float, float]:
+        return 0.0, FOLLOW_EVERY_S
+
+    def wait_for_operations() -> tuple[float, float]:
+        return LONG_POLL_S, 0.0
+
+    followers = (
+        (instance.operations, wait_for_operations),
+        (instance.intake, wait_for_intake),
+        (instance.progress, wait_for_progress),
+    )
+    threads = [
+        threading.Thread(target=run_follower, args=(instance, *row), daemon=True)
+        for row in followers
+    ]
+    threads.append(
+        threading.Thread(target=_run_ownership, args=(instance, draining), daemon=True)
+    )
+    for thread in threads:
+        thread.start()
+
+
+def _run_ownership(instance: Instance, draining: threading.Event) -> None:
+    follow_ownership(
+        instance.settings,
+        instance.store,
+        UNITS,
+        instance.log,
+        instance.take_ownership,
+        instance.deposed,
+        draining,
+    )
+    instance.give_up()
+
+
+@contextlib.contextmanager
+def _serve(instance: Instance, draining: threading.Event) -> Iterator[None]:
+    """Serve callers, the readiness check, peers and metrics."""
+    settings = instance.settings
+    ready = _build_ready(instance, draining)
+    apps: list[tuple[str, WSGIApplication, int]] = [
+        (settings.caller_address, build_front(instance), CALLER_THREADS),
+        (settings.ready_address, ready, 1),
+        (instance.peer_address(), build_peer_app(instance), 4),
+    ]
+    sockets: dict[int, object] = {}
+    servers = [
+        waitress.create_server(
+            app,
+            map=sockets,
+            listen=address,
+            threads=threads,
+            connection_limit=CALLER_CONNECTIONS,
+            max_request_body_size=BODY_BYTES,
+            inbuf_overflow=BODY_BYTES,
+            outbuf_overflow=BODY_BYTES,
+            clear_untrusted_proxy_headers=True,
+            ident=None,
+        )
+        for address, app, threads in apps
+    ]
+    stopping = threading.Event()
+    loop = threading.Thread(
+        target=_run_loop, args=(servers, sockets, stopping), daemon=True
+    )
+    loop.start()
+    try:
+        yield
+    finally:
+        stopping.set()
+        servers[0].pull_trigger()
+        loop.join(SPARE_S)
+
+
+def _run_loop(
+    servers: list, sockets: dict[int, object], stopping: threading.Event
+) -> None:
+    while not stopping.is_set():
+        wasyncore.loop(timeout=LOOP_S, map=sockets, use_poll=True, count=1)
+    until = read_clock() + SPARE_S * 0.6
+    for server in servers:
+        server.accepting = False
+    while read_clock() < until and any(_is_busy(server) for server in servers):
+        wasyncore.loop(timeout=0.05, map=sockets, use_poll=True, count=1)
+    wasyncore.close_all(sockets)
+
+
+def _is_busy(server: object) -> bool:
+    channels = server.active_channels.values()  # type: ignore[attr-defined]
+    return any(
+        channel.requests or channel.total_outbufs_len > 0 for channel in channels
+    )
+
+
+def _build_ready(
+    instance: Instance, draining: threading.Event
+) -> Callable[[WSGIEnvironment, StartResponse], Iterable[bytes]]:
+    def serve(_: WSGIEnvironment, start: StartResponse) -> Iterable[bytes]:
+        able = instance.configuration is not None
+        fresh = instance.is_fresh(read_clock(), READY_S)
+        ready = able and fresh and not draining.is_set()
+        status = "200 OK" if ready else "503 Service Unavailable"
+        start(status, [("Content-Length", "0")])
+        return []
+
+    return serve
--- /dev/null
+++ b/plantainyard/entry/tails.py
@@ -0,0 +1,144 @@
+"""Following the newest records of a keyed topic."""
+
+import threading
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from plantainyard.clock import read_clock
+from plantainyard.errors import CallError
+from plantainyard.platform.store import Record, StoreCalls
+
+__all__ = ["Tail", "poll_tail", "read_ahead"]
+
+READ_TIMEOUT_S = 1.0
+"""Longest wait for the store beyond the wait that was asked for; its usual answer
+takes under 30 ms, and a connection that has gone silent shows only by this."""
+
+
+class Tail:
+    """Where the reading of one partition stands.
+
+    Parameters
+    ----------
+    store : StoreCalls
+        The platform's store.
+    topic : str
+        A keyed topic.
+    partition : int
+        Its partition.
+    take : callable
+        Called with each record, in order; the newest of a key counts.
+    reset : callable, optional
+        Called before all newest records are read again.
+    """
+
+    def __init__(
+        self,
+        store: StoreCalls,
+        topic: str,
+        partition: int,
+        take: Callable[[Record], None],
+        reset: Callable[[], None] | None = None,
+    ) -> None:
+        self.store = store
+        self.topic = topic
+        self.partition = partition
+        self.take = take
+        self.reset = reset
+        self.offset: int | None = None
+        self.synced_at = 0.0
+        self.lock = threading.Lock()
+
+
+def poll_tail(tail: Tail, wait_s: float = 0.0) -> Result[int, CallError]:
+    """Read all that is new, waiting up to `wait_s` for the first record.
+
+    Returns
+    -------
+    Result[int, CallError]
+        The number of records taken. After success `tail.synced_at` is a time before
+        which everything stored has been taken.
+    """
+    with tail.lock:
+        began = read_clock()
+        taken = 0
+        if tail.offset is None:
+            loaded = _load_newest(tail)
+            if isinstance(loaded, Err):
+                return loaded
+            taken += loaded.ok_value
+            wait_s = 0.0
+        while True:
+            assert tail.offset is not None
+            found = tail.store.read(
+                tail.topic, tail.partition, tail.offset, wait_s, READ_TIMEOUT_S
+            )
+            if isinstance(found, Err):
+                return found
+            part = found.ok_value
+            if part.dropped:
+                # History up to a later offset is gone; the newest records are not.
+                tail.offset = None
+                return Ok(taken)
+            for record in part.records:
+                tail.take(record)
+            taken += len(part.records)
+            tail.offset = part.next_offset
+            if part.next_offset >= part.end:
+                tail.synced_at = began
+                return Ok(taken)
+            wait_s = 0.0
+
+
+def _load_newest(tail: Tail) -> Result[int, CallError]:
+    """Take the newest record of each key, then follow from where that began.
+
+    Notes
+    -----
+    Pages are no snapshot: a record may change between two of them. The reading goes
+    on from the end that the first page named, so each change is read again after.
+    """
+    if tail.reset is not None:
+        tail.reset()
+    after = ""
+    start: int | None = None
+    taken = 0
+    while True:
+        found = tail.store.read_newest(
+            tail.topic, tail.partition, after, READ_TIMEOUT_S
+        )
+        if isinstance(found, Err):
+            return found
+        page = found.ok_value
+        if start is None:
+            start = page.end
+        for record in page.records:
+            tail.take(record)
+        taken += len(page.records)
+        after = page.last_key
+        if not page.more:
+            tail.offset = start
+            return Ok(taken)
+
+
+def read_ahead(tail: Tail) -> Result[int, CallError]:
+    """Take what is stored beyond the tail's place without moving it.
+
+    Notes
+    -----
+    For an answer that must count all that was stored before the call, while another
+    thread waits on the same tail. Records are taken twice, which does no harm where
+    the newest of a key counts and each is written once.
+    """
+    offset = tail.offset
+    if offset is None:
+        return poll_tail(tail)
+    found = tail.store.read(tail.topic, tail.partition, offset, 0.0, READ_TIMEOUT_S)
+    if isinstance(found, Err):
+        return found
+    if found.ok_value.dropped:
+        return poll_tail(tail)
+    for record in found.ok_value.records:
+        tail.take(record)
+    return Ok(len(found.ok_value.records))
--- /dev/null
+++ b/plantainyard/entry/topics.py
@@ -0,0 +1,29 @@
+"""Names of the topics, the group and the keys that the product keeps in the store."""
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "GROUP",
+    "INTAKE",
+    "OPERATIONS",
+    "OWNER_KEY",
+    "PRODUCER",
+    "PROGRESS",
+    "RUNNERS",
+]
+
+INTAKE = "keyed.intake"
+"""Submissions and requests to cancel; any instance writes, each key once."""
+
+PROGRESS = "keyed.progress"
+"""Progress and final states of jobs; only a unit's owner writes, fenced by epoch."""
+
+RUNNERS = "keyed.servers"
+"""Runners' own entries."""
+
+OPERATIONS = "keyed.op"
+"""What operators publish."""
+
+CONFIGURATION_KEY = "config"
+OWNER_KEY = "owner"
+GROUP = "owners"
+PRODUCER = "owner"
--- /dev/null
+++ b/plantainyard/entry/unit.py
@@ -0,0 +1,274 @@
+"""The owner of a unit: an actor around the dispatcher, and what it asks for."""
+
+import contextlib
+import threading
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import pykka
+from result import Err
+
+from plantainyard.batch.replica import Replica, apply_record
+from plantainyard.clock import read_clock
+from plantainyard.dispatch import (
+    Action,
+    Commit,
+    Committed,
+    Dispatcher,
+    HoldAnswered,
+    HoldFailed,
+    OrderAnswered,
+    OrderKind,
+    SendHold,
+    SendOrder,
+    Tick,
+    step,
+)
+from plantainyard.entry.eventlog import EventLog
+from plantainyard.entry.topics import PRODUCER, PROGRESS
+from plantainyard.errors import ErrorKind
+from plantainyard.platform.entries import RunnerEntry
+from plantainyard.platform.runners import Order, RunnerCalls
+from plantainyard.platform.store import Append, StoreCalls
+
+__all__ = ["UnitActor", "UnitWorld", "keep_unit_actor"]
+
+TICK_S = 0.1
+"""Time between looks at what waits for a time: repeats, leases, schedules."""
+
+HOLD_THREADS = 96
+"""Reports waited for at once; one for each runner that an instance commands."""
+
+ORDER_THREADS = 24
+"""Orders on their way at once: 800 calls a second where a call takes 30 ms."""
+
+ORDER_TIMEOUT_S = 0.4
+"""Longest wait for the answer to an order; a region away it takes 30 ms."""
+
+HOLD_TIMEOUT_S = 0.7
+"""Longest wait for a report beyond the wait that was asked for."""
+
+APPEND_TIMEOUT_S = 0.6
+"""Longest wait for the store before the same append is sent again; the store answers
+a repeat like the first, so that only the wait is lost."""
+
+SLOW_APPEND_TIMEOUT_S = 3.0
+"""The same for repeats: a slow store must get the time to answer at all."""
+
+RETRY_S = 0.05
+"""Pause before an append is sent again."""
+
+
+class UnitWorld:
+    """What a unit's actor works with.
+
+    Attributes
+    ----------
+    unit, epoch : int
+        The unit, and the fencing token under which it is owned.
+    store, runners : StoreCalls, RunnerCalls
+        The platform.
+    replica : Replica
+        Gets each record once it is stored.
+    log : EventLog
+        For decisions.
+    depose : callable
+        Called once when a successor has shown itself.
+    stopping : Event
+        Set when the unit is given up.
+    """
+
+    def __init__(
+        self,
+        unit: int,
+        epoch: int,
+        store: StoreCalls,
+        runners: RunnerCalls,
+        replica: Replica,
+        log: EventLog,
+        depose: Callable[[], None],
+    ) -> None:
+        self.unit = unit
+        self.epoch = epoch
+        self.store = store
+        self.runners = runners
+        self.replica = replica
+        self.log = log
+        self.depose = depose
+        self.stopping = threading.Event()
+
+
+class UnitActor(pykka.ThreadingActor):
+    """Runs a unit's dispatcher and carries out its actions.
+
+    Parameters
+    ----------
+    world : UnitWorld
+        Where actions go.
+    dispatcher : Dispatcher
+        The state, restored from the store.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, world: UnitWorld, dispatcher: Dispatcher) -> None:
+        super().__init__()
+        self.world = world
+        self.dispatcher = dispatcher
+        self.sequence = 0
+        self.holds = ThreadPoolExecutor(HOLD_THREADS, "hold")
+        self.orders = ThreadPoolExecutor(ORDER_THREADS, "order")
+        self.commits = ThreadPoolExecutor(1, "commit")
+
+    def on_receive(self, message: Any) -> None:
+        """Take in an event and carry out what the dispatcher asks for."""
+        if self.world.stopping.is_set():
+            return
+        for action in step(self.dispatcher, message, read_clock()):
+            self._perform(action)
+
+    def on_stop(self) -> None:
+        """Let go of the threads; calls that are out end by their own timeouts."""
+        for pool in (self.holds, self.orders, self.commits):
+            pool.shutdown(wait=False, cancel_futures=True)
+
+    def _perform(self, action: Action) -> None:
+        if isinstance(action, Commit):
+            self.sequence += 1
+            self.commits.submit(self._commit, action, self.sequence)
+        elif isinstance(action, SendHold):
+            self.holds.submit(self._hold, action)
+        else:
+            self.orders.submit(self._order, action)
+
+    def _commit(self, action: Commit, sequence: int) -> None:
+        world = self.world
+        append = Append(
+            PROGRESS, world.unit, action.records, PRODUCER, world.epoch, sequence
+        )
+        if append_until_known(world, append):
+            for record in action.records:
+                apply_record(world.replica, record.key, record.value)
+            self.actor_ref.tell(Committed())
+
+    def _hold(self, action: SendHold) -> None:
+        sent_at = read_clock()
+        entry = action.entry
+        order = _address(entry, self.world.epoch, lease=action.lease_until_ms)
+        answer = self.world.runners.hold(
+            order, action.last_seen, action.wait_s, HOLD_TIMEOUT_S
+        )
+        if isinstance(answer, Err):
+            error = answer.err_value
+            conflict = error.kind == ErrorKind.CONFLICT
+            fenced = conflict and "fence" in error.detail
+            if fenced:
+                self.world.depose()
+            event: Any = HoldFailed(
+                entry.life, sent_at, error.detail, conflict and not fenced, fenced
+            )
+            self.world.log.write("runner_silent", runner=entry.life, why=error.detail)
+        else:
+            event = HoldAnswered(entry.life, answer.ok_value, sent_at)
+        self._tell(event)
+
+    def _order(self, action: SendOrder) -> None:
+        sent_at = read_clock()
+        order = Order(
+            runner=action.entry.runner,
+            born_ms=action.entry.born_ms,
+            address=action.entry.address,
+            task=action.task,
+            run=action.run,
+            fence=self.world.epoch,
+            spec=action.spec,
+            lease_until_ms=action.lease_until_ms,
+            checkpoint=action.checkpoint,
+            percent=action.percent,
+        )
+        calls = self.world.runners
+        send = {
+            OrderKind.START: calls.start,
+            OrderKind.STOP: calls.stop,
+            OrderKind.PACE: calls.pace,
+        }[action.kind]
+        result = send(order, ORDER_TIMEOUT_S)
+        if result.outcome != "done":
+            self.world.log.write(
+                "order_failed",
+                kind=action.kind,
+                job=action.task.job_id,
+                task=action.task[1:],
+                run=action.run,
+                runner=action.entry.life,
+                outcome=result.outcome,
+                why=result.detail,
+            )
+        life = action.entry.life
+        self._tell(
+            OrderAnswered(action.kind, action.task, action.run, life, result, sent_at)
+        )
+
+    def _tell(self, event: Any) -> None:
+        with contextlib.suppress(pykka.ActorDeadError):
+            self.actor_ref.tell(event)
+
+
+def _address(entry: RunnerEntry, epoch: int, lease: int) -> Order:
+    from plantainyard.batch.tasks import TaskKey
+
+    nothing = TaskKey("", 0, 0, 0)
+    return Order(
+        entry.runner,
+        entry.born_ms,
+        entry.address,
+        nothing,
+        0,
+        epoch,
+        lease_until_ms=lease,
+    )
+
+
+def append_until_known(world: UnitWorld, append: Append) -> bool:
+    """Send an append until the store has it; return False if a successor fenced it.
+
+    Notes
+    -----
+    Guards against an append whose answer was lost: it may have taken effect, or may
+    seconds later. A repeat under the same sequence number is stored once.
+    """
+    timeout_s = APPEND_TIMEOUT_S
+    while not world.stopping.is_set():
+        answer = world.store.append(append, timeout_s)
+        if isinstance(answer, Err):
+            timeout_s = SLOW_APPEND_TIMEOUT_S
+            world.log.write("order_failed", kind="append", why=answer.err_value.detail)
+            world.stopping.wait(RETRY_S)
+            continue
+        if answer.ok_value.accepted:
+            return True
+        world.depose()
+        return False
+    return False
+
+
+@contextlib.contextmanager
+def keep_unit_actor(
+    world: UnitWorld, dispatcher: Dispatcher
+) -> Iterator[pykka.ActorRef[UnitActor]]:
+    """Run a unit's actor, and its clock, for the length of the context."""
+    actor = UnitActor.start(world, dispatcher)
+    ticker = threading.Thread(target=_tick, args=(world, actor), daemon=True)
+    ticker.start()
+    try:
+        yield actor
+    finally:
+        world.stopping.set()
+        actor.stop(block=False)
+
+
+def _tick(world: UnitWorld, actor: pykka.ActorRef[UnitActor]) -> None:
+    while not world.stopping.wait(TICK_S):
+        with contextlib.suppress(pykka.ActorDeadError):
+            actor.tell(Tick())
--- a/plantainyard/gateway/peers.py
+++ b/plantainyard/gateway/peers.py
@@ -4,7 +4,6 @@
 
 from result import Err, Result
 
-from plantainyard.clients.http import HttpPeer, send_request
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.protocol import (
     CREDITS_PATH,
@@ -17,6 +16,7 @@
     decode_message,
     encode_message,
 )
+from plantainyard.transport import HttpPeer, send_request
 
 __all__ = ["ask_owner", "call_peer"]
 
--- a/plantainyard/operators/node.py
+++ b/plantainyard/operators/node.py
@@ -19,7 +19,6 @@
     decode_error,
 )
 from plantainyard.clients import Instance, build_peer
-from plantainyard.clients.http import send_request
 from plantainyard.clock import read_clock
 from plantainyard.gateway import Gateway
 from plantainyard.metrics import Meter
@@ -33,6 +32,7 @@
 from plantainyard.node.configuration import ConfigView
 from plantainyard.protocol import build_authorization
 from plantainyard.settings import Settings
+from plantainyard.transport import send_request
 
 __all__ = [
     "Node",
--- /dev/null
+++ b/plantainyard/platform/__init__.py
@@ -0,0 +1,60 @@
+"""Adapter to the users' platform: its names, formats and calls, and no decisions.
+
+Everything that the platform spells is decoded here into types whose fields say what
+they hold, and encoded here from the product's own words. `docs/glossary.md` maps the
+words.
+"""
+
+from plantainyard.platform.configuration import (
+    Configuration,
+    Queue,
+    decode_configuration,
+)
+from plantainyard.platform.entries import RunnerEntry, decode_entry
+from plantainyard.platform.runners import (
+    Held,
+    HeldRun,
+    Order,
+    OrderOutcome,
+    OrderResult,
+    RunEnd,
+    RunnerCalls,
+    build_runner_calls,
+)
+from plantainyard.platform.settings import InstanceSettings, load_instance_settings
+from plantainyard.platform.store import (
+    Append,
+    Appended,
+    Membership,
+    Page,
+    Slice,
+    StoreCalls,
+    build_store_calls,
+)
+from plantainyard.platform.submissions import decode_body
+
+__all__ = [
+    "Append",
+    "Appended",
+    "Configuration",
+    "Held",
+    "HeldRun",
+    "InstanceSettings",
+    "Membership",
+    "Order",
+    "OrderOutcome",
+    "OrderResult",
+    "Page",
+    "Queue",
+    "RunEnd",
+    "RunnerCalls",
+    "RunnerEntry",
+    "Slice",
+    "StoreCalls",
+    "build_runner_calls",
+    "build_store_calls",
+    "decode_body",
+    "decode_configuration",
+    "decode_entry",
+    "load_instance_settings",
+]
--- /dev/null
+++ b/plantainyard/platform/configuration.py
@@ -0,0 +1,123 @@
+"""The operators' configuration as the platform publishes it."""
+
+import json
+from typing import Any, NamedTuple
+
+__all__ = ["Configuration", "Queue", "decode_configuration", "find_queue"]
+
+DEFAULT_BODY_BYTES = 262_144
+"""Longest body of a request where the configuration names none; the platform's own."""
+
+
+class Queue(NamedTuple):
+    """A queue of jobs.
+
+    Attributes
+    ----------
+    name : str
+        Stable over versions of the configuration.
+    host, prefix : str
+        Requests with this host whose path begins with the prefix belong to it.
+    service : str
+        Service whose runners run the tasks.
+    priority : int
+        Zero comes first.
+    max_attempts : int
+        Runs of a task that may fail.
+    stretch, target_latency_ms : float
+        See `plantainyard.batch.Submission`.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_ms: float = 0.0
+
+
+class Configuration(NamedTuple):
+    """One version of the operators' configuration.
+
+    Attributes
+    ----------
+    version : int
+        Rises, in uneven steps.
+    queues : tuple of Queue
+        All queues of this version.
+    guarded_services : frozenset of str
+        Services whose runners refuse what doesn't fit.
+    body_bytes : int
+        Longest body of a request.
+    """
+
+    version: int
+    queues: tuple[Queue, ...]
+    guarded_services: frozenset[str] = frozenset()
+    body_bytes: int = DEFAULT_BODY_BYTES
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Decode the record that holds the newest configuration.
+
+    Raises
+    ------
+    ValueError, TypeError, KeyError, AttributeError
+        If it isn't a configuration.
+    """
+    data = json.loads(value)
+    services = data.get("services", [])
+    return Configuration(
+        version=int(data["version"]),
+        queues=tuple(_decode_queue(route) for route in data["routes"]),
+        guarded_services=frozenset(
+            service["name"] for service in services if service.get("admissionCheck")
+        ),
+        body_bytes=int(data.get("limits", {}).get("maxBodyBytes", DEFAULT_BODY_BYTES)),
+    )
+
+
+def _decode_queue(route: dict[str, Any]) -> Queue:
+    return Queue(
+        name=route["name"],
+        host=route["host"].lower(),
+        prefix=route["pathPrefix"],
+        service=route["service"],
+        priority=int(route.get("priority", 0)),
+        max_attempts=max(1, int(route.get("maxAttempts", 1))),
+        stretch=float(route.get("stretch", 1.0)),
+        target_latency_ms=float(route.get("targetLatencyMs", 0.0)),
+    )
+
+
+def find_queue(
+    configuration: Configuration, host: str, path: str
+) -> tuple[Queue, str] | None:
+    """Return the queue that a request names and the rest of its path.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The version in force.
+    host : str
+        The ``Host`` header; a port in it is passed over.
+    path : str
+        The request's path.
+
+    Returns
+    -------
+    tuple of Queue and str, or None
+        The queue with the longest prefix, and what follows the prefix.
+    """
+    name = host.partition(":")[0].lower()
+    found = [
+        queue
+        for queue in configuration.queues
+        if queue.host == name and path.startswith(queue.prefix)
+    ]
+    if not found:
+        return None
+    queue = max(found, key=lambda queue: len(queue.prefix))
+    return queue, path[len(queue.prefix) :].strip("/")
--- /dev/null
+++ b/plantainyard/platform/runners.py
@@ -0,0 +1,345 @@
+"""Calls to runners: start, stop, pace, and hold with its report."""
+
+import json
+from typing import Any, NamedTuple
+
+import urllib3
+from result import Err, Ok, Result
+
+from plantainyard.batch.tasks import TaskKey
+from plantainyard.errors import CallError, ErrorKind
+from plantainyard.transport import HttpAnswer, HttpPeer, build_pool, send_request
+
+__all__ = [
+    "Held",
+    "HeldRun",
+    "Order",
+    "OrderOutcome",
+    "OrderResult",
+    "RunEnd",
+    "RunnerCalls",
+    "build_runner_calls",
+]
+
+CONNECTIONS_PER_RUNNER = 6
+"""Idle connections kept to each runner: one waits for ends, the others carry orders;
+a new connection costs more than one that is kept."""
+
+MAX_RUNNERS = 512
+"""Runners whose connections are kept; twice what one instance commands at most."""
+
+
+class Order(NamedTuple):
+    """An order about one run of a task at one life of a runner.
+
+    Attributes
+    ----------
+    runner, born_ms, address : str, int, str
+        The life it is meant for, and where to reach it.
+    task : TaskKey
+        The task.
+    run : int
+        Number of the run.
+    fence : int
+        Fencing token of the sender.
+    spec : str
+        The job's opaque text; for starts.
+    lease_until_ms : int
+        Time on the runner's clock at which everything there stops; for starts.
+    checkpoint : str
+        Where to resume; for starts.
+    percent : int
+        Share of full speed; for pacing.
+    """
+
+    runner: str
+    born_ms: int
+    address: str
+    task: TaskKey
+    run: int
+    fence: int
+    spec: str = ""
+    lease_until_ms: int = 0
+    checkpoint: str = ""
+    percent: int = 100
+
+
+class OrderOutcome:
+    """What became of an order.
+
+    Notes
+    -----
+    ``DONE``
+        The runner has taken it.
+    ``FENCED``
+        The runner has seen a higher fencing token.
+    ``OLD``
+        A run with this number or a later one has ended there.
+    ``LATE``
+        The lease in the order is over already.
+    ``NO_ROOM``
+        The runner refuses what doesn't fit.
+    ``REFUSED``
+        It did nothing, for another reason.
+    ``OTHER_LIFE``
+        The life that was meant is over.
+    ``UNKNOWN``
+        No answer: it may be carried out at once, seconds later, or never.
+    """
+
+    DONE = "done"
+    FENCED = "fenced"
+    OLD = "old"
+    LATE = "late"
+    NO_ROOM = "no room"
+    REFUSED = "refused"
+    OTHER_LIFE = "other life"
+    UNKNOWN = "unknown"
+
+
+_OUTCOMES = {
+    "fence": OrderOutcome.FENCED,
+    "old": OrderOutcome.OLD,
+    "late": OrderOutcome.LATE,
+    "room": OrderOutcome.NO_ROOM,
+}
+
+OTHER_LIFE = 421
+
+
+class OrderResult(NamedTuple):
+    """An order's outcome.
+
+    Attributes
+    ----------
+    outcome : str
+        One of `OrderOutcome`.
+    clock_ms : int or None
+        The runner's clock when it answered.
+    detail : str
+        For the log.
+    """
+
+    outcome: str
+    clock_ms: int | None = None
+    detail: str = ""
+
+
+class HeldRun(NamedTuple):
+    """A run that is at a runner.
+
+    Attributes
+    ----------
+    task, run : TaskKey, int
+        Which one.
+    checkpoint : str
+        Newest one; empty for none.
+    percent : int
+        How far it is; 100 for a long-running task that is at work.
+    load : float or None
+        Over the last half second: the tail latency in milliseconds of a serving
+        task, the processor time in use (thousandths of a core) of any other.
+    """
+
+    task: TaskKey
+    run: int
+    checkpoint: str
+    percent: int
+    load: float | None = None
+
+
+class RunEnd(NamedTuple):
+    """The end of a run, as the runner numbers them.
+
+    Attributes
+    ----------
+    number : int
+        Rises by one within a life.
+    task, run : TaskKey, int
+        Which one.
+    how : str
+        ``done``, ``failed``, ``stopped``, ``lapsed``, ``broken`` or ``alone``.
+    checkpoint : str
+        Newest one; empty for none.
+    """
+
+    number: int
+    task: TaskKey
+    run: int
+    how: str
+    checkpoint: str
+
+
+class Held(NamedTuple):
+    """A runner's report of all that runs and has ended there.
+
+    Attributes
+    ----------
+    clock_ms : int
+        The runner's clock.
+    born_ms : int or None
+        Life that answered, where it says so.
+    running : list of HeldRun
+        Everything that runs or is being stopped.
+    ended : list of RunEnd
+        Ends that weren't acknowledged yet.
+    """
+
+    clock_ms: int
+    born_ms: int | None
+    running: list[HeldRun]
+    ended: list[RunEnd]
+
+
+class RunnerCalls(NamedTuple):
+    """Calls to runners over kept connections."""
+
+    pool: urllib3.PoolManager
+
+    def start(self, order: Order, timeout_s: float) -> OrderResult:
+        """Order a run to start; a repeat of the same order does no harm."""
+        body: dict[str, Any] = {
+            "task": format_task(order.task),
+            "run": order.run,
+            "spec": order.spec,
+            "untilMs": order.lease_until_ms,
+            "fence": order.fence,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        return self._order("run-start", order, body, timeout_s)
+
+    def stop(self, order: Order, timeout_s: float) -> OrderResult:
+        """Order a run to stop; one that isn't there yet will be refused."""
+        body = {"task": format_task(order.task), "run": order.run, "fence": order.fence}
+        return self._order("run-stop", order, body, timeout_s)
+
+    def pace(self, order: Order, timeout_s: float) -> OrderResult:
+        """Let a run work at a share of its full speed."""
+        body = {
+            "task": format_task(order.task),
+            "run": order.run,
+            "percent": order.percent,
+            "fence": order.fence,
+        }
+        return self._order("pace", order, body, timeout_s)
+
+    def hold(
+        self,
+        order: Order,
+        last_seen: int,
+        wait_s: float,
+        timeout_s: float,
+    ) -> Result[Held, CallError]:
+        """Renew the lease of all that runs at a runner, and read its report.
+
+        Parameters
+        ----------
+        order : Order
+            Names the life; a zero `lease_until_ms` renews nothing.
+        last_seen : int
+            Ends up to this number are forgotten by the runner.
+        wait_s : float
+            The answer waits so long for an end that isn't acknowledged.
+        timeout_s : float
+            Longest time for the answer beyond `wait_s`.
+        """
+        body: dict[str, Any] = {"fence": order.fence, "lastSeen": last_seen}
+        if order.lease_until_ms:
+            body["untilMs"] = order.lease_until_ms
+        if wait_s:
+            body["waitMs"] = round(wait_s * 1000)
+        answer = self._call("hold", order, body, timeout_s + wait_s)
+        return answer.and_then(lambda found: _decode_held(found, order))
+
+    def _order(
+        self, name: str, order: Order, body: dict[str, Any], timeout_s: float
+    ) -> OrderResult:
+        answer = self._call(name, order, body, timeout_s)
+        if isinstance(answer, Err):
+            return OrderResult(OrderOutcome.UNKNOWN, None, answer.err_value.detail)
+        return _decode_result(answer.ok_value)
+
+    def _call(
+        self, name: str, order: Order, body: dict[str, Any], timeout_s: float
+    ) -> Result[HttpAnswer, CallError]:
+        peer = HttpPeer(f"http://{order.address}", self.pool, timeout_s, timeout_s)
+        headers = {
+            "Content-Type": "application/json",
+            "Expect-Instance": order.runner,
+        }
+        data = json.dumps(body, separators=(",", ":")).encode()
+        step = f"runner.{name}"
+        return send_request(peer, step, "POST", f"/v1/{name}", data, headers, timeout_s)
+
+
+def build_runner_calls() -> RunnerCalls:
+    """Return calls to runners with a pool of connections of their own."""
+    return RunnerCalls(build_pool(MAX_RUNNERS, CONNECTIONS_PER_RUNNER))
+
+
+def _decode_result(answer: HttpAnswer) -> OrderResult:
+    data = _object(answer)
+    clock = data.get("clockMs")
+    clock_ms = clock if isinstance(clock, int) else None
+    if answer.status == 200:
+        return OrderResult(OrderOutcome.DONE, clock_ms)
+    detail = f"status {answer.status} {answer.body[:100]!r}"
+    if answer.status == 409:
+        outcome = _OUTCOMES.get(data.get("reason", ""), OrderOutcome.REFUSED)
+        return OrderResult(outcome, clock_ms, detail)
+    if answer.status == OTHER_LIFE:
+        return OrderResult(OrderOutcome.OTHER_LIFE, None, detail)
+    if 400 <= answer.status < 500 or answer.status == 503:
+        return OrderResult(OrderOutcome.REFUSED, clock_ms, detail)
+    return OrderResult(OrderOutcome.UNKNOWN, clock_ms, detail)
+
+
+def _decode_held(answer: HttpAnswer, order: Order) -> Result[Held, CallError]:
+    step, peer = "runner.hold", order.runner
+    if answer.status != 200:
+        conflict = answer.status in (409, OTHER_LIFE)
+        kind = ErrorKind.CONFLICT if conflict else ErrorKind.REFUSED
+        detail = f"status {answer.status} {answer.body[:100]!r}"
+        return Err(CallError(kind, step, peer, detail))
+    data = _object(answer)
+    try:
+        running = [_decode_running(row) for row in data["running"]]
+        ended = [_decode_end(row) for row in data["endedRuns"]]
+        return Ok(Held(int(data["clockMs"]), data.get("born"), running, ended))
+    except (TypeError, KeyError, ValueError, IndexError) as error:
+        return Err(CallError(ErrorKind.MALFORMED, step, peer, repr(error)))
+
+
+def _decode_running(row: list[Any]) -> HeldRun:
+    load = float(row[4]) if len(row) > 4 and row[4] is not None else None
+    return HeldRun(parse_task(row[0]), row[1], row[2], row[3], load)
+
+
+def _decode_end(row: list[Any]) -> RunEnd:
+    return RunEnd(row[0], parse_task(row[1]), row[2], row[3], row[4])
+
+
+def format_task(task: TaskKey) -> str:
+    """Return a task's name on the wire.
+
+    Examples
+    --------
+    >>> format_task(TaskKey("5c0e", 0, 1, 17))
+    '5c0e.0.1.17'
+    """
+    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
+
+
+def parse_task(name: str) -> TaskKey:
+    """Return the task that `format_task` named; ValueError if it is no such name."""
+    job_id, occurrence, step, index = name.split(".")
+    return TaskKey(job_id, int(occurrence), int(step), int(index))
+
+
+def _object(answer: HttpAnswer) -> dict[str, Any]:
+    try:
+        data = json.loads(answer.body)
+    except ValueError:
+        return {}
+    return data if isinstance(data, dict) else {}
--- /dev/null
+++ b/plantainyard/platform/settings.py
@@ -0,0 +1,184 @@
+"""The settings file that the platform writes for a process."""
+
+import re
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from result import Err, Ok, Result
+
+__all__ = [
+    "SETTINGS_VARIABLE",
+    "InstanceSettings",
+    "SettingsFault",
+    "load_instance_settings",
+    "parse_instance_settings",
+]
+
+SETTINGS_VARIABLE = "PLANTAINYARD_CONFIG"
+"""Environment variable that holds the path of the settings file."""
+
+MS_IN_S = 1000.0
+
+
+class SettingsFault(NamedTuple):
+    """Why a settings file can't be used, with the place in it."""
+
+    path: str
+    line: int
+    key: str
+    detail: str
+
+
+class InstanceSettings(NamedTuple):
+    """What one process learns about itself and the platform.
+
+    Attributes
+    ----------
+    instance : str
+        Name of this instance; unique while it lives.
+    domain, region : str
+        Failure domain and region of the instance.
+    ip : str
+        Own address.
+    caller_address, ready_address : str
+        ``ip:port`` where callers and the readiness check come in.
+    peer_port, metrics_port : int
+        Ports for calls between instances and for metrics.
+    store_address : str
+        ``ip:port`` of the platform's store.
+    store_partitions : int
+        Partitions of each topic.
+    shortest_ttl_s : float
+        Shortest time to live that a group member may ask for.
+    longest_lease_s : float
+        Longest lease that a runner grants.
+    stop_s : float
+        Longest time that a task needs to stop.
+    grace_s : float
+        Time between the request to stop and the kill.
+    ack_s : float
+        Time within which a caller must have an answer.
+    harm_s : float
+        Longest time for which a serving task may be over its target.
+    notice_s : float
+        Time after which a serving task that isn't at work counts as away.
+    remote_factor : float
+        How many times as long tasks take away from their rack.
+    """
+
+    instance: str
+    domain: str
+    region: str
+    ip: str
+    caller_address: str
+    ready_address: str
+    peer_port: int
+    metrics_port: int
+    store_address: str
+    store_partitions: int = 12
+    shortest_ttl_s: float = 1.0
+    longest_lease_s: float = 10.0
+    stop_s: float = 1.0
+    grace_s: float = 6.0
+    ack_s: float = 5.0
+    harm_s: float = 4.0
+    notice_s: float = 5.5
+    remote_factor: float = 1.0
+
+
+def load_instance_settings(path: Path) -> Result[InstanceSettings, SettingsFault]:
+    """Read the settings file at `path`.
+
+    Returns
+    -------
+    Result[InstanceSettings, SettingsFault]
+        The fault names file, line and key.
+    """
+    try:
+        text = path.read_text()
+    except OSError as error:
+        return Err(SettingsFault(str(path), 0, "", str(error)))
+    return parse_instance_settings(text, str(path))
+
+
+def parse_instance_settings(
+    text: str, path: str = ""
+) -> Result[InstanceSettings, SettingsFault]:
+    """Decode the text of a settings file; fields that aren't known are passed over."""
+    try:
+        data = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        found = re.search(r"line (\d+)", str(error))
+        line = int(found.group(1)) if found else 0
+        return Err(SettingsFault(path, line, "", str(error)))
+    try:
+        return Ok(_decode(data))
+    except _Fault as fault:
+        line = _find_line(text, fault.key)
+        return Err(SettingsFault(path, line, fault.key, fault.detail))
+
+
+class _Fault(Exception):
+    """A key that is missing or of another type."""
+
+    def __init__(self, key: str, detail: str) -> None:
+        super().__init__(key, detail)
+        self.key = key
+        self.detail = detail
+
+
+def _decode(data: Mapping[str, Any]) -> InstanceSettings:
+    ports = _get(data, "internalPorts", list)
+    if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
+        raise _Fault("internalPorts", "expected two port numbers")
+    listen = _get(data, "listen", dict)
+    platform = _get(data, "platform", dict)
+    bounds = data.get("bounds", {})
+    # The platform mixes units by key: names that end in S hold seconds, all others
+    # milliseconds.
+    defaults = InstanceSettings._field_defaults
+    return InstanceSettings(
+        instance=_get(data, "node", str),
+        domain=_get(data, "zone", str),
+        region=_get(data, "region", str),
+        ip=_get(data, "ip", str),
+        caller_address=_get(listen, "front", str, "listen"),
+        ready_address=_get(listen, "ready", str, "listen"),
+        peer_port=ports[0],
+        metrics_port=ports[1],
+        store_address=_get(platform, "address", str, "platform"),
+        store_partitions=int(_number(platform, "parts", 12)),
+        shortest_ttl_s=_number(platform, "minTtlMs", 1000) / MS_IN_S,
+        longest_lease_s=_number(bounds, "maxHoldMs", 10_000) / MS_IN_S,
+        stop_s=_number(bounds, "stopMs", 1000) / MS_IN_S,
+        grace_s=_number(bounds, "graceS", defaults["grace_s"]),
+        ack_s=_number(bounds, "ackMs", 5000) / MS_IN_S,
+        harm_s=_number(bounds, "harmMs", 4000) / MS_IN_S,
+        notice_s=_number(bounds, "noticeMs", 5500) / MS_IN_S,
+        remote_factor=_number(bounds, "remoteFactor", 1.0),
+    )
+
+
+def _get(data: Mapping[str, Any], key: str, kind: type, table: str = "") -> Any:
+    name = f"{table}.{key}" if table else key
+    if key not in data:
+        raise _Fault(name, "is missing")
+    value = data[key]
+    if not isinstance(value, kind):
+        raise _Fault(name, f"expected {kind.__name__}, found {value!r}")
+    return value
+
+
+def _number(data: Mapping[str, Any], key: str, default: float) -> float:
+    value = data.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise _Fault(key, f"expected a number, found {value!r}")
+    return float(value)
+
+
+def _find_line(text: str, key: str) -> int:
+    last = key.rpartition(".")[2]
+    lines = enumerate(text.splitlines(), start=1)
+    return next((n for n, line in lines if re.match(rf"\s*{last}\s*=", line)), 0)
--- a/plantainyard/tests/test_docs.py
+++ b/plantainyard/tests/test_docs.py
@@ -16,11 +16,11 @@
 from plantainyard.api import operators_pb2 as schema
 from plantainyard.api.codec import JSON
 from plantainyard.api.errors import STATUS_OF_CODE
-from plantainyard.clients.http import HttpAnswer
 from plantainyard.commands import EXIT_MEANINGS, World, run_command
 from plantainyard.configuration import KEYS
 from plantainyard.metrics import METRICS
 from plantainyard.settings import RULES, Settings
+from plantainyard.transport import HttpAnswer
 
 ROOT = Path(__file__).parents[2]
 PAGES = sorted([*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")])
--- a/plantainyard/clients/tests/test_http.py
+++ b/plantainyard/tests/test_transport.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from plantainyard.clients.http import build_peer, call_json
 from plantainyard.clients.runner import RunnerOutcome, build_runner_client, run_request
 from plantainyard.clients.tests.peers import format_answer, serve_raw
 from plantainyard.errors import ErrorKind
+from plantainyard.transport import build_peer, call_json
 
 TRUNCATED = b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{}"
 FINE = format_answer(b"{}")
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -13,13 +13,6 @@
 
 from result import Err, Ok, Result
 
-from plantainyard.clients.http import (
-    HttpPeer,
-    build_peer,
-    build_pool,
-    call_json,
-    send_request,
-)
 from plantainyard.clock import read_clock
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.protocol import (
@@ -30,6 +23,13 @@
     REQUEST_ID_HEADER,
     TEAM_HEADER,
 )
+from plantainyard.transport import (
+    HttpPeer,
+    build_peer,
+    build_pool,
+    call_json,
+    send_request,
+)
 
 __all__ = [
     "CallerAnswer",
