Learn which images harm which, and pace by image

Cause: backfilling tasks were slowed alike, whether they harmed or not; 695 task-seconds over target and month-statement 17 s late at the median. Ruled out: slower or faster steps of the same pace for all; recorded reports show pairs of images with weights 0 and 8 to 20. Change: weights by pair learnt from reports, paces by image, placement by the expected tail.

--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -69,6 +69,8 @@
         Runs that ended as failed.
     checkpoint : str
         Newest known.
+    waiting_since : float
+        Since when it could have been started.
     not_before : float
         Earliest time of the next start.
     avoided : set of str
@@ -91,6 +93,7 @@
     starts_sent: int = 0
     failures: int = 0
     checkpoint: str = ""
+    waiting_since: float = 0.0
     not_before: float = 0.0
     avoided: set[str] = field(default_factory=set)
     percent: int = -1
@@ -165,8 +168,10 @@
         Tasks whose run is or may be there, and those that are being stopped.
     cpu, memory, gpu : int
         Room taken by them.
-    backfill_cpu : int
-        Processor time that its backfilling tasks ask for.
+    backfill : dict
+        Processor time that its backfilling tasks ask for, by image.
+    serving_cpu : int
+        Part of `cpu` that serving tasks ask for.
     known : bool
         It has reported since this dispatcher took over.
     answering : bool
@@ -186,11 +191,13 @@
         Failures of tasks since its last success.
     quarantined_until : float
         No tasks with limited attempts until then.
-    pace : int
-        Share of full speed of its backfilling tasks.
+    paces : dict
+        Share of full speed by backfilling image; full where it isn't named.
     paced_at, harmed_since : float
-        When the pace was last changed; since when a serving task is over its target
+        When paces were last chosen; since when a serving task is over its target
         (zero: none is).
+    tails : dict
+        Last reported tail by serving image, in targets.
     """
 
     life: str
@@ -200,7 +207,8 @@
     cpu: int = 0
     memory: int = 0
     gpu: int = 0
-    backfill_cpu: int = 0
+    backfill: dict[str, int] = field(default_factory=dict)
+    serving_cpu: int = 0
     known: bool = False
     answering: bool = False
     clock_ms: int = 0
@@ -212,6 +220,7 @@
     hold_at: float = 0.0
     bad: float = 0.0
     quarantined_until: float = 0.0
-    pace: int = 100
+    paces: dict[str, int] = field(default_factory=dict)
     paced_at: float = 0.0
     harmed_since: float = 0.0
+    tails: dict[str, float] = field(default_factory=dict)
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -8,8 +8,14 @@
 from collections.abc import Iterable
 
 from plantainyard.batch.values import Step
+from plantainyard.dispatch.interference import PRIOR, Harms, predict_tail
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.model import Runner, StepRun, Task
+from plantainyard.dispatch.pacing import pace_of
+
+SLOWED_PACE = 50
+"""Below this pace an image's tasks get no company: each more would prolong the harm
+that they were slowed for."""
 
 __all__ = ["choose_runner", "fits_ever", "release_room", "take_room"]
 
@@ -21,13 +27,36 @@
 """Weight of the preferred rack: elsewhere a task takes several times as long, which
 no difference in load makes up for."""
 
-SLOWED_PACE = 50
-"""Below this pace a runner's backfilling tasks get no company: each more would
-prolong the harm that made the runner slow them down."""
+SERVING_USE = 0.5
+"""Share of its processor time that a serving task is taken to use; in reports it is
+between 0.2 and 0.7."""
+
+HARM_COST = 60.0
+"""Weight of a target that a serving task is expected to miss: as much as a whole
+runner's unused cores."""
+
+MOST_TAIL = 0.95
+"""Expected tail in targets beyond which a backfilling task isn't placed at all while
+it can wait."""
+
+PATIENCE_S = 1.5
+"""Time for which a backfilling task waits for a runner where it does no harm."""
+
+SAME_IMAGE_BONUS = 15.0
+"""Weight of a runner whose serving tasks all have the image of the one to be placed.
+Images differ in what harms them; kept apart from each other, each backfilling image
+finds runners where nothing is sensitive to it."""
+
+OTHER_IMAGE_COST = 30.0
+"""Weight of each other serving image on the runner."""
+
+BAD_COST = 50.0
+"""Weight of a failure: a runner that failed something lately is a worse bet than a
+fuller one."""
 
 
 def choose_runner(
-    task: Task, runners: Iterable[Runner], limits: Limits, now: float
+    task: Task, runners: Iterable[Runner], limits: Limits, harms: Harms, now: float
 ) -> Runner | None:
     """Return the runner where `task` starts, or None if none can take it now.
 
@@ -39,6 +68,8 @@
         Runners of the job's service.
     limits : Limits
         For the cost of being away from the data.
+    harms : Harms
+        What is learnt of interference.
     now : float
         The dispatcher's clock.
 
@@ -48,13 +79,39 @@
     """
     step = task.step
     usable = [
-        r for r in runners if _can_start(step, r, now) and _has_room(step.spec, r)
+        runner
+        for runner in runners
+        if _can_start(step, runner, now) and _has_room(step.spec, runner)
     ]
     fresh = [r for r in usable if r.entry and r.entry.runner not in task.avoided]
     scored = fresh or usable
+    if step.spec.backfill and now - task.waiting_since < PATIENCE_S:
+        scored = [r for r in scored if expect_tail(step.spec, r, harms) < MOST_TAIL]
     if not scored:
         return None
-    return max(scored, key=lambda runner: _score(step, runner, limits))
+    return max(scored, key=lambda runner: _score(step, runner, limits, harms))
+
+
+def expect_tail(spec: Step, runner: Runner, harms: Harms) -> float:
+    """Return the worst tail, in targets, with one more backfilling task there.
+
+    Notes
+    -----
+    The measured tail knows nothing of tasks that started a moment ago, the predicted
+    one nothing of the serving tasks' present load; the worse of the two counts.
+    """
+    assert runner.entry is not None
+    if not runner.tails:
+        return 0.0
+    cpu = max(1, runner.entry.capacity.cpu)
+    loads = {image: cpu_m / cpu for image, cpu_m in runner.backfill.items()}
+    more = spec.resources.cpu / cpu
+    worst = 0.0
+    for serving, measured in runner.tails.items():
+        expected = max(measured, predict_tail(harms, serving, loads))
+        weight = harms.weights.get((serving, spec.image), PRIOR)
+        worst = max(worst, expected + weight * more)
+    return worst
 
 
 def _can_start(step: StepRun, runner: Runner, now: float) -> bool:
@@ -68,7 +125,7 @@
         return False
     if not spec.long_running and runner.quarantined_until > now:
         return False
-    if spec.backfill and runner.pace < SLOWED_PACE:
+    if spec.backfill and pace_of(runner, spec.image) < SLOWED_PACE:
         return False
     most = spec.max_per_runner
     return not most or _count_here(step, runner) < most
@@ -90,20 +147,27 @@
     )
 
 
-def _score(step: StepRun, runner: Runner, limits: Limits) -> float:
+def _score(step: StepRun, runner: Runner, limits: Limits, harms: Harms) -> float:
     assert runner.entry is not None
     spec = step.spec
-    cores = runner.entry.capacity.cpu / 1000
-    used = runner.cpu / 1000
-    filling = runner.backfill_cpu / 1000
     near = runner.entry.rack == spec.preferred_rack and spec.preferred_rack != ""
-    bonus = RACK_BONUS if near and limits.remote_factor > 1 else 0.0
-    unused = cores - used - filling
+    score = RACK_BONUS if near and limits.remote_factor > 1 else 0.0
+    unused = (runner.entry.capacity.cpu - runner.cpu) / 1000
+    score -= BAD_COST * runner.bad
     if spec.backfill:
-        unused -= spec.resources.cpu / 1000
-    crowding = min(0.0, unused) * CROWDED_COST
-    # A runner that failed something lately is a worse bet than a fuller one.
-    return bonus + unused + crowding - 50.0 * runner.bad
+        unused += (1 - SERVING_USE) * runner.serving_cpu / 1000
+        unused -= (sum(runner.backfill.values()) + spec.resources.cpu) / 1000
+        score += unused + min(0.0, unused) * CROWDED_COST
+        return score - HARM_COST * expect_tail(spec, runner, harms)
+    if spec.target_ms:
+        return score + unused + _match_images(spec, runner)
+    return score + unused - sum(runner.backfill.values()) / 1000
+
+
+def _match_images(spec: Step, runner: Runner) -> float:
+    images = {t.step.spec.image for t in runner.tasks.values() if t.step.spec.target_ms}
+    same = SAME_IMAGE_BONUS if images == {spec.image} else 0.0
+    return same - OTHER_IMAGE_COST * len(images - {spec.image})
 
 
 def take_room(runner: Runner, task: Task) -> None:
@@ -120,10 +184,12 @@
 
 def _count_room(runner: Runner, task: Task, sign: int) -> None:
     spec = task.step.spec
+    cpu = sign * spec.resources.cpu
     if spec.backfill:
-        runner.backfill_cpu += sign * spec.resources.cpu
+        runner.backfill[spec.image] = runner.backfill.get(spec.image, 0) + cpu
     else:
-        runner.cpu += sign * spec.resources.cpu
+        runner.cpu += cpu
+        runner.serving_cpu += cpu if spec.target_ms else 0
     runner.memory += sign * spec.resources.memory
     runner.gpu += sign * spec.resources.gpu
 
@@ -134,6 +200,9 @@
     return any(
         entry.service == service
         and (not spec.requires or spec.requires in entry.labels)
-        and all(have >= want for have, want in zip(entry.capacity, spec.resources))
+        and all(
+            have >= want
+            for have, want in zip(entry.capacity, spec.resources, strict=True)
+        )
         for entry in entries
     )
--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -58,7 +58,8 @@
     for task in step.tasks:
         if task.phase != Phase.WAITING or task.not_before > now:
             continue
-        runner = choose_runner(task, allowed, state.limits, now)
+        task.waiting_since = task.waiting_since or now
+        runner = choose_runner(task, allowed, state.limits, state.harms, now)
         if runner is None:
             return
         _assign(state, task, runner, task.run + 1)
@@ -86,7 +87,7 @@
 ) -> list[tuple[Task, Runner]]:
     placed: list[tuple[Task, Runner]] = []
     for task in step.tasks:
-        runner = choose_runner(task, runners, state.limits, now)
+        runner = choose_runner(task, runners, state.limits, state.harms, now)
         if runner is None:
             break
         take_room(runner, task)
@@ -123,6 +124,7 @@
     task.phase = Phase.STORING
     task.run = run
     task.life = runner.life
+    task.waiting_since = 0.0
     take_room(runner, task)
     state.assigned.append(task)
     mark_dirty(state, task.step)
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -9,13 +9,14 @@
     SendHold,
     SendOrder,
 )
+from plantainyard.dispatch.interference import learn, read_sample
 from plantainyard.dispatch.leases import has_lapsed, make_lease, note_clock
 from plantainyard.dispatch.model import Phase, Runner, Task
 from plantainyard.dispatch.pacing import (
-    choose_pace,
-    find_harm,
+    adjust_paces,
     has_backfill,
     has_targets,
+    pace_of,
 )
 from plantainyard.dispatch.placing import release_room, take_room
 from plantainyard.dispatch.state import Dispatcher
@@ -33,8 +34,9 @@
 FULL_REPORT = 500
 """Ends that a runner lists at a time; with so many, others may be missing."""
 
-FULL_PACE = 100
-"""Share at which a task works as fast as it can."""
+STOP_ALL = 0.45
+"""Part of the time that harm may last after which all backfilling work is stopped:
+what is left is twice the time until a stop shows in the reports."""
 
 
 def take_entry(
@@ -213,17 +215,30 @@
 def _adjust_pace(state: Dispatcher, runner: Runner, held: Held, now: float) -> None:
     """Slow the runner's backfilling tasks while they harm serving ones."""
     if has_targets(runner):
-        loads: dict[object, float] = {
-            row.task: row.load for row in held.running if row.load is not None
-        }
-        if now - runner.paced_at >= state.limits.watch_wait_s * 0.8:
-            runner.pace = choose_pace(runner.pace, find_harm(runner, loads))
-            runner.paced_at = now
+        if now - runner.paced_at < state.limits.watch_wait_s * 0.8:
+            return
+        runner.paced_at = now
+        sample = read_sample(runner, held.running)
+        learn(state.harms, sample)
+        runner.tails = sample.tails
+        _note_harm(runner, now)
+        over_s = now - runner.harmed_since if runner.harmed_since else 0.0
+        stop_all = over_s > state.limits.harm_s * STOP_ALL
+        adjust_paces(runner, state.harms, sample, stop_all)
     else:
-        runner.pace = FULL_PACE
+        runner.tails = {}
+        runner.paces = {}
     for task in runner.tasks.values():
-        if _needs_pace(task, runner.pace):
-            runs.send_pace(state, task, runner, runner.pace, now)
+        pace = pace_of(runner, task.step.spec.image)
+        if _needs_pace(task, pace):
+            runs.send_pace(state, task, runner, pace, now)
+
+
+def _note_harm(runner: Runner, now: float) -> None:
+    if max(runner.tails.values(), default=0.0) <= 1.0:
+        runner.harmed_since = 0.0
+    elif not runner.harmed_since:
+        runner.harmed_since = now
 
 
 def _needs_pace(task: Task, pace: int) -> bool:
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -4,6 +4,7 @@
 from plantainyard.dispatch.events import OrderAnswered, OrderKind, SendOrder
 from plantainyard.dispatch.leases import make_lease, note_clock
 from plantainyard.dispatch.model import Phase, Runner, Task
+from plantainyard.dispatch.pacing import pace_of
 from plantainyard.dispatch.placing import release_room
 from plantainyard.dispatch.state import Dispatcher, mark_dirty
 from plantainyard.platform.runners import OrderOutcome
@@ -139,8 +140,9 @@
         if task.phase == Phase.ORDERED:
             task.phase = Phase.RUNNING
             task.moved_at = now
-            if task.step.spec.backfill and runner.pace < 100:
-                send_pace(state, task, runner, runner.pace, now)
+            spec = task.step.spec
+            if spec.backfill and pace_of(runner, spec.image) < task.pace:
+                send_pace(state, task, runner, pace_of(runner, spec.image), now)
         return
     if outcome == OrderOutcome.OLD:
         # The run has ended there or was stopped: the next report tells.
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from plantainyard.dispatch.events import Action
+from plantainyard.dispatch.interference import Harms
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.model import Job, Runner, StepRun, Task
 
@@ -42,6 +43,8 @@
         What it carries: acknowledged ends by life, ended jobs, tasks to start.
     actions : list of Action
         What the current step has asked for so far.
+    harms : Harms
+        What is learnt of interference.
     taken_over_at : float
         When this dispatcher began.
     """
@@ -61,6 +64,7 @@
     committing_ends: list[str] = field(default_factory=list)
     committing_starts: list[Task] = field(default_factory=list)
     actions: list[Action] = field(default_factory=list)
+    harms: Harms = field(default_factory=Harms)
     taken_over_at: float = 0.0
 
 
