--- a/plantainyard/dispatch/interference.py
+++ b/plantainyard/dispatch/interference.py
@@ -21,6 +21,7 @@
     "Sample",
     "find_weight",
     "learn",
+    "list_images",
     "predict_tail",
     "read_sample",
 ]
@@ -165,6 +166,12 @@
     return max(0.0, estimate.weights.get(image, PRIOR))
 
 
+def list_images(harms: Harms) -> set[str]:
+    """Return the backfilling images that were seen beside any serving image."""
+    seen = {image for e in harms.estimates.values() for image in e.weights}
+    return seen - {_BASE}
+
+
 def predict_tail(harms: Harms, serving: str, loads: Mapping[str, float]) -> float:
     """Return the tail in targets that a serving image has beside `loads`."""
     estimate = harms.estimates.get(serving)
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -8,7 +8,12 @@
 from collections.abc import Iterable
 
 from plantainyard.batch.values import Step
-from plantainyard.dispatch.interference import Harms, find_weight, predict_tail
+from plantainyard.dispatch.interference import (
+    Harms,
+    find_weight,
+    list_images,
+    predict_tail,
+)
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.model import Runner, StepRun, Task
 from plantainyard.dispatch.pacing import pace_of
@@ -50,6 +55,15 @@
 OTHER_IMAGE_COST = 200.0
 """Weight of each other serving image on the runner."""
 
+FREEDOM_COST = 40.0
+"""Weight of a runner where all backfilling images are harmless against one where none
+is: work that many runners can take leaves the tolerant ones to work that can't go
+elsewhere."""
+
+HARMLESS = 2.0
+"""Weight of a pair below which it counts as harmless: a task of a tenth of the runner
+adds a fifth of a target."""
+
 BAD_COST = 50.0
 """Weight of a failure: a runner that failed something lately is a worse bet than a
 fuller one."""
@@ -158,12 +172,25 @@
         unused += (1 - SERVING_USE) * runner.serving_cpu / 1000
         unused -= (sum(runner.backfill.values()) + spec.resources.cpu) / 1000
         score += unused + min(0.0, unused) * CROWDED_COST
-        return score - HARM_COST * expect_tail(spec, runner, harms)
+        score -= HARM_COST * expect_tail(spec, runner, harms)
+        return score - FREEDOM_COST * _measure_freedom(runner, harms)
     if spec.target_ms:
         return score + unused + _match_images(spec, runner)
     return score + unused - sum(runner.backfill.values()) / 1000
 
 
+def _measure_freedom(runner: Runner, harms: Harms) -> float:
+    """Return the share of known backfilling images that do no harm on the runner."""
+    images = list_images(harms)
+    if not images:
+        return 0.0
+    harmless = sum(
+        all(find_weight(harms, serving, image) < HARMLESS for serving in runner.tails)
+        for image in images
+    )
+    return harmless / len(images)
+
+
 def _match_images(spec: Step, runner: Runner) -> float:
     images = {t.step.spec.image for t in runner.tasks.values() if t.step.spec.target_ms}
     same = SAME_IMAGE_BONUS if images == {spec.image} else 0.0
