Join the group under a name for each life

Ruled out: recovery too slow, the store. Change: the member's name has a random part for each life; an append refused for its sequence number deposes its sender.

--- a/plantainyard/entry/ownership.py
+++ b/plantainyard/entry/ownership.py
@@ -1,5 +1,6 @@
 """Which units this instance owns, by the platform's group."""
 
+import secrets
 import threading
 from collections.abc import Callable
 from typing import NamedTuple
@@ -12,7 +13,7 @@
 from plantainyard.platform.settings import InstanceSettings
 from plantainyard.platform.store import StoreCalls
 
-__all__ = ["Ownership", "follow_ownership"]
+__all__ = ["Ownership", "follow_ownership", "name_member"]
 
 JOIN_EVERY_S = 0.3
 """Time between renewals: three may be lost before a successor is named."""
@@ -45,6 +46,19 @@
     units: frozenset[int]
 
 
+def name_member(instance: str) -> str:
+    """Return a name in the group for this life of an instance.
+
+    Notes
+    -----
+    Guards against an owner that comes back under the fencing token that it had: a
+    process that is killed and back within the time to live would join under the same
+    name, the group would see no change, and the store would refuse every append of
+    the new life, since the sequence numbers of that token are taken.
+    """
+    return f"{instance}/{secrets.token_hex(4)}"
+
+
 def follow_ownership(
     settings: InstanceSettings,
     store: StoreCalls,
@@ -64,17 +78,18 @@
     After `KEEP_S` without an answer the instance gives up what it owned: it may have
     a successor for long, and must not keep alive what that one counts as ended.
     """
+    member = name_member(settings.instance)
     generation = 0
     answered_at = read_clock()
     lost = False
     while not stopping.is_set():
         if deposed.is_set():
-            store.leave(GROUP, settings.instance, JOIN_TIMEOUT_S)
+            store.leave(GROUP, member, JOIN_TIMEOUT_S)
             generation = 0
             deposed.clear()
         sent_at = read_clock()
         answer = store.join(
-            GROUP, settings.instance, [PROGRESS], TTL_S, generation, JOIN_TIMEOUT_S
+            GROUP, member, [PROGRESS], TTL_S, generation, JOIN_TIMEOUT_S
         )
         if isinstance(answer, Err):
             if not lost:
@@ -96,4 +111,4 @@
             )
             take(Ownership(generation, owned))
         stopping.wait(JOIN_EVERY_S)
-    store.leave(GROUP, settings.instance, JOIN_TIMEOUT_S)
+    store.leave(GROUP, member, JOIN_TIMEOUT_S)
--- a/plantainyard/platform/store.py
+++ b/plantainyard/platform/store.py
@@ -75,7 +75,8 @@
     accepted : bool
         The records are stored.
     fenced : bool
-        A higher epoch has written: this producer's time is over.
+        Another has written under a higher epoch, or under this one: this producer's
+        time is over.
     end : int
         The partition's end after it, where the store says so.
     """
@@ -269,8 +270,7 @@
     if answer.status == 200:
         return Ok(Appended(True, False, int(_object(answer).get("end", 0))))
     if answer.status == 409:
-        reason = _object(answer).get("reason")
-        if reason == "fenced":
+        if _object(answer).get("reason") in ("fenced", "seq"):
             return Ok(Appended(False, True, 0))
     if answer.status == 412:
         return Ok(Appended(False, False, int(_object(answer).get("end", 0))))
