Count doubts before more work of an image is placed

Cause: one report in which a harmful image had barely begun made it look harmless; it was sent to four runners at once.

--- a/plantainyard/dispatch/interference.py
+++ b/plantainyard/dispatch/interference.py
@@ -21,6 +21,7 @@
     "Sample",
     "begin_trial",
     "find_weight",
+    "find_weight_at_worst",
     "is_known",
     "is_tried_elsewhere",
     "learn",
@@ -45,6 +46,13 @@
 NOISE = 0.05
 """Variance of a reported tail in targets around its expectation."""
 
+KNOWN_DOUBT = 4.0
+"""Variance of a weight below which its pair counts as seen: about ten reports of a
+task at the pace of a trial."""
+
+CAUTION = 0.35
+"""Standard deviations added to a weight before more work of its image is placed."""
+
 MEMORY = 0.999
 """Factor by which older reports count less with each new one of the same image; at
 a hundred reports a second the memory is ten seconds, the time in which loads swing."""
@@ -176,9 +184,26 @@
 
 
 def is_known(harms: Harms, serving: str, image: str) -> bool:
-    """Return whether a pair was seen at work together."""
+    """Return whether a pair was seen at work together for some reports."""
     estimate = harms.estimates.get(serving)
-    return estimate is not None and image in estimate.weights
+    if estimate is None or image not in estimate.weights:
+        return False
+    return estimate.doubts[image][image] < KNOWN_DOUBT
+
+
+def find_weight_at_worst(harms: Harms, serving: str, image: str) -> float:
+    """Return a weight that the pair's true one is hardly above.
+
+    Notes
+    -----
+    Guards against a harmful image that is sent everywhere after one report in which
+    it had barely begun to work: its weight is low by then, its doubt is not.
+    """
+    estimate = harms.estimates.get(serving)
+    if estimate is None or image not in estimate.weights:
+        return PRIOR
+    doubt = max(0.0, estimate.doubts[image][image]) ** 0.5
+    return max(0.0, estimate.weights[image]) + CAUTION * doubt
 
 
 def begin_trial(harms: Harms, serving: str, image: str, life: str, now: float) -> None:
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -12,6 +12,7 @@
     Harms,
     begin_trial,
     find_weight,
+    find_weight_at_worst,
     is_known,
     is_tried_elsewhere,
     list_images,
@@ -154,7 +155,7 @@
     worst = 0.0
     for serving, measured in runner.tails.items():
         expected = max(measured, predict_tail(harms, serving, loads))
-        weight = find_weight(harms, serving, spec.image)
+        weight = find_weight_at_worst(harms, serving, spec.image)
         worst = max(worst, expected + weight * more)
     return worst
 
