Place late and hopeless jobs last, and no task on a sensitive runner for want of room

Cause: under a backlog the oldest job came first although it was late already, and after 8 s a task went to any runner, was slowed to a stop there and moved on (1300 stops).

--- a/plantainyard/dispatch/jobs.py
+++ b/plantainyard/dispatch/jobs.py
@@ -4,7 +4,7 @@
 from plantainyard.batch.values import JobState, Submission
 from plantainyard.dispatch import runs
 from plantainyard.dispatch.model import Job, Phase, StepRun, Task
-from plantainyard.dispatch.queue import find_deadline
+from plantainyard.dispatch.queue import find_chains_ms, find_deadline
 from plantainyard.dispatch.state import Dispatcher, mark_dirty
 
 __all__ = [
@@ -22,7 +22,8 @@
     job_id = submission.job_id
     if job_id in state.jobs or job_id in state.ended:
         return
-    job = Job(submission, find_deadline(submission, now))
+    chains_ms = find_chains_ms(submission.steps)
+    job = Job(submission, find_deadline(submission, now), chains_ms)
     state.jobs[job_id] = job
     if not submission.times:
         open_occurrence(job, 0)
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -140,6 +140,8 @@
         What was accepted.
     deadline : float
         Time until which the latency objective is met, on the dispatcher's clock.
+    left_ms : tuple of float
+        By step, the estimated time from its start to the job's end.
     steps : dict
         Steps by (occurrence, number); an occurrence is added when it is due.
     cancelled : bool
@@ -150,6 +152,7 @@
 
     submission: Submission
     deadline: float
+    left_ms: tuple[float, ...]
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     cancelled: bool = False
     ended: str = ""
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -53,7 +53,11 @@
 it can wait."""
 
 PATIENCE_S = 8.0
-"""Time for which a backfilling task waits for a runner where it does no harm."""
+"""Time for which a backfilling task waits for a runner where it does no harm; after
+that the runners that mind it least will do."""
+
+NEARLY_LEAST = 1.5
+"""Weights above the least one that still count as minding a task least."""
 
 SAME_IMAGE_BONUS = 100.0
 """Weight of a runner whose serving tasks all have the image of the one to be placed.
@@ -107,18 +111,45 @@
     ]
     fresh = [r for r in usable if r.entry and r.entry.runner not in task.avoided]
     scored = fresh or usable
-    if step.spec.backfill and now - task.waiting_since < PATIENCE_S:
-        scored = [
-            runner
-            for runner in scored
-            if expect_tail(step.spec, runner, harms) < MOST_TAIL
-            and not _is_tried(step.spec, runner, harms, now)
-        ]
+    if step.spec.backfill:
+        scored = _spare_serving(task, scored, harms, now)
     if not scored:
         return None
     return max(scored, key=lambda runner: _score(step, runner, limits, harms))
 
 
+def _spare_serving(
+    task: Task, runners: list[Runner], harms: Harms, now: float
+) -> list[Runner]:
+    """Return the runners where a backfilling task may start for all that is known.
+
+    Notes
+    -----
+    Guards against a task that no runner is tolerant enough for: after some time it
+    goes where it is minded least. It never goes to a sensitive runner because the
+    tolerant ones are full: it would be slowed to a stop there and hold its memory.
+    """
+    spec = task.step.spec
+    kind = [
+        runner
+        for runner in runners
+        if expect_tail(spec, runner, harms) < MOST_TAIL
+        and not _is_tried(spec, runner, harms, now)
+    ]
+    if kind or now - task.waiting_since < PATIENCE_S:
+        return kind
+    weights = {r.life: _find_worst_weight(spec, r, harms) for r in runners}
+    least = min(weights.values(), default=0.0)
+    if least < HARMLESS:
+        return []
+    return [r for r in runners if weights[r.life] <= least + NEARLY_LEAST]
+
+
+def _find_worst_weight(spec: Step, runner: Runner, harms: Harms) -> float:
+    weights = (find_weight(harms, serving, spec.image) for serving in runner.tails)
+    return max(weights, default=0.0)
+
+
 def _is_tried(spec: Step, runner: Runner, harms: Harms, now: float) -> bool:
     return any(
         is_tried_elsewhere(harms, serving, spec.image, runner.life, now)
--- a/plantainyard/dispatch/queue.py
+++ b/plantainyard/dispatch/queue.py
@@ -10,7 +10,12 @@
 from plantainyard.batch.values import Step, Submission
 from plantainyard.dispatch.model import Phase, StepRun
 
-__all__ = ["find_deadline", "find_chain_ms", "order_steps"]
+__all__ = ["find_deadline", "find_chains_ms", "order_steps"]
+
+
+OPTIMISM = 0.7
+"""Part of the estimated remaining time that is taken for certain when a job is judged
+to be late: estimates are off by half in either direction."""
 
 
 class _Rank(NamedTuple):
@@ -29,46 +34,53 @@
     -----
     Long-running tasks come first: they are few, and their users are without service
     until they run. Then what can still be in time, by priority and by the time until
-    which it must be done; then what is late. The cost is that of sorting.
+    which it must be done; then what is late, or will be even if it starts now: placed
+    by its deadline it would come first and make the jobs behind it late too. The cost
+    is that of sorting.
     """
     return sorted(steps, key=lambda step: _rank(step, now))
 
 
 def _rank(step: StepRun, now: float) -> _Rank:
     job = step.job
+    left_s = OPTIMISM * job.left_ms[step.number] / 1000
     return _Rank(
         not step.spec.long_running,
-        now > job.deadline,
+        now + left_s > job.deadline,
         job.submission.priority,
         job.deadline,
     )
 
 
-def find_chain_ms(steps: tuple[Step, ...]) -> float:
-    """Return the estimated length in ms of the longest chain of steps.
+def find_chains_ms(steps: tuple[Step, ...]) -> tuple[float, ...]:
+    """Return, for each step, the estimated time from its start to the job's end in ms.
 
     Examples
     --------
     >>> from plantainyard.batch.values import Step
-    >>> find_chain_ms((Step(1, estimate_ms=5), Step(1, estimate_ms=7, after=(0,))))
-    12
+    >>> find_chains_ms((Step(1, estimate_ms=5), Step(1, estimate_ms=7, after=(0,))))
+    (12, 7)
     """
-    ends: dict[int, float] = {}
-    left = dict(enumerate(steps))
+    chains: dict[int, float] = {}
+    followers = {
+        number: [n for n, step in enumerate(steps) if number in step.after]
+        for number in range(len(steps))
+    }
+    left = set(followers)
     while left:
-        ready = [n for n, step in left.items() if all(b in ends for b in step.after)]
+        ready = {n for n in left if not left.intersection(followers[n])}
         if not ready:
             break
         for number in ready:
-            step = left.pop(number)
-            before = max((ends[b] for b in step.after), default=0)
-            ends[number] = before + step.estimate_ms
-    return max(ends.values(), default=0)
+            longest = max((chains[n] for n in followers[number]), default=0)
+            chains[number] = steps[number].estimate_ms + longest
+        left -= ready
+    return tuple(chains.get(number, 0) for number in range(len(steps)))
 
 
 def find_deadline(submission: Submission, accepted: float) -> float:
     """Return the time until which a job meets its objective by its own estimates."""
-    chain_ms = find_chain_ms(submission.steps)
+    chain_ms = max(find_chains_ms(submission.steps))
     allowed_ms = submission.stretch * chain_ms + submission.target_latency_ms
     return accepted + allowed_ms / 1000
 
