Pack serving and counted tasks tightly

Cause: serving tasks were spread over all runners; counted tasks of 12 cores found no whole gap among 260 free cores, and no runner was free of serving tasks.

--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -238,8 +238,10 @@
         score -= HARM_COST * expect_tail(spec, runner, harms)
         return score - FREEDOM_COST * _measure_freedom(runner, harms)
     if spec.target_ms:
-        return score + unused + _match_images(spec, runner)
-    return score + unused - sum(runner.backfill.values()) / 1000
+        score += _match_images(spec, runner)
+    # The fullest runner that has room: what is left free stays whole, for tasks that
+    # need much and for backfilling ones that find no serving task there.
+    return score - unused
 
 
 def _measure_freedom(runner: Runner, harms: Harms) -> float:
