Place the job with the least work left first

Cause: with 92 % of the processors reserved by serving tasks counted jobs queue; by deadline a wide job holds up several small ones. Ruled out: reserving room for them (a serving task must start while there is room).

--- a/plantainyard/dispatch/queue.py
+++ b/plantainyard/dispatch/queue.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from plantainyard.batch.values import Step, Submission
-from plantainyard.dispatch.model import Phase, StepRun
+from plantainyard.dispatch.model import Job, Phase, StepRun
 
 __all__ = ["find_deadline", "find_chains_ms", "order_steps"]
 
@@ -24,6 +24,7 @@
     lasting_last: bool
     late: bool
     priority: int
+    work_left: float
     deadline: float
 
 
@@ -33,10 +34,10 @@
     Notes
     -----
     Long-running tasks come first: they are few, and their users are without service
-    until they run. Then what can still be in time, by priority and by the time until
-    which it must be done; then what is late, or will be even if it starts now: placed
-    by its deadline it would come first and make the jobs behind it late too. The cost
-    is that of sorting.
+    until they run. Then what can still be in time, by priority and by the work that
+    is left, so that as many callers as possible are served in time when there is more
+    work than room; then what is late, or will be even if it starts now. The cost is
+    that of sorting, and a pass over the steps of each job.
     """
     return sorted(steps, key=lambda step: _rank(step, now))
 
@@ -48,10 +49,22 @@
         not step.spec.long_running,
         now + left_s > job.deadline,
         job.submission.priority,
+        measure_work(job),
         job.deadline,
     )
 
 
+def measure_work(job: Job) -> float:
+    """Return the estimated work that is left of a job's open steps, in core-seconds."""
+    return sum(
+        (len(step.tasks) - step.done)
+        * max(step.spec.resources.cpu, 1)
+        * step.spec.estimate_ms
+        / 1e6
+        for step in job.steps.values()
+    )
+
+
 def find_chains_ms(steps: tuple[Step, ...]) -> tuple[float, ...]:
     """Return, for each step, the estimated time from its start to the job's end in ms.
 
