Prove the dispatcher in virtual time: stories and any two faults at once

Stand-ins for the platform's store and runners (fence, leases, numbered ends, new lives, producers, groups) are small states with the time as an argument. Found by a test: a long-running task that ended as done counted as finished; it starts anew now. Seen to fail without the guard: the wait for a silent runner's lease, the wait of a successor, the stop at a new life, the settled order before a missing run is freed, the acknowledgement after the store. Not seen to fail: the stop after a refused repeat. One server for WSGI applications.

--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -196,7 +196,8 @@
         task.checkpoint = checkpoint
     release_room(runner, task)
     job = task.step.job
-    if how == "done" and not job.cancelled and not job.ended:
+    lasting = task.step.spec.long_running
+    if how == "done" and not lasting and not job.cancelled and not job.ended:
         runner.bad = 0.0
         task.life = ""
         jobs.finish_task(state, task)
@@ -205,8 +206,7 @@
         _note_failure(state, task, runner, now)
     free_task(state, task)
     mark_dirty(state, task.step)
-    limited = not task.step.spec.long_running
-    if limited and task.failures >= job.submission.max_attempts:
+    if not lasting and task.failures >= job.submission.max_attempts:
         jobs.fail_job(state, job, now)
 
 
--- /dev/null
+++ b/plantainyard/dispatch/tests/test_dispatcher.py
@@ -0,0 +1,342 @@
+"""Runs of whole jobs in virtual time, on a calm day and with faults."""
+
+from plantainyard.dispatch.tests.world import World, make_step
+
+
+def test_a_job_runs_step_after_step():
+    world = World()
+    world.submit("a", make_step(3), make_step(2, after=(0,)))
+    world.run(1.0)
+    assert len(world.starts("a")) == 3
+    world.run(2.5)
+    assert len(world.starts("a")) == 5
+    assert world.ended("a") == "completed"
+
+
+def test_a_submission_that_comes_twice_runs_once():
+    # A caller lost the answer and sends the job again, at another instance; the copy
+    # is read after the job has ended.
+    world = World()
+    world.submit("a", make_step(2))
+    world.submit("a", make_step(2))
+    world.run(3.0)
+    world.submit("a", make_step(2))
+    world.run(2.0)
+    assert len(world.starts("a")) == 2
+
+
+def test_a_start_is_stored_before_it_is_sent():
+    # The store is down when a job's turn comes. A runner must not hear of it: an owner
+    # that follows could not know where the task runs.
+    world = World()
+    world.store_down = True
+    world.submit("a", make_step())
+    world.run(1.0)
+    assert world.starts("a") == []
+    world.store_down = False
+    world.run(0.5)
+    assert len(world.starts("a")) == 1
+
+
+def test_an_end_is_acknowledged_only_once_it_is_stored():
+    # The store goes down while a task runs. Its end is listed by the runner until the
+    # store has it; acknowledged earlier it would be known to nobody after a crash.
+    world = World(runners=1)
+    world.submit("a", make_step(2))
+    world.run(0.5)
+    world.store_down = True
+    world.run(1.5)
+    assert [end[1] for end in world.runners["r0"].ends] == ["a.0.0.0", "a.0.0.1"]
+    world.store_down = False
+    world.run(0.5)
+    assert world.runners["r0"].ends == []
+    assert world.ended("a") == "completed"
+
+
+def test_a_successor_takes_over_what_runs():
+    # The owner dies while tasks run. Its successor finds them at their runners, keeps
+    # their leases alive and starts nothing anew.
+    world = World()
+    world.runners["r0"].durations = {"a": 8.0}
+    world.runners["r1"].durations = world.runners["r2"].durations = {"a": 8.0}
+    world.submit("a", make_step(3))
+    world.run(1.0)
+    world.begin()
+    world.run(8.5)
+    assert len(world.starts("a")) == 3
+    assert world.ended("a") == "completed"
+
+
+def test_a_successor_learns_of_ends_that_were_not_stored():
+    # A task ends while no owner is there. The runner lists the end until it is
+    # acknowledged, and the successor counts it once.
+    world = World(runners=1)
+    world.submit("a", make_step())
+    world.run(0.3)
+    world.store_down = True
+    world.run(2.0)
+    world.store_down = False
+    world.begin()
+    world.run(0.5)
+    assert len(world.starts("a")) == 1
+    assert world.ended("a") == "completed"
+
+
+def test_a_silent_runner_blocks_its_tasks_until_their_lease_is_over():
+    # A runner is cut off and runs on. The task may start elsewhere only when nothing
+    # can be at work there any more, or it would run in two places.
+    world = World(runners=2)
+    for runner in world.runners.values():
+        runner.durations = {"a": 0.0}
+    world.submit("a", make_step(long_running=True))
+    world.run(1.0)
+    (home,) = [n for n, r in world.runners.items() if r.running]
+    world.cut.add(home)
+    for _ in range(100):
+        world.run(0.1)
+        assert len(world.at_work("a")) <= 1
+    (new,) = [n for n, r in world.runners.items() if r.running]
+    assert new != home
+
+
+def test_a_successor_waits_for_the_lease_of_a_runner_that_it_never_reached():
+    # The owner dies while a runner is cut off. The successor knows from the store
+    # that a task is there, and not for how long it was allowed to run.
+    world = World(runners=2)
+    for runner in world.runners.values():
+        runner.durations = {"a": 0.0}
+    world.submit("a", make_step(long_running=True))
+    world.run(1.0)
+    (home,) = [n for n, r in world.runners.items() if r.running]
+    world.cut.add(home)
+    world.begin()
+    for _ in range(130):
+        world.run(0.1)
+        assert len(world.at_work("a")) <= 1
+    assert len(world.at_work("a")) == 1
+
+
+def test_a_late_start_after_a_change_of_owner_does_nothing():
+    # A start is left unanswered and carried out seconds later. Meanwhile a successor
+    # has asked that runner, and started the task elsewhere.
+    world = World(runners=2)
+    world.delay_orders = 100
+    world.submit("a", make_step())
+    world.run(0.3)
+    world.delay_orders = 0
+    world.begin()
+    world.run(0.3)
+    assert len(world.at_work("a")) == 1
+    world.deliver_late()
+    assert len(world.at_work("a")) == 1
+    world.run(3.0)
+    assert len(world.starts("a")) == 1
+
+
+def test_a_lost_answer_is_settled_by_the_same_start():
+    # The runner has begun, its answer is lost. The start is sent again, to the same
+    # runner, and finds the run there.
+    world = World()
+    world.lose_answers = 1
+    world.submit("a", make_step())
+    world.run(3.0)
+    assert len(world.starts("a")) == 1
+    assert world.ended("a") == "completed"
+
+
+def test_a_start_on_its_way_to_an_old_life_is_stopped_at_the_new_one():
+    # A runner crashes and is back under its id while a start is on its way: the new
+    # life carries it out. The task must not start elsewhere until that is ruled out.
+    world = World(runners=2)
+    world.delay_orders = 1
+    world.submit("a", make_step())
+    world.run(0.1)
+    ((order, _),) = world.late
+    home = order.entry.runner
+    world.runners[home].restart(world.now)
+    world.deliver_late()
+    world.announce()
+    for _ in range(30):
+        world.run(0.1)
+        assert len(set(world.at_work("a"))) == len(world.at_work("a"))
+    assert world.ended("a") == "completed"
+
+
+def test_a_runner_that_starts_again_frees_its_tasks_at_once():
+    # A crash ends everything at a runner. The birth of its new life says so; nobody
+    # has to wait for a lease.
+    world = World(runners=2)
+    world.submit("a", make_step(4))
+    world.run(0.4)
+    world.runners["r0"].restart(world.now)
+    world.announce()
+    world.run(3.0)
+    assert world.ended("a") == "completed"
+
+
+def test_a_cancelled_job_stops_and_starts_nothing():
+    world = World()
+    world.submit("a", make_step(2), make_step(2, after=(0,)))
+    world.run(0.5)
+    world.cancel("a")
+    world.run(2.0)
+    assert world.at_work("a") == []
+    assert len(world.starts("a")) == 2
+    assert world.ended("a") == "cancelled"
+
+
+def test_a_cancel_that_is_stored_while_no_owner_is_there_is_carried_out():
+    world = World()
+    world.runners["r0"].durations = {"a": 0.0}
+    world.submit("a", make_step(2, long_running=True))
+    world.run(0.5)
+    world.replica.jobs["a"].cancelled = True
+    world.begin()
+    world.run(1.0)
+    assert world.at_work("a") == []
+    assert world.ended("a") == "cancelled"
+
+
+def test_a_task_that_fails_too_often_fails_its_job():
+    world = World()
+    for runner in world.runners.values():
+        runner.faults.fails_all = True
+    world.submit("a", make_step(), max_attempts=3)
+    world.run(20.0)
+    assert len(world.starts("a")) == 3
+    assert world.ended("a") == "failed"
+
+
+def test_attempts_are_counted_across_owners():
+    # Each owner would allow a hopeless task its attempts anew.
+    world = World()
+    for runner in world.runners.values():
+        runner.faults.fails_all = True
+    world.submit("a", make_step(), max_attempts=2)
+    world.run(0.4)
+    assert len(world.starts("a")) >= 1
+    world.begin()
+    world.run(15.0)
+    world.begin()
+    world.run(15.0)
+    assert len(world.starts("a")) == 2
+    assert world.ended("a") == "failed"
+
+
+def test_a_bad_runner_does_not_use_a_task_s_attempts_up():
+    # One runner fails whatever it starts and is always free. The task must succeed
+    # elsewhere before its attempts are spent.
+    world = World()
+    world.runners["r0"].faults.fails_all = True
+    for number in range(6):
+        world.submit(f"a{number}", make_step(2), max_attempts=2)
+    world.run(15.0)
+    assert {world.ended(f"a{n}") for n in range(6)} == {"completed"}
+
+
+def test_long_running_tasks_come_back_however_they_end():
+    world = World()
+    for runner in world.runners.values():
+        runner.durations = {"a": 0.7}
+    world.submit("a", make_step(2, long_running=True), max_attempts=1)
+    world.run(6.0)
+    assert len(world.starts("a")) > 8
+    assert world.ended("a") == ""
+
+
+def test_no_runner_gets_more_than_it_holds():
+    # Runners of this service start whatever they are told to, also beyond their room.
+    world = World(runners=2)
+    world.submit("a", make_step(20, cpu=10_000))
+    for _ in range(40):
+        world.run(0.1)
+        for runner in world.runners.values():
+            assert len(runner.running) <= 6
+    world.run(5.0)
+    assert world.ended("a") == "completed"
+
+
+def test_what_is_being_stopped_still_takes_room():
+    world = World(runners=1)
+    world.runners["r0"].stop_s = 1.0
+    world.submit("a", make_step(6, cpu=10_000))
+    world.run(0.4)
+    world.cancel("a")
+    world.submit("b", make_step(6, cpu=10_000))
+    world.run(0.5)
+    assert world.starts("b") == []
+    world.run(1.5)
+    assert len(world.starts("b")) == 6
+
+
+def test_a_gang_starts_together_or_not_at_all():
+    world = World(runners=2)
+    world.submit("b", make_step(3, cpu=30_000))
+    world.run(0.2)
+    world.submit("a", make_step(4, cpu=30_000, gang=True))
+    world.run(0.5)
+    assert world.starts("a") == []
+    world.run(3.0)
+    times = {round(time, 1) for time, _, _ in world.starts("a")}
+    assert len(world.starts("a")) == 4
+    assert len(times) == 1
+
+
+def test_tasks_of_a_step_keep_their_distance():
+    world = World(runners=3)
+    world.submit("a", make_step(5, max_per_runner=1))
+    world.run(0.5)
+    assert sorted(len(r.running) for r in world.runners.values()) == [1, 1, 1]
+    world.run(3.0)
+    assert world.ended("a") == "completed"
+
+
+def test_a_task_starts_only_where_its_label_is():
+    world = World(runners=3)
+    world.runners["r2"].labels = ("b", "r1-1")
+    world.announce()
+    world.submit("a", make_step(4, requires="b"))
+    world.run(0.5)
+    assert len(world.runners["r2"].running) == 4
+
+
+def test_a_task_starts_near_its_data():
+    world = World(runners=3, remote_factor=3.0)
+    world.runners["r1"].labels = ("a", "r1-2")
+    world.announce()
+    world.submit("a", make_step(4, preferred_rack="r1-2"))
+    world.run(0.5)
+    assert len(world.runners["r1"].running) == 4
+
+
+def test_nothing_starts_on_a_draining_runner():
+    world = World(runners=2)
+    world.runners["r0"].draining = True
+    world.announce()
+    world.submit("a", make_step(4))
+    world.run(0.5)
+    assert world.runners["r0"].started == []
+
+
+def test_occurrences_start_when_they_are_due():
+    world = World()
+    start_ms = round(world.now * 1000) + 1000
+    world.submit("a", make_step(), times=2, start_at_ms=start_ms, interval_ms=2000)
+    world.run(0.8)
+    assert world.starts("a") == []
+    world.run(5.0)
+    times = [time for time, _, _ in world.starts("a")]
+    assert [round(t * 10) for t in times] == [1012, 1032]
+    assert world.ended("a") == "completed"
+
+
+def test_dropped_history_loses_nothing():
+    # The records of a job in progress are read again from nothing but the newest of
+    # each key; the owner begins from them.
+    world = World()
+    world.submit("a", make_step(3), make_step(3, after=(0,)))
+    world.run(1.5)
+    world.begin()
+    world.run(4.0)
+    assert len(world.starts("a")) == 6
+    assert world.ended("a") == "completed"
--- /dev/null
+++ b/plantainyard/dispatch/tests/test_faults.py
@@ -0,0 +1,127 @@
+"""Any two faults in any order: one commander, no task twice, nothing lost."""
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from plantainyard.dispatch.tests.world import World, make_step
+
+RUNNERS = 3
+JOBS = [f"job{n}" for n in range(4)]
+CORES = 64
+TASK_CPU = 20_000
+LEASE_OVER_S = 14.0
+
+
+class Faults(RuleBasedStateMachine):
+    """Owners that come and go, runners cut off and reborn, answers lost and late."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World(runners=RUNNERS)
+        self.cancelled: set[str] = set()
+        self.noted_done: set[str] = set()
+
+    @rule(job=st.sampled_from(JOBS), lasting=st.booleans())
+    def submit(self, job: str, lasting: bool) -> None:
+        if job in self.world.submissions:
+            self.world.tell_again(job)
+            return
+        for runner in self.world.runners.values():
+            runner.durations[job] = 0.0 if lasting else 1.2
+        steps = [make_step(2, cpu=TASK_CPU, long_running=lasting)]
+        if not lasting:
+            steps.append(make_step(1, cpu=TASK_CPU, after=(0,)))
+        self.world.submit(job, *steps)
+
+    @precondition(lambda self: self.world.submissions)
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        job = data.draw(st.sampled_from(sorted(self.world.submissions)))
+        self.cancelled.add(job)
+        self.world.cancel(job)
+
+    @rule(ticks=st.integers(1, 25))
+    def pass_time(self, ticks: int) -> None:
+        for _ in range(ticks):
+            self.world.run(0.1)
+            self.check()
+
+    @rule()
+    def change_owner(self) -> None:
+        self.world.begin()
+
+    @rule(runner=st.integers(0, RUNNERS - 1))
+    def cut_or_heal(self, runner: int) -> None:
+        self.world.cut ^= {f"r{runner}"}
+
+    @rule(runner=st.integers(0, RUNNERS - 1))
+    def restart_runner(self, runner: int) -> None:
+        # Its entry reaches the owner through the store, also while it is cut off.
+        self.world.runners[f"r{runner}"].restart(self.world.now)
+        self.world.announce()
+
+    @rule()
+    def lose_answers(self) -> None:
+        self.world.lose_answers = 3
+
+    @rule()
+    def delay_orders(self) -> None:
+        self.world.delay_orders = 2
+
+    @rule()
+    def deliver_late(self) -> None:
+        self.world.deliver_late()
+
+    @rule()
+    def stop_or_start_store(self) -> None:
+        self.world.store_down = not self.world.store_down
+
+    @invariant()
+    def check(self) -> None:
+        world = self.world
+        names = [t for r in world.runners.values() for t in r.running]
+        assert len(names) == len(set(names)), f"twice: {sorted(names)}"
+        for runner in world.runners.values():
+            assert len(runner.running) * TASK_CPU <= CORES * 1000, "over its room"
+        for job, view in world.replica.jobs.items():
+            steps = world.submissions[job].steps
+            if view.ended == "completed":
+                assert not any(step.long_running for step in steps)
+            if view.ended == "cancelled":
+                assert job in self.cancelled
+            assert view.ended != "failed"
+
+    def teardown(self) -> None:
+        """Heal everything: what was accepted must then come to its end."""
+        world = self.world
+        world.cut, world.lose_answers, world.delay_orders = set(), 0, 0
+        world.store_down = False
+        world.deliver_late()
+        for _ in range(round(LEASE_OVER_S * 10)):
+            world.run(0.1)
+            self.check()
+        for job, submission in world.submissions.items():
+            ended = world.ended(job)
+            if job in self.cancelled:
+                assert ended in ("cancelled", "completed"), job
+                assert world.at_work(job) == [], job
+            elif submission.steps[0].long_running:
+                assert len(world.at_work(job)) == 2, job
+            else:
+                assert ended == "completed", job
+
+
+TestFaults = Faults.TestCase
+TestFaults.settings = settings(
+    max_examples=60,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
--- /dev/null
+++ b/plantainyard/dispatch/tests/world.py
@@ -0,0 +1,229 @@
+"""A world in virtual time: stand-in runners and a store around a dispatcher."""
+
+import json
+from collections.abc import Iterable
+
+from plantainyard.batch.records import (
+    encode_submission,
+    make_cancel_key,
+    make_submission_key,
+)
+from plantainyard.batch.replica import Replica, apply_record
+from plantainyard.batch.values import Resources, Step, Submission
+from plantainyard.dispatch import (
+    Cancelled,
+    Commit,
+    Committed,
+    EntryChanged,
+    HoldAnswered,
+    HoldFailed,
+    Limits,
+    OrderAnswered,
+    OrderKind,
+    SendHold,
+    SendOrder,
+    Submitted,
+    Tick,
+    restore_dispatcher,
+    step,
+)
+from plantainyard.platform.entries import decode_entry
+from plantainyard.platform.runners import (
+    Held,
+    HeldRun,
+    Order,
+    OrderOutcome,
+    OrderResult,
+    decode_held,
+    decode_result,
+    format_task,
+)
+from plantainyard.transport import HttpAnswer
+from standins.platform import RunnerState
+
+TICK_S = 0.1
+
+
+class World:
+    """Runners, a store of records, and one dispatcher after the other.
+
+    Calls are answered at once unless they are dropped (`cut`), lost after the effect
+    (`lose_answers`) or kept back (`delay_orders`, then `deliver_late`).
+    """
+
+    def __init__(self, runners: int = 3, **limits: float) -> None:
+        self.now = 100.0
+        self.limits = Limits(**limits)
+        self.runners = {f"r{n}": RunnerState(f"r{n}") for n in range(runners)}
+        self.replica = Replica()
+        self.submissions: dict[str, Submission] = {}
+        self.cut: set[str] = set()
+        self.lose_answers = 0
+        self.delay_orders = 0
+        self.late: list[tuple[SendOrder, int]] = []
+        self.store_down = False
+        self.waiting_commit: Commit | None = None
+        self.held: list[SendHold] = []
+        self.fence = 0
+        self.begin()
+
+    def begin(self) -> None:
+        """Let a new owner take over from what is stored."""
+        self.fence += 1
+        self.waiting_commit = None
+        self.held = []
+        self.state = restore_dispatcher(
+            self.replica, self.limits, self.now, self.now * 1000
+        )
+        self.announce()
+        self.run(TICK_S)
+
+    def announce(self) -> None:
+        for name, runner in self.runners.items():
+            entry = decode_entry(name, json.dumps(runner.entry(self.now)).encode())
+            self.tell(EntryChanged(name, entry))
+
+    def submit(self, job_id: str, *steps: Step, **more: object) -> None:
+        submission = Submission(job_id, "q", "tollgate", "spec", steps, **more)
+        self.submissions[job_id] = submission
+        key = make_submission_key(job_id)
+        apply_record(self.replica, key, encode_submission(submission))
+        self.tell(Submitted(submission))
+
+    def tell_again(self, job_id: str) -> None:
+        """Repeat a submission, as a caller does that lost the answer."""
+        self.tell(Submitted(self.submissions[job_id]))
+
+    def cancel(self, job_id: str) -> None:
+        apply_record(self.replica, make_cancel_key(job_id), b"1")
+        self.tell(Cancelled(job_id))
+
+    def tell(self, event: object) -> None:
+        events = [event]
+        while events:
+            actions = step(self.state, events.pop(0), self.now)
+            for action in actions:
+                events += self.perform(action)
+
+    def perform(self, action: object) -> list[object]:
+        if isinstance(action, Commit):
+            if self.store_down:
+                self.waiting_commit = action
+                return []
+            return self.commit(action)
+        if isinstance(action, SendHold):
+            # A report that waits is answered with the next step of time.
+            self.held.append(action)
+            return []
+        assert isinstance(action, SendOrder)
+        return self.order(action)
+
+    def commit(self, action: Commit) -> list[object]:
+        for record in action.records:
+            apply_record(self.replica, record.key, record.value)
+        return [Committed()]
+
+    def order(self, action: SendOrder) -> list[object]:
+        name = action.entry.runner
+        lost = OrderResult(OrderOutcome.UNKNOWN)
+        result = lost
+        if action.kind == OrderKind.START and self.delay_orders > 0:
+            self.delay_orders -= 1
+            self.late.append((action, self.fence))
+        elif name not in self.cut:
+            result = self.call(action, self.fence)
+            if self.lose_answers > 0:
+                self.lose_answers -= 1
+                result = lost
+        life = action.entry.life
+        return [
+            OrderAnswered(action.kind, action.task, action.run, life, result, self.now)
+        ]
+
+    def call(self, action: SendOrder, fence: int) -> OrderResult:
+        body = {
+            "task": format_task(action.task),
+            "run": action.run,
+            "spec": action.spec,
+            "untilMs": action.lease_until_ms,
+            "fence": fence,
+            "checkpoint": action.checkpoint,
+            "percent": action.percent,
+        }
+        names = {"start": "run-start", "stop": "run-stop", "pace": "pace"}
+        runner = self.runners[action.entry.runner]
+        status, answer = runner.call(names[action.kind], body, self.now)
+        return decode_result(HttpAnswer(status, {}, json.dumps(answer).encode()))
+
+    def deliver_late(self) -> None:
+        """Carry out the orders that were kept back, in their time's words."""
+        for action, fence in self.late:
+            self.call(action, fence)
+        self.late = []
+
+    def run(self, seconds: float) -> None:
+        """Let time pass in steps of a tick."""
+        until = self.now + seconds
+        while self.now < until - 1e-9:
+            self.now += TICK_S
+            for runner in self.runners.values():
+                runner.advance(self.now)
+            self.answer_holds()
+            if self.waiting_commit is not None and not self.store_down:
+                waiting, self.waiting_commit = self.waiting_commit, None
+                for event in self.commit(waiting):
+                    self.tell(event)
+            self.tell(Tick())
+
+    def answer_holds(self) -> None:
+        held, self.held = self.held, []
+        for action in held:
+            self.tell(self.hold(action))
+
+    def hold(self, action: SendHold) -> HoldAnswered | HoldFailed:
+        life, name = action.entry.life, action.entry.runner
+        if name in self.cut:
+            return HoldFailed(life, self.now - 0.01, "no answer")
+        body = {
+            "fence": self.fence,
+            "lastSeen": action.last_seen,
+            "untilMs": action.lease_until_ms,
+        }
+        status, answer = self.runners[name].call("hold", body, self.now)
+        if status != 200:
+            return HoldFailed(life, self.now - 0.01, "fence", fenced=True)
+        nothing = Order(name, action.entry.born_ms, "", (), 0, 0)
+        found = decode_held(
+            HttpAnswer(status, {}, json.dumps(answer).encode()), nothing
+        )
+        return HoldAnswered(life, found.ok_value, self.now - 0.01)
+
+    def starts(self, job_id: str) -> list[tuple[float, str, int]]:
+        """Return every run of a job that began anywhere, in order."""
+        return sorted(
+            start
+            for runner in self.runners.values()
+            for start in runner.started
+            if start[1].startswith(job_id)
+        )
+
+    def at_work(self, job_id: str) -> list[str]:
+        """Return the names of a job's tasks that are at work now, with repeats."""
+        return [
+            task
+            for runner in self.runners.values()
+            for task in runner.running
+            if task.startswith(job_id)
+        ]
+
+    def ended(self, job_id: str) -> str:
+        return self.replica.jobs[job_id].ended
+
+
+def make_step(size: int = 1, cpu: int = 1000, **more: object) -> Step:
+    more.setdefault("estimate_ms", 1000)
+    return Step(size, Resources(cpu, 100, 0), **more)
+
+
+def make_held(rows: Iterable[HeldRun] = ()) -> Held:
+    return Held(0, None, list(rows), [])
--- a/plantainyard/entry/process.py
+++ b/plantainyard/entry/process.py
@@ -11,9 +11,7 @@
 from pathlib import Path
 from wsgiref.types import StartResponse, WSGIApplication, WSGIEnvironment
 
-import waitress
 from result import Err
-from waitress import wasyncore
 
 from plantainyard.clock import read_clock
 from plantainyard.entry.eventlog import EventLog, keep_event_log
@@ -31,6 +29,7 @@
     InstanceSettings,
     load_instance_settings,
 )
+from plantainyard.serving import serve_app
 
 __all__ = ["main", "run_instance"]
 
@@ -56,8 +55,8 @@
 BODY_BYTES = 1_048_576
 """Longest body that is read at all; the configuration's limit is checked after."""
 
-LOOP_S = 0.5
-"""Longest sleep of the servers' loop."""
+FLUSH_S = 0.7
+"""Longest time for the last answers once the servers stop."""
 
 
 def main() -> int:
@@ -190,53 +189,13 @@
         (settings.ready_address, ready, 1),
         (instance.peer_address(), build_peer_app(instance), 4),
     ]
-    sockets: dict[int, object] = {}
-    servers = [
-        waitress.create_server(
-            app,
-            map=sockets,
-            listen=address,
-            threads=threads,
-            connection_limit=CALLER_CONNECTIONS,
-            max_request_body_size=BODY_BYTES,
-            inbuf_overflow=BODY_BYTES,
-            outbuf_overflow=BODY_BYTES,
-            clear_untrusted_proxy_headers=True,
-            ident=None,
-        )
-        for address, app, threads in apps
-    ]
-    stopping = threading.Event()
-    loop = threading.Thread(
-        target=_run_loop, args=(servers, sockets, stopping), daemon=True
-    )
-    loop.start()
-    try:
+    with contextlib.ExitStack() as stack:
+        for address, app, threads in apps:
+            server = serve_app(
+                app, address, threads, CALLER_CONNECTIONS, BODY_BYTES, FLUSH_S
+            )
+            stack.enter_context(server)
         yield
-    finally:
-        stopping.set()
-        servers[0].pull_trigger()
-        loop.join(SPARE_S)
-
-
-def _run_loop(
-    servers: list, sockets: dict[int, object], stopping: threading.Event
-) -> None:
-    while not stopping.is_set():
-        wasyncore.loop(timeout=LOOP_S, map=sockets, use_poll=True, count=1)
-    until = read_clock() + SPARE_S * 0.6
-    for server in servers:
-        server.accepting = False
-    while read_clock() < until and any(_is_busy(server) for server in servers):
-        wasyncore.loop(timeout=0.05, map=sockets, use_poll=True, count=1)
-    wasyncore.close_all(sockets)
-
-
-def _is_busy(server: object) -> bool:
-    channels = server.active_channels.values()  # type: ignore[attr-defined]
-    return any(
-        channel.requests or channel.total_outbufs_len > 0 for channel in channels
-    )
 
 
 def _build_ready(
--- a/plantainyard/platform/runners.py
+++ b/plantainyard/platform/runners.py
@@ -250,7 +250,7 @@
         if wait_s:
             body["waitMs"] = round(wait_s * 1000)
         answer = self._call("hold", order, body, timeout_s + wait_s)
-        return answer.and_then(lambda found: _decode_held(found, order))
+        return answer.and_then(lambda found: decode_held(found, order))
 
     def _order(
         self, name: str, order: Order, body: dict[str, Any], timeout_s: float
@@ -258,7 +258,7 @@
         answer = self._call(name, order, body, timeout_s)
         if isinstance(answer, Err):
             return OrderResult(OrderOutcome.UNKNOWN, None, answer.err_value.detail)
-        return _decode_result(answer.ok_value)
+        return decode_result(answer.ok_value)
 
     def _call(
         self, name: str, order: Order, body: dict[str, Any], timeout_s: float
@@ -278,7 +278,7 @@
     return RunnerCalls(build_pool(MAX_RUNNERS, CONNECTIONS_PER_RUNNER))
 
 
-def _decode_result(answer: HttpAnswer) -> OrderResult:
+def decode_result(answer: HttpAnswer) -> OrderResult:
     data = _object(answer)
     clock = data.get("clockMs")
     clock_ms = clock if isinstance(clock, int) else None
@@ -295,7 +295,7 @@
     return OrderResult(OrderOutcome.UNKNOWN, clock_ms, detail)
 
 
-def _decode_held(answer: HttpAnswer, order: Order) -> Result[Held, CallError]:
+def decode_held(answer: HttpAnswer, order: Order) -> Result[Held, CallError]:
     step, peer = "runner.hold", order.runner
     if answer.status != 200:
         conflict = answer.status in (409, OTHER_LIFE)
--- a/plantainyard/process.py
+++ b/plantainyard/process.py
@@ -26,7 +26,6 @@
     serve_gateway,
     tell_event,
 )
-from plantainyard.gateway.server import serve_app
 from plantainyard.gateway.tuning import build_routing_settings
 from plantainyard.metrics import Meter, create_meter, flush_meter
 from plantainyard.node import (
@@ -77,6 +76,7 @@
 from plantainyard.routing import (
     AuthorityChanged,
 )
+from plantainyard.serving import serve_app
 from plantainyard.settings import Settings, find_stop_grace
 
 __all__ = ["Process", "drain_process", "run_process"]
--- a/plantainyard/gateway/tests/test_server.py
+++ b/plantainyard/tests/test_serving.py
@@ -1,7 +1,7 @@
 import socket
 import threading
 
-from plantainyard.gateway.server import serve_app
+from plantainyard.serving import serve_app
 
 BODY = b"x" * 8_000_000
 
--- /dev/null
+++ b/standins/platform/store.py
@@ -0,0 +1,228 @@
+"""A stand-in store: topics, newest records, conditional appends, groups."""
+
+import base64
+import struct
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+__all__ = ["Partition", "StoreFaults", "StoreState"]
+
+HEADER = struct.Struct(">QQ")
+LENGTH = struct.Struct(">I")
+PAGE_ITEMS = 500
+REPEATS_KNOWN = 5
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What is wrong with the store.
+
+    Attributes
+    ----------
+    down : bool
+        Each call is refused; nothing is done.
+    lose_answers : int
+        That many appends are done and not answered.
+    """
+
+    down: bool = False
+    lose_answers: int = 0
+
+
+@dataclass(slots=True)
+class Partition:
+    """One partition.
+
+    Attributes
+    ----------
+    records : list of bytes
+        All that was appended.
+    first : int
+        Records before this offset are dropped.
+    producers : dict
+        By producer: its epoch, its last sequence, and its last answers by sequence.
+    """
+
+    records: list[bytes] = field(default_factory=list)
+    first: int = 0
+    producers: dict[str, tuple[int, int, dict[int, dict]]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Member:
+    """A member of a group."""
+
+    heard_at: float
+    ttl_s: float
+    generation: int
+
+
+@dataclass(slots=True)
+class Group:
+    """A group that deals one topic's partitions out."""
+
+    topic: str = ""
+    generation: int = 0
+    members: dict[str, Member] = field(default_factory=dict)
+    owners: dict[int, str] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class StoreState:
+    """The whole store.
+
+    Attributes
+    ----------
+    parts : int
+        Partitions of each topic that isn't one of the platform's own.
+    """
+
+    parts: int = 1
+    partitions: dict[tuple[str, int], Partition] = field(default_factory=dict)
+    groups: dict[str, Group] = field(default_factory=dict)
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    appends: int = 0
+
+    def put(self, topic: str, key: str, value: bytes, part: int = 0) -> None:
+        """Append one keyed record, as an operator or a runner would."""
+        name = key.encode()
+        self._partition(topic, part).records.append(bytes((len(name),)) + name + value)
+
+    def newest(self, topic: str, part: int = 0) -> dict[str, bytes]:
+        """Return the newest value of each key that has one."""
+        found: dict[str, bytes] = {}
+        for record in self._partition(topic, part).records:
+            size = 1 + record[0]
+            key, value = record[1:size].decode(), record[size:]
+            found.pop(key, None)
+            if value:
+                found[key] = value
+        return found
+
+    def drop_history(self) -> None:
+        """Forget all records but the newest of each key."""
+        for partition in self.partitions.values():
+            partition.first = len(partition.records)
+
+    def _partition(self, topic: str, part: int) -> Partition:
+        return self.partitions.setdefault((topic, part), Partition())
+
+    def append(
+        self, query: Mapping[str, str], body: bytes
+    ) -> tuple[int, dict[str, Any]]:
+        """Serve ``log-append``."""
+        partition = self._partition(query["topic"], int(query.get("part", 0)))
+        end = len(partition.records)
+        if "at" in query and int(query["at"]) != end:
+            return 412, {"end": end}
+        records = _split(body)
+        producer = query.get("producer", "")
+        if producer:
+            known = self._check_producer(partition, query, producer)
+            if known is not None:
+                return known
+        partition.records += records
+        self.appends += 1
+        answer = {"offset": end, "end": len(partition.records)}
+        if producer:
+            self._note_producer(partition, query, producer, answer)
+        return 200, answer
+
+    def _check_producer(
+        self, partition: Partition, query: Mapping[str, str], producer: str
+    ) -> tuple[int, dict[str, Any]] | None:
+        epoch, sequence = int(query["epoch"]), int(query["sequence"])
+        held, last, answers = partition.producers.get(producer, (-1, 0, {}))
+        if epoch < held:
+            return 409, {"reason": "fenced"}
+        if epoch > held:
+            return None
+        if sequence in answers:
+            return 200, answers[sequence]
+        if sequence != last + 1:
+            return 409, {"reason": "seq", "sequence": last + 1}
+        return None
+
+    def _note_producer(
+        self,
+        partition: Partition,
+        query: Mapping[str, str],
+        producer: str,
+        answer: dict[str, Any],
+    ) -> None:
+        epoch, sequence = int(query["epoch"]), int(query["sequence"])
+        held, _, answers = partition.producers.get(producer, (-1, 0, {}))
+        kept = dict(answers) if held == epoch else {}
+        kept[sequence] = answer
+        newest = sorted(kept)[-REPEATS_KNOWN:]
+        kept = {number: kept[number] for number in newest}
+        partition.producers[producer] = (epoch, sequence, kept)
+
+    def read(self, query: Mapping[str, str]) -> tuple[int, bytes]:
+        """Serve ``log-read`` without its wait."""
+        partition = self._partition(query["topic"], int(query.get("part", 0)))
+        offset = int(query["from"])
+        if offset < partition.first:
+            return 410, b"{}"
+        body = HEADER.pack(len(partition.records), partition.first)
+        for record in partition.records[offset:]:
+            body += LENGTH.pack(len(record)) + record
+        return 200, body
+
+    def read_newest(self, query: Mapping[str, str]) -> tuple[int, dict[str, Any]]:
+        """Serve ``log-newest``."""
+        topic, part = query["topic"], int(query.get("part", 0))
+        after = query.get("after", "")
+        keys = sorted(key for key in self.newest(topic, part) if key > after)
+        values = self.newest(topic, part)
+        items = [
+            {"key": key, "value": base64.b64encode(values[key]).decode(), "offset": 0}
+            for key in keys[:PAGE_ITEMS]
+        ]
+        end = len(self._partition(topic, part).records)
+        return 200, {"items": items, "hasMore": len(keys) > PAGE_ITEMS, "end": end}
+
+    def join(self, body: Mapping[str, Any], now: float) -> tuple[int, dict[str, Any]]:
+        """Serve ``log-join``."""
+        group = self.groups.setdefault(body["group"], Group(body["topics"][0]))
+        name = body["member"]
+        member = group.members.get(name)
+        if member is None:
+            group.members[name] = Member(now, body["ttlMs"] / 1000, 0)
+            group.generation += 1
+        else:
+            member.heard_at = now
+            member.generation = body["generation"]
+        self._deal(group, now)
+        rows = [[group.topic, p, 0] for p, m in group.owners.items() if m == name]
+        return 200, {"generation": group.generation, "ttlMs": 0, "parts": rows}
+
+    def leave(self, body: Mapping[str, Any], now: float) -> tuple[int, dict[str, Any]]:
+        """Serve ``log-leave``."""
+        group = self.groups.get(body["group"])
+        if group is not None and body["member"] in group.members:
+            del group.members[body["member"]]
+            group.generation += 1
+            self._deal(group, now)
+        return 200, {}
+
+    def _deal(self, group: Group, now: float) -> None:
+        for name, member in list(group.members.items()):
+            if now - member.heard_at > member.ttl_s:
+                del group.members[name]
+                group.generation += 1
+        for part in range(self.parts):
+            if group.owners.get(part) not in group.members and group.members:
+                group.owners[part] = sorted(group.members)[part % len(group.members)]
+
+
+def _split(body: bytes) -> list[bytes]:
+    records = []
+    place = 0
+    while place < len(body):
+        (size,) = LENGTH.unpack_from(body, place)
+        place += LENGTH.size
+        records.append(body[place : place + size])
+        place += size
+    return records
