--- a/plantainyard/batch/replica.py
+++ b/plantainyard/batch/replica.py
@@ -7,6 +7,8 @@
 from plantainyard.batch.values import JobState, StepProgress, Submission
 
 __all__ = [
+    "HARMS_KEY",
+    "OWNER_KEY",
     "JobView",
     "Replica",
     "apply_record",
@@ -15,6 +17,12 @@
     "is_cancelled",
 ]
 
+OWNER_KEY = "owner"
+"""Key of the address of a unit's owner."""
+
+HARMS_KEY = "harms"
+"""Key of what owners have learnt of interference."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -42,10 +50,21 @@
 
 @dataclass(slots=True)
 class Replica:
-    """Jobs of a unit by id, and the address of the unit's owner."""
+    """What the store holds of a unit.
+
+    Attributes
+    ----------
+    jobs : dict
+        Jobs by id.
+    owner : str
+        Address of the unit's owner.
+    harms : bytes
+        What owners have learnt of interference.
+    """
 
     jobs: dict[str, JobView] = field(default_factory=dict)
     owner: str = ""
+    harms: bytes = b""
 
 
 def apply_record(replica: Replica, key: str, value: bytes) -> str:
@@ -56,7 +75,7 @@
     replica : Replica
         Changed in place.
     key : str
-        One of the keys of `plantainyard.batch.records`, or ``"owner"``.
+        One of the keys of `plantainyard.batch.records`, `OWNER_KEY` or `HARMS_KEY`.
     value : bytes
         Empty where the key was dropped.
 
@@ -70,9 +89,12 @@
     A record that can't be read is passed over with one log line: it must not stop
     the reading of all that follow.
     """
-    if key == "owner":
+    if key == OWNER_KEY:
         replica.owner = value.decode(errors="replace")
         return ""
+    if key == HARMS_KEY:
+        replica.harms = value
+        return ""
     kind, _, rest = key.partition("/")
     job_id = rest.partition("/")[0]
     try:
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -1,11 +1,13 @@
 """The dispatcher of one unit: its state, and what each event makes of it."""
 
+import logging
+
 from plantainyard.batch.records import (
     encode_progress,
     make_end_key,
     make_progress_key,
 )
-from plantainyard.batch.replica import Replica
+from plantainyard.batch.replica import HARMS_KEY, Replica
 from plantainyard.batch.values import StepProgress, TaskProgress
 from plantainyard.dispatch import reports, runs
 from plantainyard.dispatch.events import (
@@ -22,6 +24,7 @@
     Submitted,
     Tick,
 )
+from plantainyard.dispatch.interference import Harms, decode_harms, encode_harms
 from plantainyard.dispatch.jobs import add_job, cancel_job, open_due_occurrences
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.model import Phase, StepRun
@@ -30,9 +33,16 @@
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.platform.store import Record
 
+_logger = logging.getLogger(__name__)
+
 __all__ = ["Dispatcher", "restore_dispatcher", "step"]
 
 
+HARMS_EVERY_S = 3.0
+"""Time between stored copies of what is learnt of interference: a second of learning
+is lost by a change of owner on average, for a kilobyte each time."""
+
+
 def restore_dispatcher(
     replica: Replica, limits: Limits, now: float, wall_ms: float
 ) -> Dispatcher:
@@ -51,9 +61,20 @@
     """
     state = Dispatcher(limits=limits, wall_offset_s=wall_ms / 1000 - now)
     restore_jobs(state, replica, now)
+    if replica.harms:
+        state.harms = _restore_harms(replica.harms)
     return state
 
 
+def _restore_harms(value: bytes) -> Harms:
+    try:
+        return decode_harms(value)
+    except (ValueError, TypeError, AttributeError) as error:
+        # Nothing but time is lost: it is learnt again.
+        _logger.warning("unreadable record of harms: %r", error)
+        return Harms()
+
+
 def step(state: Dispatcher, event: Event, now: float) -> list[Action]:
     """Take `event` in and return what is to be done.
 
@@ -74,7 +95,7 @@
         plan_moves(state, now)
     if not state.commit_out:
         plan_starts(state, now)
-        _commit(state)
+        _commit(state, now)
     reports.ask_runners(state, now)
     actions = state.actions
     state.actions = []
@@ -101,7 +122,7 @@
             state.guarded = services
 
 
-def _commit(state: Dispatcher) -> None:
+def _commit(state: Dispatcher, now: float) -> None:
     """Put all that changed since the last commit into the next one."""
     records = [
         Record(_progress_key(item), _encode_step(item))
@@ -119,6 +140,10 @@
         for life, number in seen.items():
             state.runners[life].stored_seen = number
         return
+    if state.harms.estimates and now - state.harms_stored_at > HARMS_EVERY_S:
+        # With the records of others: a commit of its own would be one more call.
+        records.append(Record(HARMS_KEY, encode_harms(state.harms)))
+        state.harms_stored_at = now
     state.commit_out = True
     state.committing_seen = seen
     state.committing_ends = list(state.ending)
--- a/plantainyard/dispatch/interference.py
+++ b/plantainyard/dispatch/interference.py
@@ -9,6 +9,7 @@
 that image use. Weights are learnt from each report by recursive least squares.
 """
 
+import json
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -20,6 +21,8 @@
     "Harms",
     "Sample",
     "begin_trial",
+    "decode_harms",
+    "encode_harms",
     "find_weight",
     "find_weight_at_worst",
     "is_known",
@@ -238,6 +241,39 @@
     return max(0.0, estimate.weights.get(image, PRIOR))
 
 
+def encode_harms(harms: Harms) -> bytes:
+    """Return the stored form of what is learnt; see `decode_harms`."""
+    data = {
+        serving: {
+            image: [round(weight, 2), round(estimate.doubts[image][image], 3)]
+            for image, weight in estimate.weights.items()
+        }
+        for serving, estimate in harms.estimates.items()
+    }
+    return json.dumps(data, separators=(",", ":")).encode()
+
+
+def decode_harms(value: bytes) -> Harms:
+    """Return what `encode_harms` wrote, without how weights depend on each other.
+
+    Raises
+    ------
+    ValueError, TypeError, AttributeError
+        If the bytes aren't such a record.
+    """
+    harms = Harms()
+    for serving, rows in json.loads(value).items():
+        estimate = Estimate({}, {})
+        for image, (weight, doubt) in rows.items():
+            estimate.weights[image] = float(weight)
+            estimate.doubts[image] = dict.fromkeys(rows, 0.0)
+            estimate.doubts[image][image] = float(doubt)
+        estimate.weights.setdefault(_BASE, BASE)
+        estimate.doubts.setdefault(_BASE, {_BASE: BASE_DOUBT})
+        harms.estimates[serving] = estimate
+    return harms
+
+
 def list_images(harms: Harms) -> set[str]:
     """Return the backfilling images that were seen beside any serving image."""
     seen = {image for e in harms.estimates.values() for image in e.weights}
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -45,6 +45,8 @@
         What the current step has asked for so far.
     harms : Harms
         What is learnt of interference.
+    harms_stored_at : float
+        When that was last put into a commit.
     taken_over_at : float
         When this dispatcher began.
     """
@@ -65,6 +67,7 @@
     committing_starts: list[Task] = field(default_factory=list)
     actions: list[Action] = field(default_factory=list)
     harms: Harms = field(default_factory=Harms)
+    harms_stored_at: float = 0.0
     taken_over_at: float = 0.0
 
 
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from plantainyard.batch.records import decode_submission
-from plantainyard.batch.replica import Replica, apply_record
+from plantainyard.batch.replica import OWNER_KEY, Replica, apply_record
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import (
     Cancelled,
@@ -26,7 +26,6 @@
     CONFIGURATION_KEY,
     INTAKE,
     OPERATIONS,
-    OWNER_KEY,
     PRODUCER,
     PROGRESS,
     RUNNERS,
--- a/plantainyard/entry/topics.py
+++ b/plantainyard/entry/topics.py
@@ -5,7 +5,6 @@
     "GROUP",
     "INTAKE",
     "OPERATIONS",
-    "OWNER_KEY",
     "PRODUCER",
     "PROGRESS",
     "RUNNERS",
@@ -24,6 +23,5 @@
 """What operators publish."""
 
 CONFIGURATION_KEY = "config"
-OWNER_KEY = "owner"
 GROUP = "owners"
 PRODUCER = "owner"
