Move what must leave or stands still; test an instance over HTTP

Cause: nothing left a draining runner before it ended, and tasks that made no progress were waited for. Ruled out: moving whatever runs there (work without checkpoints would be lost). Change: long-running tasks and those that can't finish leave a draining runner; a task without progress for 2 s is stopped and its runner blamed. Both tests fail without it. Tests of an instance against the stand-in platform.

--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -197,6 +197,8 @@
         When to ask for the next one.
     bad : float
         Failures of tasks since its last success.
+    leaves_at : float
+        When it may be gone, once it is draining.
     quarantined_until : float
         No tasks with limited attempts until then.
     paces : dict
@@ -228,6 +230,7 @@
     hold_out: bool = False
     hold_at: float = 0.0
     bad: float = 0.0
+    leaves_at: float = 0.0
     quarantined_until: float = 0.0
     paces: dict[str, int] = field(default_factory=dict)
     paced_at: float = 0.0
--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -24,6 +24,10 @@
 SAVED_PERCENT = 40
 """Progress up to which a task without checkpoints is moved: it starts anew."""
 
+STALL_S = 2.0
+"""Time without progress after which a task counts as standing still; one that takes a
+minute moves by a percent in 0.6 s."""
+
 MOST_MOVES = 8
 """Tasks moved at a time: each changes what is expected of its new place."""
 
@@ -53,34 +57,69 @@
 
 
 def plan_moves(state: Dispatcher, now: float) -> None:
-    """Stop backfilling tasks that were slowed down where another runner is free.
+    """Stop tasks that would be better off on another runner that is free for them.
 
     Notes
     -----
-    Guards against work that stands still for as long as the serving tasks beside it
-    stay: a slowed task keeps its memory and finishes late, while on a runner whose
-    serving tasks don't mind its image it would work at full speed.
+    Guards against three kinds of work that stands still. A slowed backfilling task
+    keeps its memory and finishes late, while on a runner whose serving tasks don't
+    mind its image it would work at full speed. What is on a draining runner ends with
+    it: moved before, a serving task is away for the time of a stop and a start, and a
+    task with checkpoints loses nothing. A task that makes no progress on a runner
+    where tasks stand still never ends; its runner is taken for a bad one.
     """
     runners = list(state.runners.values())
-    slowed = [
-        task
+    moving = [
+        (runner, task)
         for runner in runners
-        if any(pace < SLOW_PACE for pace in runner.paces.values())
+        if runner.answering and runner.entry is not None
         for task in runner.tasks.values()
-        if _is_stuck(task, now)
+        if task.phase == Phase.RUNNING and _should_move(runner, task, now)
     ]
-    for task in slowed[:MOST_MOVES]:
-        others = [runner for runner in runners if runner.life != task.life]
+    for runner, task in moving[:MOST_MOVES]:
+        if _is_stalled(task, now):
+            _blame_for_stall(state, runner, task, now)
+        others = [other for other in runners if other is not runner]
         task.waiting_since = now
         if choose_runner(task, others, state.limits, state.harms, now) is not None:
             send_stop(state, task, now)
 
 
+def _should_move(runner: Runner, task: Task, now: float) -> bool:
+    return (
+        _is_stuck(task, now) or _must_leave(runner, task, now) or _is_stalled(task, now)
+    )
+
+
 def _is_stuck(task: Task, now: float) -> bool:
-    if task.phase != Phase.RUNNING or not task.step.spec.backfill:
-        return False
     cheap = task.step.spec.saves_progress or task.percent < SAVED_PERCENT
-    return cheap and task.pace < SLOW_PACE and now - task.slowed_at > SLOW_S
+    slow = task.step.spec.backfill and task.pace < SLOW_PACE
+    return slow and cheap and now - task.slowed_at > SLOW_S
+
+
+def _must_leave(runner: Runner, task: Task, now: float) -> bool:
+    assert runner.entry is not None
+    if not runner.entry.draining:
+        return False
+    if task.step.spec.long_running:
+        return True
+    # What is nearly done may finish; the rest resumes elsewhere.
+    elapsed_s = now - task.settled_at
+    left_s = elapsed_s * (100 - task.percent) / max(task.percent, 1)
+    return task.step.spec.saves_progress and now + left_s > runner.leaves_at
+
+
+def _is_stalled(task: Task, now: float) -> bool:
+    paced = task.step.spec.backfill and task.pace < SLOW_PACE
+    return not paced and task.percent < 100 and now - task.moved_at > STALL_S
+
+
+def _blame_for_stall(state: Dispatcher, runner: Runner, task: Task, now: float) -> None:
+    assert runner.entry is not None
+    task.avoided.add(runner.entry.runner)
+    runner.bad += 1.0
+    if runner.bad >= state.limits.quarantine_after:
+        runner.quarantined_until = now + state.limits.quarantine_s
 
 
 def _find_ready(job: Job) -> list[StepRun]:
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -34,6 +34,9 @@
 FULL_REPORT = 500
 """Ends that a runner lists at a time; with so many, others may be missing."""
 
+DRAIN_MS = 2_000
+"""Time that a draining runner is taken to stay where its entry doesn't say."""
+
 SILENT_AFTER = 2
 """Reports in a row that don't come before a runner counts as silent."""
 
@@ -57,6 +60,9 @@
         state.runners[entry.life] = runner
     runner.entry = entry
     runner.listed = True
+    if entry.draining and not runner.leaves_at:
+        stays_ms = DRAIN_MS if entry.leaves_in_ms is None else entry.leaves_in_ms
+        runner.leaves_at = now + stays_ms / 1000
     state.lives[runner_id] = entry.life
     for life in [k for k in state.runners if k.startswith(f"{runner_id}@")]:
         if life != entry.life:
--- a/plantainyard/dispatch/tests/test_dispatcher.py
+++ b/plantainyard/dispatch/tests/test_dispatcher.py
@@ -354,3 +354,33 @@
     world.submit("a", make_step())
     world.run(0.1)
     assert len(world.starts("a")) == 1
+
+
+def test_long_running_tasks_leave_a_draining_runner():
+    # A runner reports that it is draining and leaves seconds later, with everything
+    # on it. The service would be without its tasks until somebody notices.
+    world = World(runners=2)
+    for runner in world.runners.values():
+        runner.durations = {"a": 0.0}
+    world.submit("a", make_step(2, long_running=True))
+    world.run(1.0)
+    (home,) = {n for n, r in world.runners.items() if r.running}
+    world.runners[home].draining = True
+    world.announce()
+    world.run(1.5)
+    assert not world.runners[home].running
+    assert len(world.at_work("a")) == 2
+
+
+def test_a_task_that_stands_still_is_started_elsewhere():
+    # Tasks on one runner make no progress, and the runner reports nothing wrong.
+    world = World(runners=2)
+    for runner in world.runners.values():
+        runner.faults.stands_still = True
+    world.submit("a", make_step())
+    world.run(0.3)
+    (home,) = [n for n, r in world.runners.items() if r.running]
+    for name, runner in world.runners.items():
+        runner.faults.stands_still = name == home
+    world.run(6.0)
+    assert world.ended("a") == "completed"
--- /dev/null
+++ b/plantainyard/entry/tests/test_instance.py
@@ -0,0 +1,303 @@
+"""One instance against the stand-in platform over HTTP."""
+
+import contextlib
+import io
+import json
+import threading
+import time
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from plantainyard.batch.replica import describe_state
+from plantainyard.clock import read_clock
+from plantainyard.entry.eventlog import EVENTS, EventLog
+from plantainyard.entry.front import serve_request
+from plantainyard.entry.instance import Instance
+from plantainyard.entry.ownership import Ownership, follow_ownership, name_member
+from plantainyard.entry.tails import Tail, poll_tail
+from plantainyard.entry.topics import INTAKE
+from plantainyard.platform.settings import InstanceSettings
+from plantainyard.platform.store import Append, Record, build_store_calls
+from standins.platform import RunnerState, StoreState, serve_platform
+
+PATIENCE_S = 20.0
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "q",
+            "host": "nony.example",
+            "pathPrefix": "/jobs/",
+            "service": "tollgate",
+            "priority": 0,
+            "maxAttempts": 3,
+            "stretch": 1.5,
+            "targetLatencyMs": 400,
+        }
+    ],
+    "services": [{"name": "tollgate", "admissionCheck": False}],
+    "limits": {"maxBodyBytes": 10_000},
+}
+JOB = "5c0e7a21d94b36f8"
+BODY = {"spec": "s", "steps": [{"count": 2, "cpu": 500, "memMb": 10, "estimateMs": 9}]}
+
+
+def wait_until(check: Callable[[], object]) -> None:
+    until = read_clock() + PATIENCE_S
+    while not check():
+        assert read_clock() < until, "not within the test's patience"
+        time.sleep(0.02)
+
+
+def make_settings(store: str) -> InstanceSettings:
+    return InstanceSettings(
+        instance="edge-1",
+        domain="addis-kality",
+        region="addis",
+        ip="127.0.0.1",
+        caller_address="127.0.0.1:0",
+        ready_address="127.0.0.1:0",
+        peer_port=1,
+        metrics_port=2,
+        store_address=store,
+    )
+
+
+@contextlib.contextmanager
+def run_instance(store: StoreState, *runners: RunnerState) -> Iterator[Instance]:
+    put_configuration(store, 7)
+    with serve_platform(store, runners) as servers:
+        log = EventLog("edge-1", io.StringIO())
+        instance = Instance(make_settings(servers.store), log)
+        assert poll_tail(instance.operations).is_ok()
+        assert poll_tail(instance.intake).is_ok()
+        try:
+            yield instance
+        finally:
+            instance.stopping.set()
+            instance.give_up()
+
+
+def put_configuration(store: StoreState, version: int, **changes: object) -> None:
+    value = json.dumps({**CONFIGURATION, "version": version, **changes}).encode()
+    store.put("keyed.op", "config", value)
+
+
+def call(
+    instance: Instance, method: str, path: str, body: object = None
+) -> tuple[int, dict]:
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    environ = {
+        "REQUEST_METHOD": method,
+        "HTTP_HOST": "nony.example:80",
+        "PATH_INFO": path,
+        "CONTENT_LENGTH": str(len(data)),
+        "wsgi.input": io.BytesIO(data),
+    }
+    answer = serve_request(instance, environ)
+    return int(answer.status[:3]), answer.body
+
+
+def test_a_job_goes_through_from_submission_to_completion():
+    store = StoreState()
+    runner = RunnerState("r0", {JOB: 0.1})
+    with run_instance(store, runner) as instance:
+        instance.take_ownership(Ownership(5, frozenset({0})))
+        assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 200
+        poll_tail(instance.intake)
+        wait_until(lambda: describe_state(instance.replica.jobs[JOB]) == "completed")
+        assert call(instance, "GET", f"/jobs/{JOB}") == (200, {"state": "completed"})
+    assert len(runner.started) == 2
+
+
+def test_a_job_is_stored_before_it_is_accepted():
+    store = StoreState()
+    with run_instance(store) as instance:
+        assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 200
+    assert f"j/{JOB}" in store.newest(INTAKE)
+
+
+def test_a_job_that_was_not_stored_is_refused_and_never_runs():
+    store = StoreState()
+    with run_instance(store) as instance:
+        store.faults.down = True
+        status, body = call(instance, "POST", f"/jobs/{JOB}", BODY)
+        assert status == 503
+        assert body["error"].startswith("not run")
+        store.faults.down = False
+    assert store.newest(INTAKE) == {}
+
+
+def test_a_lost_answer_of_the_store_is_never_told_as_refused():
+    # The store takes the record and its answer is lost; then the store is down. Told
+    # "not accepted" the caller would give up a job that runs.
+    store = StoreState()
+    with run_instance(store) as instance:
+        store.faults.lose_answers = 1000
+        assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 504
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        (b"{", 400),
+        (b"[1, 2]", 400),
+        (b'{"steps": 3}', 400),
+        (b"\xff\xfe", 400),
+        (b"[" * 5000, 400),
+        ({"spec": "s", "steps": []}, 400),
+        ({"spec": "s" * 4001, "steps": BODY["steps"]}, 400),
+        ({"spec": "s", "steps": [{"count": 0}]}, 400),
+        ({"spec": "s", "steps": [{"count": 1, "cpu": -1}]}, 400),
+        ({"spec": "s", "steps": [{"count": 1, "cpu": True}]}, 400),
+        ({"spec": "s", "steps": [{"count": 1, "after": [1]}, {"after": [0]}]}, 400),
+        ({"spec": "s", "steps": [{"count": 1, "after": [4]}]}, 400),
+        ({"spec": "s", "steps": [{"count": 10**9}]}, 400),
+        (b" " * 20_000, 413),
+    ],
+)
+def test_bad_submissions_get_a_clear_answer(body, status):
+    store = StoreState()
+    with run_instance(store) as instance:
+        found, answer = call(instance, "POST", f"/jobs/{JOB}", body)
+        assert (found, bool(answer["error"])) == (status, True)
+        assert call(instance, "POST", "/jobs/xyz", BODY)[0] == 400
+    assert store.newest(INTAKE) == {}
+
+
+def test_unknown_queues_and_jobs_are_told_as_such():
+    with run_instance(StoreState()) as instance:
+        assert call(instance, "POST", f"/other/{JOB}", BODY)[0] == 404
+        assert call(instance, "GET", f"/jobs/{JOB}")[0] == 410
+        assert call(instance, "DELETE", f"/jobs/{JOB}")[0] == 410
+
+
+def test_a_job_that_another_instance_accepted_a_moment_ago_is_known():
+    # A caller submits at one instance and asks the next one, which has not read the
+    # record yet. It must not say that there is no such job.
+    store = StoreState()
+    with run_instance(store) as instance, run_instance(store) as other:
+        assert call(other, "POST", f"/jobs/{JOB}", BODY)[0] == 200
+        assert call(instance, "GET", f"/jobs/{JOB}") == (200, {"state": "queued"})
+
+
+def test_without_the_store_an_unknown_job_is_not_denied():
+    store = StoreState()
+    with run_instance(store) as instance:
+        store.faults.down = True
+        assert call(instance, "GET", f"/jobs/{JOB}")[0] == 503
+
+
+def test_an_instance_with_an_old_configuration_says_so():
+    # The store can't be reached for some seconds: the operators may have added the
+    # queue that a caller asks for. A 404 would be untrue.
+    store = StoreState()
+    with run_instance(store) as instance:
+        instance.operations.synced_at -= 10
+        assert call(instance, "GET", "/other/")[0] == 503
+        assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 503
+
+
+def test_a_configuration_never_reverts():
+    store = StoreState()
+    with run_instance(store) as instance:
+        put_configuration(store, 9, routes=[])
+        put_configuration(store, 8)
+        poll_tail(instance.operations)
+        assert instance.configuration and instance.configuration.version == 9
+
+
+def test_an_unreadable_configuration_changes_nothing():
+    store = StoreState()
+    with run_instance(store) as instance:
+        store.put("keyed.op", "config", b"\xff{")
+        store.put("keyed.op", "config", b'{"version": 10}')
+        poll_tail(instance.operations)
+        assert instance.configuration and instance.configuration.version == 7
+
+
+def test_an_owner_whose_epoch_is_over_stops_at_once():
+    # A paused owner comes back after its successor has written. The store refuses its
+    # records; whatever it would still order is based on what is no longer true.
+    store = StoreState()
+    with run_instance(store, RunnerState("r0", {JOB: 0.1})) as instance:
+        instance.take_ownership(Ownership(5, frozenset({0})))
+        wait_until(lambda: instance.owned is not None)
+        calls = build_store_calls(instance.settings.store_address)
+        successor = Append("keyed.progress", 0, [], "owner", 6, 0)
+        assert calls.append(successor, 5.0).unwrap().accepted
+        call(instance, "POST", f"/jobs/{JOB}", BODY)
+        poll_tail(instance.intake)
+        wait_until(instance.deposed.is_set)
+        wait_until(lambda: instance.owned is None)
+
+
+def test_two_lives_of_an_instance_are_two_members():
+    # A killed process is back before the group has missed it. Under its old name it
+    # would own the unit under a fencing token whose records the store has closed.
+    assert name_member("edge-1") != name_member("edge-1")
+
+
+def test_a_member_that_was_fenced_off_joins_anew():
+    store = StoreState()
+    with serve_platform(store, ()) as servers:
+        generations = []
+        stopping, deposed = threading.Event(), threading.Event()
+
+        def take(ownership: Ownership) -> None:
+            generations.append(ownership.generation)
+            deposed.set() if len(generations) == 1 else stopping.set()
+
+        follow_ownership(
+            make_settings(servers.store),
+            build_store_calls(servers.store),
+            1,
+            EventLog("edge-1", io.StringIO()),
+            take,
+            deposed,
+            stopping,
+        )
+    assert generations[1] > generations[0]
+
+
+def test_dropped_history_is_read_again_from_the_newest_records():
+    store = StoreState()
+    with serve_platform(store, ()) as servers:
+        taken: list[Record] = []
+        calls = build_store_calls(servers.store)
+        tail = Tail(calls, "keyed.x", 0, taken.append)
+        store.put("keyed.x", "a", b"1")
+        assert poll_tail(tail).is_ok()
+        store.put("keyed.x", "a", b"2")
+        store.put("keyed.x", "b", b"3")
+        store.drop_history()
+        assert poll_tail(tail).is_ok()
+        assert poll_tail(tail).is_ok()
+        assert taken[-2:] == [Record("a", b"2"), Record("b", b"3")]
+
+
+class StoppedReader(io.StringIO):
+    """A standard output that nobody reads."""
+
+    def write(self, text: str) -> int:
+        threading.Event().wait()
+        return 0
+
+
+def test_a_log_that_nobody_reads_costs_lines_and_no_time():
+    # The reader of standard output has stopped. Each write would block, and with it
+    # each decision that is logged.
+    log = EventLog("edge-1", StoppedReader())
+    threading.Thread(target=log.run, daemon=True).start()
+    for number in range(100):
+        for event in sorted(EVENTS):
+            log.write(event, number=number)
+    assert log.lines.qsize() <= 2_000
+
+
+def test_lines_of_one_event_are_bounded():
+    log = EventLog("edge-1", io.StringIO())
+    for _ in range(500):
+        log.write("accepted")
+    assert log.lines.qsize() <= 160
