Serve counters and latency histograms as text

Cause: on-call engineers have logs and metrics alone, and the new instances had no metrics. Change: prometheus-client on the last of the internal ports; events, calls by step and result, first starts, gauges of the owner.

--- a/plantainyard/dispatch/__init__.py
+++ b/plantainyard/dispatch/__init__.py
@@ -23,8 +23,12 @@
     Tick,
 )
 from plantainyard.dispatch.limits import Limits
+from plantainyard.dispatch.state import EMPTY_COUNTS, Counts, count_state
 
 __all__ = [
+    "EMPTY_COUNTS",
+    "Counts",
+    "count_state",
     "Action",
     "Cancelled",
     "Commit",
--- a/plantainyard/dispatch/jobs.py
+++ b/plantainyard/dispatch/jobs.py
@@ -23,7 +23,7 @@
     if job_id in state.jobs or job_id in state.ended:
         return
     chains_ms = find_chains_ms(submission.steps)
-    job = Job(submission, find_deadline(submission, now), chains_ms)
+    job = Job(submission, find_deadline(submission, now), chains_ms, now)
     state.jobs[job_id] = job
     if not submission.times:
         open_occurrence(job, 0)
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -140,10 +140,14 @@
         What was accepted.
     deadline : float
         Time until which the latency objective is met, on the dispatcher's clock.
+    taken_at : float
+        When the dispatcher took it in.
     left_ms : tuple of float
         By step, the estimated time from its start to the job's end.
     steps : dict
         Steps by (occurrence, number); an occurrence is added when it is due.
+    begun : bool
+        A runner has taken a start of it.
     cancelled : bool
         Nothing of it may start any more.
     ended : str
@@ -153,6 +157,8 @@
     submission: Submission
     deadline: float
     left_ms: tuple[float, ...]
+    taken_at: float = 0.0
+    begun: bool = False
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     cancelled: bool = False
     ended: str = ""
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -1,13 +1,15 @@
 """The whole state of a dispatcher."""
 
+from collections import Counter
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from plantainyard.dispatch.events import Action
 from plantainyard.dispatch.interference import Harms
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.model import Job, Runner, StepRun, Task
 
-__all__ = ["Dispatcher", "mark_dirty"]
+__all__ = ["EMPTY_COUNTS", "Counts", "Dispatcher", "count_state", "mark_dirty"]
 
 
 @dataclass(slots=True, eq=False)
@@ -77,3 +79,38 @@
 def mark_dirty(state: Dispatcher, step: StepRun) -> None:
     """Have the step's progress stored with the next commit."""
     state.dirty[id(step)] = step
+
+
+class Counts(NamedTuple):
+    """Numbers of a dispatcher's things, for gauges.
+
+    Attributes
+    ----------
+    jobs : int
+        Open jobs.
+    tasks : dict
+        Tasks of open jobs by phase.
+    runners : dict
+        Runners by ``answering``, ``silent`` and ``quarantined``.
+    """
+
+    jobs: int
+    tasks: dict[str, int]
+    runners: dict[str, int]
+
+
+EMPTY_COUNTS = Counts(0, {}, {})
+
+
+def count_state(state: Dispatcher) -> Counts:
+    """Return the numbers of a dispatcher's things; reads only, at one pass."""
+    jobs = list(state.jobs.values())
+    tasks = Counter(t.phase for j in jobs for s in j.steps.values() for t in s.tasks)
+    runners = Counter(_name_state(runner) for runner in list(state.runners.values()))
+    return Counts(len(jobs), dict(tasks), dict(runners))
+
+
+def _name_state(runner: Runner) -> str:
+    if not runner.answering:
+        return "silent"
+    return "quarantined" if runner.quarantined_until else "answering"
--- a/plantainyard/entry/eventlog.py
+++ b/plantainyard/entry/eventlog.py
@@ -10,7 +10,7 @@
 import queue
 import sys
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, TextIO
 
 from plantainyard.clock import read_clock
@@ -54,6 +54,10 @@
 """All events; `docs/operators/events.md` says what each means."""
 
 
+def _count_nothing(event: str) -> None:
+    """Count nothing."""
+
+
 class EventLog:
     """Writes lines about events.
 
@@ -63,6 +67,13 @@
         Named in each line.
     stream : file
         Where lines go.
+
+    Attributes
+    ----------
+    lost : int
+        Lines that nobody took in time.
+    count : callable
+        Told of each event, also of those whose lines are left out.
     """
 
     def __init__(self, instance: str, stream: TextIO) -> None:
@@ -70,6 +81,7 @@
         self.stream = stream
         self.lines: queue.Queue[str | None] = queue.Queue(QUEUE_LINES)
         self.lost = 0
+        self.count: Callable[[str], None] = _count_nothing
         self._counts: dict[str, int] = {}
         self._second = 0
         self._lock = threading.Lock()
@@ -84,6 +96,7 @@
         **fields
             What decided it and what became of it; encodable as JSON.
         """
+        self.count(event)
         for name, left_out in self._count(event):
             self._put("left_out", {"of": name, "lines": left_out})
         if self._counts[event] <= LINES_PER_EVENT_S:
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -12,14 +12,17 @@
 from plantainyard.batch.replica import OWNER_KEY, Replica, apply_record
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import (
+    EMPTY_COUNTS,
     Cancelled,
     Guarded,
     Limits,
     Submitted,
+    count_state,
     restore_dispatcher,
 )
 from plantainyard.entry.directory import Directory
 from plantainyard.entry.eventlog import EventLog
+from plantainyard.entry.meters import Meters
 from plantainyard.entry.ownership import Ownership
 from plantainyard.entry.tails import Tail, poll_tail
 from plantainyard.entry.topics import (
@@ -90,8 +93,11 @@
     def __init__(self, settings: InstanceSettings, log: EventLog) -> None:
         self.settings = settings
         self.log = log
-        self.store: StoreCalls = build_store_calls(settings.store_address)
-        self.runners: RunnerCalls = build_runner_calls()
+        self.meters = Meters()
+        log.count = lambda event: self.meters.events.labels(event).inc()
+        observe = self.meters.observe_call
+        self.store: StoreCalls = build_store_calls(settings.store_address, observe)
+        self.runners: RunnerCalls = build_runner_calls(observe)
         self.unit = 0
         self.configuration: Configuration | None = None
         self.replica = Replica()
@@ -113,6 +119,22 @@
         """Return whether the configuration was confirmed within the last seconds."""
         return now - self.operations.synced_at <= within_s
 
+    def refresh_meters(self) -> None:
+        """Set the gauges to what holds now."""
+        meters = self.meters
+        meters.lost_lines.set(self.log.lost)
+        meters.configuration_age.set(read_clock() - self.operations.synced_at)
+        if self.configuration is not None:
+            meters.configuration_version.set(self.configuration.version)
+        owned = self.owned
+        meters.owned.set(0 if owned is None else 1)
+        counts = count_state(owned.world.dispatcher) if owned else EMPTY_COUNTS
+        meters.jobs.set(counts.jobs)
+        for phase, number in counts.tasks.items():
+            meters.tasks.labels(phase).set(number)
+        for name, number in counts.runners.items():
+            meters.runners.labels(name).set(number)
+
     def _take_operation(self, record: Record) -> None:
         if record.key != CONFIGURATION_KEY:
             return
@@ -171,6 +193,7 @@
                 self.replica,
                 self.log,
                 self._depose,
+                self.meters,
             )
             self._world = world
             if not self._is_wanted(epoch):
@@ -190,6 +213,7 @@
             )
             now = read_clock()
             dispatcher = restore_dispatcher(self.replica, limits, now, read_wall_ms())
+            world.dispatcher = dispatcher
             with keep_unit_actor(world, dispatcher) as actor:
                 self.owned = Owned(world, actor)
                 self.log.write("owner_gained", unit=self.unit, epoch=epoch)
--- /dev/null
+++ b/plantainyard/entry/meters.py
@@ -0,0 +1,96 @@
+"""Counters, gauges and latency histograms of one instance, as text."""
+
+from collections.abc import Callable, Iterable
+from wsgiref.types import StartResponse, WSGIEnvironment
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+__all__ = ["METERS", "Meters", "build_metrics_app"]
+
+CALL_SECONDS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
+"""Bounds of the buckets for calls; answers take 1 to 30 ms where all is well."""
+
+WAIT_SECONDS = (0.05, 0.1, 0.2, 0.4, 1.0, 2.0, 5.0, 10.0, 30.0)
+"""Bounds of the buckets for waits of jobs; objectives leave 0.4 to 2.5 s."""
+
+METERS = {
+    "plantainyard_events": "Decisions and changes, by the event's name in the log.",
+    "plantainyard_log_lost_lines": "Lines of the log that nobody took in time.",
+    "plantainyard_call_seconds": "Calls to store and runners by step and result.",
+    "plantainyard_first_start_seconds": "From reading a job to its first start.",
+    "plantainyard_unit_owned": "1 while this instance owns the unit.",
+    "plantainyard_jobs_open": "Jobs that haven't ended, as the owner sees them.",
+    "plantainyard_tasks": "Tasks of open jobs at the owner, by phase.",
+    "plantainyard_runners": "Runners at the owner, by state.",
+    "plantainyard_configuration_age_seconds": "Since the configuration was confirmed.",
+    "plantainyard_configuration_version": "Version of the configuration in force.",
+}
+"""Name and meaning of each meter; names of counters get `_total` in the text."""
+
+
+class Meters:
+    """The meters of one instance, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.events = self._count("plantainyard_events", "event")
+        self.calls = self._measure(
+            "plantainyard_call_seconds", CALL_SECONDS, "step", "result"
+        )
+        self.first_start = self._measure(
+            "plantainyard_first_start_seconds", WAIT_SECONDS
+        )
+        self.lost_lines = self._gauge("plantainyard_log_lost_lines")
+        self.owned = self._gauge("plantainyard_unit_owned")
+        self.jobs = self._gauge("plantainyard_jobs_open")
+        self.tasks = self._gauge("plantainyard_tasks", "phase")
+        self.runners = self._gauge("plantainyard_runners", "state")
+        self.configuration_age = self._gauge("plantainyard_configuration_age_seconds")
+        self.configuration_version = self._gauge("plantainyard_configuration_version")
+
+    def observe_call(self, step: str, result: str, seconds: float) -> None:
+        """Count a call to the store or to a runner."""
+        self.calls.labels(step, result).observe(seconds)
+
+    def _count(self, name: str, *labels: str) -> Counter:
+        return Counter(name, METERS[name], labels, registry=self.registry)
+
+    def _gauge(self, name: str, *labels: str) -> Gauge:
+        return Gauge(name, METERS[name], labels, registry=self.registry)
+
+    def _measure(self, name: str, bounds: tuple[float, ...], *labels: str) -> Histogram:
+        return Histogram(
+            name, METERS[name], labels, registry=self.registry, buckets=bounds
+        )
+
+
+def build_metrics_app(
+    meters: Meters, refresh: Callable[[], None]
+) -> Callable[[WSGIEnvironment, StartResponse], Iterable[bytes]]:
+    """Return the WSGI application of the metrics port.
+
+    Parameters
+    ----------
+    meters : Meters
+        What is served.
+    refresh : callable
+        Sets the gauges; called with each request.
+    """
+
+    def serve(_: WSGIEnvironment, start: StartResponse) -> Iterable[bytes]:
+        refresh()
+        body = generate_latest(meters.registry)
+        headers = [
+            ("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),
+            ("Content-Length", str(len(body))),
+        ]
+        start("200 OK", headers)
+        return [body]
+
+    return serve
--- a/plantainyard/entry/process.py
+++ b/plantainyard/entry/process.py
@@ -22,6 +22,7 @@
     Instance,
     run_follower,
 )
+from plantainyard.entry.meters import build_metrics_app
 from plantainyard.entry.ownership import follow_ownership
 from plantainyard.entry.peers import build_peer_app
 from plantainyard.platform.settings import (
@@ -184,10 +185,12 @@
     """Serve callers, the readiness check, peers and metrics."""
     settings = instance.settings
     ready = _build_ready(instance, draining)
+    metrics = build_metrics_app(instance.meters, instance.refresh_meters)
     apps: list[tuple[str, WSGIApplication, int]] = [
         (settings.caller_address, build_front(instance), CALLER_THREADS),
         (settings.ready_address, ready, 1),
         (instance.peer_address(), build_peer_app(instance), 4),
+        (f"{settings.ip}:{settings.metrics_port}", metrics, 1),
     ]
     with contextlib.ExitStack() as stack:
         for address, app, threads in apps:
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -20,6 +20,7 @@
     Dispatcher,
     HoldAnswered,
     HoldFailed,
+    Limits,
     OrderAnswered,
     OrderKind,
     SendHold,
@@ -28,6 +29,7 @@
     step,
 )
 from plantainyard.entry.eventlog import EventLog
+from plantainyard.entry.meters import Meters
 from plantainyard.entry.topics import PRODUCER, PROGRESS
 from plantainyard.errors import ErrorKind
 from plantainyard.platform.entries import RunnerEntry
@@ -77,6 +79,10 @@
         For decisions.
     depose : callable
         Called once when a successor has shown itself.
+    meters : Meters
+        For latencies.
+    dispatcher : Dispatcher
+        The unit's state, for gauges.
     stopping : Event
         Set when the unit is given up.
     """
@@ -90,6 +96,7 @@
         replica: Replica,
         log: EventLog,
         depose: Callable[[], None],
+        meters: Meters,
     ) -> None:
         self.unit = unit
         self.epoch = epoch
@@ -98,6 +105,8 @@
         self.replica = replica
         self.log = log
         self.depose = depose
+        self.meters = meters
+        self.dispatcher = Dispatcher(Limits())
         self.stopping = threading.Event()
 
 
@@ -127,8 +136,17 @@
         """Take in an event and carry out what the dispatcher asks for."""
         if self.world.stopping.is_set():
             return
-        for action in step(self.dispatcher, message, read_clock()):
+        now = read_clock()
+        for action in step(self.dispatcher, message, now):
             self._perform(action)
+        if isinstance(message, OrderAnswered):
+            self._note_first_start(message, now)
+
+    def _note_first_start(self, message: OrderAnswered, now: float) -> None:
+        job = self.dispatcher.jobs.get(message.task.job_id)
+        if message.kind == OrderKind.START and job is not None and not job.begun:
+            job.begun = True
+            self.world.meters.first_start.observe(now - job.taken_at)
 
     def on_stop(self) -> None:
         """Let go of the threads; calls that are out end by their own timeouts."""
--- a/plantainyard/platform/runners.py
+++ b/plantainyard/platform/runners.py
@@ -8,7 +8,14 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.errors import CallError, ErrorKind
-from plantainyard.transport import HttpAnswer, HttpPeer, build_pool, send_request
+from plantainyard.transport import (
+    HttpAnswer,
+    HttpPeer,
+    Observer,
+    build_pool,
+    ignore_call,
+    send_observed,
+)
 
 __all__ = [
     "Held",
@@ -192,9 +199,18 @@
 
 
 class RunnerCalls(NamedTuple):
-    """Calls to runners over kept connections."""
+    """Calls to runners over kept connections.
+
+    Attributes
+    ----------
+    pool : urllib3.PoolManager
+        The connections.
+    observe : Observer
+        Told of each call.
+    """
 
     pool: urllib3.PoolManager
+    observe: Observer = ignore_call
 
     def start(self, order: Order, timeout_s: float) -> OrderResult:
         """Order a run to start; a repeat of the same order does no harm."""
@@ -270,12 +286,14 @@
         }
         data = json.dumps(body, separators=(",", ":")).encode()
         step = f"runner.{name}"
-        return send_request(peer, step, "POST", f"/v1/{name}", data, headers, timeout_s)
+        return send_observed(
+            self.observe, peer, step, "POST", f"/v1/{name}", data, headers, timeout_s
+        )
 
 
-def build_runner_calls() -> RunnerCalls:
+def build_runner_calls(observe: Observer = ignore_call) -> RunnerCalls:
     """Return calls to runners with a pool of connections of their own."""
-    return RunnerCalls(build_pool(MAX_RUNNERS, CONNECTIONS_PER_RUNNER))
+    return RunnerCalls(build_pool(MAX_RUNNERS, CONNECTIONS_PER_RUNNER), observe)
 
 
 def decode_result(answer: HttpAnswer) -> OrderResult:
--- a/plantainyard/platform/store.py
+++ b/plantainyard/platform/store.py
@@ -13,9 +13,11 @@
 from plantainyard.transport import (
     HttpAnswer,
     HttpPeer,
+    Observer,
     build_peer,
     build_pool,
-    send_request,
+    ignore_call,
+    send_observed,
 )
 
 __all__ = [
@@ -149,9 +151,12 @@
     ----------
     peer : HttpPeer
         Its address and connections.
+    observe : Observer
+        Told of each call.
     """
 
     peer: HttpPeer
+    observe: Observer = ignore_call
 
     def append(self, append: Append, timeout_s: float) -> Result[Appended, CallError]:
         """Append records.
@@ -237,13 +242,15 @@
             path += "?" + urlencode(query, quote_via=quote)
         headers = {"Content-Type": "application/json"} if body is not None else {}
         step = "store." + name.removeprefix("log-")
-        return send_request(self.peer, step, method, path, body, headers, timeout_s)
+        return send_observed(
+            self.observe, self.peer, step, method, path, body, headers, timeout_s
+        )
 
 
-def build_store_calls(address: str) -> StoreCalls:
+def build_store_calls(address: str, observe: Observer = ignore_call) -> StoreCalls:
     """Return the calls to the store at ``ip:port``."""
     pool = build_pool(pools=1, connections_per_peer=CONNECTIONS)
-    return StoreCalls(build_peer(f"http://{address}", pool))
+    return StoreCalls(build_peer(f"http://{address}", pool), observe)
 
 
 def _pack_record(record: Record) -> bytes:
--- a/plantainyard/transport.py
+++ b/plantainyard/transport.py
@@ -6,7 +6,7 @@
 """
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 import urllib3
@@ -22,15 +22,21 @@
 from plantainyard.clock import read_clock
 from plantainyard.errors import CallError, ErrorKind
 
+Observer = Callable[[str, str, float], None]
+"""Told of each call: its step, its result, and how long it took in seconds."""
+
 __all__ = [
     "HttpAnswer",
     "HttpPeer",
+    "Observer",
     "JsonAnswer",
     "build_peer",
     "build_pool",
     "call_json",
     "parse_answer",
+    "ignore_call",
     "read_retry_after",
+    "send_observed",
     "send_request",
 ]
 
@@ -107,6 +113,36 @@
     return HttpPeer(address.rstrip("/"), pool or build_pool(), timeout_s)
 
 
+def ignore_call(step: str, result: str, seconds: float) -> None:
+    """Observe nothing."""
+
+
+def send_observed(
+    observe: Observer,
+    peer: HttpPeer,
+    step: str,
+    method: str,
+    path: str,
+    body: bytes | None,
+    headers: Mapping[str, str],
+    timeout_s: float,
+) -> Result[HttpAnswer, CallError]:
+    """Send one request as `send_request` does, and tell `observe` of it.
+
+    Notes
+    -----
+    The result is the hundred of the status, such as ``2xx``, or the error's kind.
+    """
+    began = read_clock()
+    answer = send_request(peer, step, method, path, body, headers, timeout_s)
+    if isinstance(answer, Err):
+        result = answer.err_value.kind
+    else:
+        result = f"{answer.ok_value.status // 100}xx"
+    observe(step, result, read_clock() - began)
+    return answer
+
+
 def send_request(
     peer: HttpPeer,
     step: str,
