--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -11,7 +11,9 @@
 import pykka
 from result import Err
 
+from plantainyard.batch.records import make_end_key
 from plantainyard.batch.replica import Replica, apply_record
+from plantainyard.batch.tasks import TaskKey
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import (
     Action,
@@ -33,7 +35,7 @@
 from plantainyard.entry.topics import PRODUCER, PROGRESS
 from plantainyard.errors import ErrorKind
 from plantainyard.platform.entries import RunnerEntry
-from plantainyard.platform.runners import Order, RunnerCalls
+from plantainyard.platform.runners import Order, OrderOutcome, RunnerCalls
 from plantainyard.platform.store import Append, StoreCalls
 
 __all__ = ["UnitActor", "UnitWorld", "keep_unit_actor"]
@@ -137,6 +139,8 @@
         if self.world.stopping.is_set():
             return
         now = read_clock()
+        if isinstance(message, HoldAnswered):
+            self._log_ends(message)
         for action in step(self.dispatcher, message, now):
             self._perform(action)
         if isinstance(message, OrderAnswered):
@@ -144,9 +148,36 @@
 
     def _note_first_start(self, message: OrderAnswered, now: float) -> None:
         job = self.dispatcher.jobs.get(message.task.job_id)
-        if message.kind == OrderKind.START and job is not None and not job.begun:
+        done = message.result.outcome == OrderOutcome.DONE
+        if message.kind != OrderKind.START or job is None or not done:
+            return
+        waited_s = now - job.taken_at
+        self.world.log.write(
+            "run_started",
+            job=message.task.job_id,
+            task=message.task[1:],
+            run=message.run,
+            runner=message.life,
+            waited_s=round(waited_s, 3),
+        )
+        if not job.begun:
             job.begun = True
-            self.world.meters.first_start.observe(now - job.taken_at)
+            self.world.meters.first_start.observe(waited_s)
+
+    def _log_ends(self, message: HoldAnswered) -> None:
+        runner = self.dispatcher.runners.get(message.life)
+        if runner is None:
+            return
+        for end in message.held.ended:
+            if end.number > runner.seen:
+                self.world.log.write(
+                    "run_ended",
+                    job=end.task.job_id,
+                    task=end.task[1:],
+                    run=end.run,
+                    runner=message.life,
+                    how=end.how,
+                )
 
     def on_stop(self) -> None:
         """Let go of the threads; calls that are out end by their own timeouts."""
@@ -187,7 +218,11 @@
         )
         if append_until_known(world, append):
             for record in action.records:
-                apply_record(world.replica, record.key, record.value)
+                job_id = apply_record(world.replica, record.key, record.value)
+                if record.key == make_end_key(job_id):
+                    world.log.write(
+                        "job_ended", job=job_id, state=record.value.decode()
+                    )
             self.actor_ref.tell(Committed())
 
     def _hold(self, action: SendHold) -> None:
@@ -232,7 +267,7 @@
             OrderKind.PACE: calls.pace,
         }[action.kind]
         result = send(order, ORDER_TIMEOUT_S)
-        if result.outcome != "done":
+        if result.outcome != OrderOutcome.DONE:
             self.world.log.write(
                 "order_failed",
                 kind=action.kind,
@@ -254,8 +289,7 @@
 
 
 def _address(entry: RunnerEntry, epoch: int, lease: int) -> Order:
-    from plantainyard.batch.tasks import TaskKey
-
+    """Return an order about no task: a report is about the whole runner."""
     nothing = TaskKey("", 0, 0, 0)
     return Order(
         entry.runner,
