Judge a runner by its own tail, and learn nothing from slow ones

Ruled out: room (25 of 33 runners had it), slowed images. Change: what was measured at the runner counts, plus what starts; reports without backfilling work teach nothing; bounds for weights. The test fails without it.

--- a/plantainyard/dispatch/interference.py
+++ b/plantainyard/dispatch/interference.py
@@ -50,6 +50,15 @@
 NOISE = 0.05
 """Variance of a reported tail in targets around its expectation."""
 
+IDLE_LOAD = 0.01
+"""Share of a runner's processors below which backfilling work counts as none."""
+
+LEAST_BASE, MOST_BASE = 0.05, 0.9
+"""Bounds of a base; sites give serving tasks five times the tail of an idle runner."""
+
+MOST_WEIGHT = 40.0
+"""Upper bound of a weight: the worst pairs are at 20 to 30."""
+
 KNOWN_DOUBT = 4.0
 """Variance of a weight below which its pair counts as seen: about ten reports of a
 task at the pace of a trial."""
@@ -150,7 +159,16 @@
 
 
 def learn(harms: Harms, sample: Sample) -> None:
-    """Move the estimates towards what a report shows."""
+    """Move the estimates towards what a report shows.
+
+    Notes
+    -----
+    A report without backfilling work teaches nothing: on a runner that is slow for
+    other reasons the tail is forty targets, and an image's base that rose by it kept
+    backfilling work from all runners, also from those with tails of 0.3.
+    """
+    if sum(sample.loads.values()) < IDLE_LOAD:
+        return
     inputs = {_BASE: 1.0, **{k: v for k, v in sample.loads.items() if v > 0}}
     for serving, tail in sample.tails.items():
         estimate = harms.estimates.setdefault(serving, Estimate())
@@ -209,7 +227,9 @@
     expected = sum(estimate.weights[image] * x for image, x in inputs.items())
     error = tail - expected
     for image, part in spread.items():
-        estimate.weights[image] += part / scale * error
+        least, most = (LEAST_BASE, MOST_BASE) if image == _BASE else (0.0, MOST_WEIGHT)
+        moved = estimate.weights[image] + part / scale * error
+        estimate.weights[image] = min(most, max(least, moved))
         row = doubts[image]
         for other, across in spread.items():
             row[other] -= part * across / scale
@@ -315,6 +335,6 @@
     """Return the tail in targets that a serving image has beside `loads`."""
     estimate = harms.estimates.get(serving)
     base = estimate.weights[_BASE] if estimate else BASE
-    return max(0.0, base) + sum(
+    return base + sum(
         find_weight(harms, serving, image) * load for image, load in loads.items()
     )
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -214,6 +214,8 @@
         (zero: none is).
     tails : dict
         Last reported tail by serving image, in targets.
+    loads : dict
+        Last reported share of the processors in use by backfilling image.
     """
 
     life: str
@@ -242,3 +244,4 @@
     paced_at: float = 0.0
     harmed_since: float = 0.0
     tails: dict[str, float] = field(default_factory=dict)
+    loads: dict[str, float] = field(default_factory=dict)
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -16,7 +16,6 @@
     is_known,
     is_tried_elsewhere,
     list_images,
-    predict_tail,
 )
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.model import Runner, StepRun, Task
@@ -174,20 +173,25 @@
 
     Notes
     -----
-    The measured tail knows nothing of tasks that started a moment ago, the predicted
-    one nothing of the serving tasks' present load; the worse of the two counts.
+    What was measured covers the runner as it is: its load, its speed. To it comes what
+    started since, or will go faster than it did, by the learnt weights.
     """
     assert runner.entry is not None
-    if not runner.tails:
-        return 0.0
     cpu = max(1, runner.entry.capacity.cpu)
-    loads = {image: cpu_m / cpu for image, cpu_m in runner.backfill.items()}
     more = spec.resources.cpu / cpu
+    rises = {
+        image: asked / cpu * pace_of(runner, image) / 100 - runner.loads.get(image, 0.0)
+        for image, asked in runner.backfill.items()
+    }
     worst = 0.0
     for serving, measured in runner.tails.items():
-        expected = max(measured, predict_tail(harms, serving, loads))
+        coming = sum(
+            find_weight(harms, serving, image) * rise
+            for image, rise in rises.items()
+            if rise > 0
+        )
         weight = find_weight_at_worst(harms, serving, spec.image)
-        worst = max(worst, expected + weight * more)
+        worst = max(worst, measured + coming + weight * more)
     return worst
 
 
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -242,12 +242,14 @@
         sample = read_sample(runner, held.running)
         learn(state.harms, sample)
         runner.tails = sample.tails
+        runner.loads = sample.loads
         _note_harm(runner, now)
         over_s = now - runner.harmed_since if runner.harmed_since else 0.0
         stop_all = over_s > state.limits.harm_s * STOP_ALL
         adjust_paces(runner, state.harms, sample, stop_all)
     else:
         runner.tails = {}
+        runner.loads = {}
         runner.paces = {}
     for task in runner.tasks.values():
         pace = pace_of(runner, task.step.spec.image)
--- a/plantainyard/dispatch/tests/test_interference.py
+++ b/plantainyard/dispatch/tests/test_interference.py
@@ -15,6 +15,7 @@
     forget_unseen,
     is_known,
     learn,
+    predict_tail,
 )
 
 TRUE = {"heavy": 12.0, "light": 0.2, "mild": 2.0}
@@ -64,12 +65,26 @@
         forget_unseen(harms, 1.0)
     assert not is_known(harms, "web", "light")
     assert find_weight_at_worst(harms, "web", "light") <= 2
-    learn(harms, Sample({"web": 0.5}, {}))
     learn(harms, Sample({"web": 0.5}, {"light": 0.04}))
     learn(harms, Sample({"web": 0.5}, {"light": 0.1}))
     assert find_weight(harms, "web", "light") < 3
 
 
+def test_a_slow_runner_teaches_nothing_about_the_others():
+    # A runner turns slow; its serving tasks are at forty targets with no backfilling
+    # work beside them. Learnt as the image's base, it kept backfilling work from all
+    # runners for the rest of the day.
+    harms = Harms()
+    teach(harms, 60, 1)
+    before = predict_tail(harms, "web", {})
+    for _ in range(200):
+        learn(harms, Sample({"web": 40.0}, {}))
+    assert predict_tail(harms, "web", {}) == before
+    for _ in range(200):
+        learn(harms, Sample({"web": 40.0}, {"light": 0.02}))
+    assert predict_tail(harms, "web", {}) < 1.0
+
+
 def test_what_is_learnt_outlasts_its_owner():
     harms = Harms()
     teach(harms, 60, 1)
