--- a/plantainyard/dispatch/pacing.py
+++ b/plantainyard/dispatch/pacing.py
@@ -13,14 +13,14 @@
 FULL = 100
 """Share at which a task works as fast as it can."""
 
-HIGH = 0.95
+HIGH = 0.92
 """Tail in targets above which backfilling work is slowed. Serving tasks reach 0.7 by
 their own load; slowing at 0.85 kept a third of the backfilling work waiting."""
 
-GOAL = 0.85
+GOAL = 0.8
 """Tail in targets that slowing aims at."""
 
-LOW = 0.8
+LOW = 0.75
 """Tail in targets below which work is let go faster."""
 
 LEAST = 8
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -47,7 +47,7 @@
 """Weight of a target that a serving task is expected to miss: as much as a whole
 runner's unused cores."""
 
-MOST_TAIL = 0.95
+MOST_TAIL = 0.8
 """Expected tail in targets beyond which a backfilling task isn't placed at all while
 it can wait."""
 
