Wait longer for a slow store, and let no late job starve

Late jobs were placed by the work left, so the largest waited behind each new small one. Ruled out: instances cut off (no dependency was lost), lost jobs (they were stored and queued). Change: one attempt of 1.2 s and a second one; late jobs in the order of their deadlines.

--- a/plantainyard/dispatch/queue.py
+++ b/plantainyard/dispatch/queue.py
@@ -36,8 +36,9 @@
     Long-running tasks come first: they are few, and their users are without service
     until they run. Then what can still be in time, by priority and by the work that
     is left, so that as many callers as possible are served in time when there is more
-    work than room; then what is late, or will be even if it starts now. The cost is
-    that of sorting, and a pass over the steps of each job.
+    work than room; then what is late, or will be even if it starts now, the oldest
+    first: by work the largest late jobs would wait for ever. The cost is that of
+    sorting, and a pass over the steps of each job.
     """
     return sorted(steps, key=lambda step: _rank(step, now))
 
@@ -45,11 +46,12 @@
 def _rank(step: StepRun, now: float) -> _Rank:
     job = step.job
     left_s = OPTIMISM * job.left_ms[step.number] / 1000
+    late = now + left_s > job.deadline
     return _Rank(
         not step.spec.long_running,
-        now + left_s > job.deadline,
+        late,
         job.submission.priority,
-        measure_work(job),
+        0.0 if late else measure_work(job),
         job.deadline,
     )
 
--- /dev/null
+++ b/plantainyard/dispatch/tests/test_queue.py
@@ -0,0 +1,49 @@
+"""Who comes first when there is more work than room."""
+
+from plantainyard.batch.values import Resources, Step, Submission
+from plantainyard.dispatch.jobs import open_occurrence
+from plantainyard.dispatch.model import Job
+from plantainyard.dispatch.queue import find_chains_ms, order_steps
+
+
+def make_job(name: str, size: int, deadline: float, **more: int) -> Job:
+    step = Step(size, Resources(1000, 1, 0), 1000)
+    submission = Submission(name, "q", "s", "", (step,), **more)
+    job = Job(submission, deadline, find_chains_ms(submission.steps))
+    open_occurrence(job, 0)
+    return job
+
+
+def order(now: float, *jobs: Job) -> list[str]:
+    steps = [step for job in jobs for step in job.steps.values()]
+    return [step.job.submission.job_id for step in order_steps(steps, now)]
+
+
+def test_late_work_does_not_hold_up_what_can_be_in_time():
+    # A burst leaves late jobs behind. Placed by age they would come first, and each
+    # job after them would be late too.
+    jobs = make_job("late", 1, 10.0), make_job("timely", 1, 50.0)
+    assert order(20.0, *jobs) == ["timely", "late"]
+
+
+def test_small_jobs_in_time_come_before_wide_ones():
+    # A wide job comes before several small ones and takes all room.
+    jobs = make_job("wide", 30, 40.0), make_job("small", 2, 50.0)
+    assert order(20.0, *jobs) == ["small", "wide"]
+
+
+def test_the_largest_late_job_does_not_wait_for_ever():
+    # Every second a small job becomes late. By work left the large one would be
+    # passed by each of them.
+    jobs = make_job("small", 1, 15.0), make_job("large", 30, 10.0)
+    assert order(20.0, *jobs) == ["large", "small"]
+
+
+def test_what_can_not_be_in_time_any_more_counts_as_late():
+    jobs = make_job("hopeless", 1, 20.1), make_job("timely", 5, 50.0)
+    assert order(20.0, *jobs) == ["timely", "hopeless"]
+
+
+def test_priority_goes_before_size():
+    jobs = make_job("small", 1, 50.0, priority=2), make_job("wide", 9, 50.0)
+    assert order(20.0, *jobs) == ["wide", "small"]
--- a/plantainyard/entry/front.py
+++ b/plantainyard/entry/front.py
@@ -39,12 +39,14 @@
 """When a caller that was refused should come back: most outages of the store for one
 instance last seconds, and a repeat reaches another instance."""
 
-ATTEMPT_S = 0.5
-"""Longest wait for one attempt to store a submission."""
-
-GIVE_UP_S = 1.6
-"""Time after which a request that couldn't be stored is given up: callers wait about
-three seconds, and an answer with half of it left lets them try elsewhere."""
+ATTEMPT_S = 1.2
+"""Longest wait for one attempt to store a submission. A store that answers sixty times
+as slowly appends a record in 0.12 s, one after the other: attempts given up after
+half a second were repeated, queued behind themselves, and hardly any was answered."""
+
+GIVE_UP_S = 1.4
+"""Time after which no further attempt begins: callers wait about three seconds, and a
+second attempt on another connection must fit in."""
 
 OWNER_S = 0.4
 """Longest wait for the owner's answer about a job."""
