Test the decoding of what the platform writes; remove what nothing uses

Cause: no test covered wrong settings, entries of other writers or the names on the wire; the state kept figures that no decision read (services with a check of their own, time of takeover, two bounds), and a check of room for an empty runner was never called. No behaviour changes.

--- a/plantainyard/batch/__init__.py
+++ b/plantainyard/batch/__init__.py
@@ -4,7 +4,7 @@
 the latter.
 """
 
-from plantainyard.batch.checks import find_cycle, find_fault
+from plantainyard.batch.checks import find_fault
 from plantainyard.batch.records import (
     decode_progress,
     decode_submission,
@@ -45,6 +45,5 @@
     "describe_state",
     "encode_progress",
     "encode_submission",
-    "find_cycle",
     "find_fault",
 ]
--- a/plantainyard/batch/checks.py
+++ b/plantainyard/batch/checks.py
@@ -2,7 +2,7 @@
 
 from plantainyard.batch.values import Step, Submission
 
-__all__ = ["MAX_SPEC_BYTES", "MAX_STEPS", "MAX_TASKS", "find_cycle", "find_fault"]
+__all__ = ["MAX_SPEC_BYTES", "MAX_STEPS", "MAX_TASKS", "find_fault"]
 
 MAX_SPEC_BYTES = 4_000
 """Longest `spec` in bytes; the platform's documented limit."""
@@ -35,7 +35,7 @@
         for number, step in enumerate(steps)
         if (fault := _find_step_fault(step, len(steps)))
     )
-    return next(faults, "") or find_cycle(steps)
+    return next(faults, "") or _find_cycle(steps)
 
 
 def _find_step_fault(step: Step, steps: int) -> str:
@@ -48,7 +48,7 @@
     return ""
 
 
-def find_cycle(steps: tuple[Step, ...]) -> str:
+def _find_cycle(steps: tuple[Step, ...]) -> str:
     """Return a message if the steps wait for each other, or an empty string.
 
     Notes
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -17,7 +17,6 @@
     Committed,
     EntryChanged,
     Event,
-    Guarded,
     HoldAnswered,
     HoldFailed,
     OrderAnswered,
@@ -134,8 +133,6 @@
             cancel_job(state, job_id, now)
         case EntryChanged(runner, entry):
             reports.take_entry(state, runner, entry, now)
-        case Guarded(services):
-            state.guarded = services
 
 
 def _commit(state: Dispatcher, now: float) -> None:
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -16,7 +16,6 @@
     "Committed",
     "EntryChanged",
     "Event",
-    "Guarded",
     "HoldAnswered",
     "HoldFailed",
     "OrderAnswered",
@@ -55,12 +54,6 @@
     entry: RunnerEntry | None
 
 
-class Guarded(NamedTuple):
-    """The services whose runners refuse what doesn't fit."""
-
-    services: frozenset[str]
-
-
 class Committed(NamedTuple):
     """The records of the last `Commit` are in the store."""
 
@@ -110,7 +103,6 @@
     Submitted
     | Cancelled
     | EntryChanged
-    | Guarded
     | Committed
     | OrderAnswered
     | HoldAnswered
--- a/plantainyard/dispatch/limits.py
+++ b/plantainyard/dispatch/limits.py
@@ -35,8 +35,6 @@
         Time between repeats of an order that wasn't answered.
     retry_s : float
         Pause of a task after a runner refused it.
-    stop_s : float
-        Time that a task takes to stop.
     harm_s : float
         A serving task may be over its target for so long.
     quarantine_s : float
@@ -58,7 +56,6 @@
     hold_retry_s: float = 0.25
     order_retry_s: float = 0.4
     retry_s: float = 0.2
-    stop_s: float = 1.0
     harm_s: float = 4.0
     quarantine_s: float = 4.0
     quarantine_after: float = 2.0
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -29,7 +29,7 @@
 """Share of full speed of the first task of a pair that was never seen: a harmful one
 then adds about half a target instead of more than one."""
 
-__all__ = ["choose_runner", "fits_ever", "note_trials", "release_room", "take_room"]
+__all__ = ["choose_runner", "note_trials", "release_room", "take_room"]
 
 
 CROWDED_COST = 4.0
@@ -288,17 +288,3 @@
         runner.serving_cpu += cpu if spec.target_ms else 0
     runner.memory += sign * spec.resources.memory
     runner.gpu += sign * spec.resources.gpu
-
-
-def fits_ever(spec: Step, service: str, runners: Iterable[Runner]) -> bool:
-    """Return whether some listed runner could hold a task of the step when empty."""
-    entries = (r.entry for r in runners if r.entry is not None and r.listed)
-    return any(
-        entry.service == service
-        and (not spec.requires or spec.requires in entry.labels)
-        and all(
-            have >= want
-            for have, want in zip(entry.capacity, spec.resources, strict=True)
-        )
-        for entry in entries
-    )
--- a/plantainyard/dispatch/restoring.py
+++ b/plantainyard/dispatch/restoring.py
@@ -26,7 +26,6 @@
     predecessor's orders that are still on their way are refused by then: the report
     was asked for with a higher fencing token.
     """
-    state.taken_over_at = now
     for job_id, view in list(replica.jobs.items()):
         if view.ended:
             state.ended[job_id] = now
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -31,8 +31,6 @@
         Lives of runners by name.
     lives : dict
         Newest life by the runner's id.
-    guarded : frozenset
-        Services whose runners refuse what doesn't fit.
     dirty : dict
         Steps whose stored progress is out of date, by their identity.
     ending : dict
@@ -51,8 +49,6 @@
         When that was last put into a commit.
     harms_forgotten_at : float
         When it was last looked for pairs that weren't seen.
-    taken_over_at : float
-        When this dispatcher began.
     """
 
     limits: Limits
@@ -61,7 +57,6 @@
     ended: dict[str, float] = field(default_factory=dict)
     runners: dict[str, Runner] = field(default_factory=dict)
     lives: dict[str, str] = field(default_factory=dict)
-    guarded: frozenset[str] = frozenset()
     dirty: dict[int, StepRun] = field(default_factory=dict)
     ending: dict[str, str] = field(default_factory=dict)
     assigned: list[Task] = field(default_factory=list)
@@ -73,7 +68,6 @@
     harms: Harms = field(default_factory=Harms)
     harms_stored_at: float = 0.0
     harms_forgotten_at: float = 0.0
-    taken_over_at: float = 0.0
 
 
 def mark_dirty(state: Dispatcher, step: StepRun) -> None:
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -14,7 +14,6 @@
 from plantainyard.dispatch import (
     EMPTY_COUNTS,
     Cancelled,
-    Guarded,
     Limits,
     Submitted,
     count_state,
@@ -149,8 +148,6 @@
             return
         self.configuration = configuration
         self.log.write("configuration_in_force", version=configuration.version)
-        if self.owned is not None:
-            self._tell(Guarded(configuration.guarded_services))
 
     def _take_intake(self, record: Record) -> None:
         job_id = apply_record(self.replica, record.key, record.value)
@@ -204,7 +201,6 @@
                 return
             limits = Limits(
                 longest_lease_s=self.settings.longest_lease_s,
-                stop_s=self.settings.stop_s,
                 harm_s=self.settings.harm_s,
                 remote_factor=self.settings.remote_factor,
             )
@@ -217,9 +213,6 @@
             with keep_unit_actor(world, dispatcher) as actor:
                 self.owned = Owned(world, actor)
                 self.log.write("owner_gained", unit=self.unit, epoch=epoch)
-                configuration = self.configuration
-                if configuration is not None:
-                    self._tell(Guarded(configuration.guarded_services))
                 self._tell_jobs()
                 self._follow_runners(epoch)
                 self.owned = None
--- a/plantainyard/platform/configuration.py
+++ b/plantainyard/platform/configuration.py
@@ -47,15 +47,12 @@
         Rises, in uneven steps.
     queues : tuple of Queue
         All queues of this version.
-    guarded_services : frozenset of str
-        Services whose runners refuse what doesn't fit.
     body_bytes : int
         Longest body of a request.
     """
 
     version: int
     queues: tuple[Queue, ...]
-    guarded_services: frozenset[str] = frozenset()
     body_bytes: int = DEFAULT_BODY_BYTES
 
 
@@ -68,13 +65,9 @@
         If it isn't a configuration.
     """
     data = json.loads(value)
-    services = data.get("services", [])
     return Configuration(
         version=int(data["version"]),
         queues=tuple(_decode_queue(route) for route in data["routes"]),
-        guarded_services=frozenset(
-            service["name"] for service in services if service.get("admissionCheck")
-        ),
         body_bytes=int(data.get("limits", {}).get("maxBodyBytes", DEFAULT_BODY_BYTES)),
     )
 
--- a/plantainyard/platform/settings.py
+++ b/plantainyard/platform/settings.py
@@ -54,16 +54,10 @@
         Shortest time to live that a group member may ask for.
     longest_lease_s : float
         Longest lease that a runner grants.
-    stop_s : float
-        Longest time that a task needs to stop.
     grace_s : float
         Time between the request to stop and the kill.
-    ack_s : float
-        Time within which a caller must have an answer.
     harm_s : float
         Longest time for which a serving task may be over its target.
-    notice_s : float
-        Time after which a serving task that isn't at work counts as away.
     remote_factor : float
         How many times as long tasks take away from their rack.
     """
@@ -80,11 +74,8 @@
     store_partitions: int = 12
     shortest_ttl_s: float = 1.0
     longest_lease_s: float = 10.0
-    stop_s: float = 1.0
     grace_s: float = 6.0
-    ack_s: float = 5.0
     harm_s: float = 4.0
-    notice_s: float = 5.5
     remote_factor: float = 1.0
 
 
@@ -152,11 +143,8 @@
         store_partitions=int(_number(platform, "parts", 12)),
         shortest_ttl_s=_number(platform, "minTtlMs", 1000) / MS_IN_S,
         longest_lease_s=_number(bounds, "maxHoldMs", 10_000) / MS_IN_S,
-        stop_s=_number(bounds, "stopMs", 1000) / MS_IN_S,
         grace_s=_number(bounds, "graceS", defaults["grace_s"]),
-        ack_s=_number(bounds, "ackMs", 5000) / MS_IN_S,
         harm_s=_number(bounds, "harmMs", 4000) / MS_IN_S,
-        notice_s=_number(bounds, "noticeMs", 5500) / MS_IN_S,
         remote_factor=_number(bounds, "remoteFactor", 1.0),
     )
 
--- /dev/null
+++ b/plantainyard/platform/tests/test_decoding.py
@@ -0,0 +1,153 @@
+"""What the platform writes is decoded, or passed over, or named with its place."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from plantainyard.batch.values import Resources
+from plantainyard.platform.configuration import decode_configuration, find_queue
+from plantainyard.platform.entries import decode_entry
+from plantainyard.platform.runners import format_task, parse_task
+from plantainyard.platform.settings import parse_instance_settings
+from plantainyard.platform.store import Record, _pack_record, _unpack_record
+from plantainyard.platform.submissions import decode_body
+
+SETTINGS = """\
+node = "edge-1"
+zone = "addis-kality"
+region = "addis"
+ip = "10.1.0.13"
+internalPorts = [7720,7735]
+unknown = 5
+[listen]
+front = "10.1.0.13:8161"
+ready = "10.1.0.13:8167"
+[bounds]
+maxHoldMs = 6000
+harmMs = 4500
+graceS = 6
+[platform]
+address = "10.200.1.7:8169"
+parts = 12
+"""
+
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "addis-kality",
+    "version": "v1",
+    "slotCount": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "born": 1700000000000,
+    "sequence": 4,
+}
+
+
+def test_settings_are_decoded_with_their_units():
+    found = parse_instance_settings(SETTINGS).unwrap()
+    assert found.instance == "edge-1"
+    assert (found.peer_port, found.metrics_port) == (7720, 7735)
+    assert found.longest_lease_s == 6.0
+    assert found.harm_s == 4.5
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key", "line"),
+    [
+        ('ip = "10.1.0.13"', "ip = 5", "ip", 4),
+        ("internalPorts = [7720,7735]", "internalPorts = [1]", "internalPorts", 5),
+        ('node = "edge-1"', "", "node", 0),
+        ("maxHoldMs = 6000", 'maxHoldMs = "six"', "maxHoldMs", 11),
+        ("parts = 12", "parts =", "", 16),
+    ],
+)
+def test_a_wrong_settings_file_is_named_with_key_and_line(old, new, key, line):
+    fault = parse_instance_settings(SETTINGS.replace(old, new), "file").unwrap_err()
+    assert (fault.path, fault.key, fault.line) == ("file", key, line)
+
+
+def test_an_entry_is_decoded():
+    entry = decode_entry("i-1", json.dumps(ENTRY).encode())
+    assert entry is not None
+    assert entry.life == "i-1@1700000000000"
+    assert entry.rack == "r1-3"
+    assert entry.capacity == Resources(16000, 32768, 0)
+    assert not entry.draining
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": None},
+        {"address": 5},
+        {"address": "nowhere"},
+        {"state": "resting"},
+        {"capacity": []},
+        {"capacity": {"cpu": "many"}},
+        {"labels": 7},
+        {"born": "yesterday"},
+        {"zone": True},
+    ],
+)
+def test_entries_of_other_writers_name_no_runner(changes):
+    # Something else writes records among the runners' entries. Taken for a runner, or
+    # failing the reader, it would stop all placement.
+    assert decode_entry("i-1", json.dumps({**ENTRY, **changes}).encode()) is None
+
+
+@settings(derandomize=True, deadline=None)
+@given(value=st.binary(max_size=60) | st.text(max_size=60).map(str.encode))
+def test_no_bytes_break_the_reading_of_entries(value):
+    assert decode_entry("i-1", value) is None
+
+
+def test_the_longest_prefix_names_the_queue():
+    routes = [
+        {"name": n, "host": "Nony.example", "pathPrefix": p, "service": "s"}
+        for n, p in (("short", "/a/"), ("long", "/a/b/"))
+    ]
+    value = json.dumps({"version": 3, "routes": routes}).encode()
+    configuration = decode_configuration(value)
+    found = find_queue(configuration, "nony.example:80", "/a/b/0123")
+    assert found is not None
+    assert (found[0].name, found[1]) == ("long", "0123")
+    assert find_queue(configuration, "other.example", "/a/b/0123") is None
+
+
+def test_a_submission_is_decoded_under_the_product_s_names():
+    routes = [
+        {
+            "name": "q",
+            "host": "h",
+            "pathPrefix": "/",
+            "service": "s",
+            "maxAttempts": 4,
+            "stretch": 1.5,
+        }
+    ]
+    value = json.dumps({"version": 3, "routes": routes}).encode()
+    queue = decode_configuration(value).queues[0]
+    step = {"count": 2, "cpu": 500, "fillCount": True, "antiAffinity": 1, "mayMiss": 2}
+    body = json.dumps({"spec": "x", "steps": [step]}).encode()
+    submission = decode_body(body, "id", queue, 0)
+    (found,) = submission.steps
+    assert (found.size, found.backfill, found.max_per_runner) == (2, True, 1)
+    assert (found.max_unavailable, submission.max_attempts) == (2, 4)
+
+
+@given(st.text(max_size=20), st.binary(max_size=50))
+@settings(derandomize=True, deadline=None)
+def test_records_keep_key_and_value(key, value):
+    packed = _pack_record(Record(key, value))
+    assert _unpack_record(packed[4:]) == Record(key, value)
+
+
+def test_names_of_tasks_go_both_ways():
+    assert format_task(parse_task("5c0e7a21d94b36f8.0.1.17")) == (
+        "5c0e7a21d94b36f8.0.1.17"
+    )
