Grant no lease beyond the longest one from the last renewal of the ownership

Cause, found by reading: an owner cut off from the store renewed leases for 9 s more, each of 5 s; a successor waits for 10 s (6 s on Accra's site) at a runner that it can't reach. With owner and runner cut off together a task could run twice. Change: leases are capped by the last renewal. The test fails without it; an outage of the store is still outlasted.

--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -20,6 +20,7 @@
     HoldAnswered,
     HoldFailed,
     OrderAnswered,
+    Renewed,
     Submitted,
     Tick,
 )
@@ -51,7 +52,7 @@
 
 
 def restore_dispatcher(
-    replica: Replica, limits: Limits, now: float, wall_ms: float
+    replica: Replica, limits: Limits, now: float, wall_ms: float, fenced_at: float
 ) -> Dispatcher:
     """Return a dispatcher that goes on where the stored records end.
 
@@ -65,8 +66,11 @@
         The dispatcher's clock.
     wall_ms : float
         Unix milliseconds at `now`, for due times of schedules and ages of jobs.
+    fenced_at : float
+        When the owner's first record was sent: a successor's comes later.
     """
     state = Dispatcher(limits=limits, wall_offset_s=wall_ms / 1000 - now)
+    state.renewed_at = fenced_at
     restore_jobs(state, replica, now)
     if replica.harms:
         state.harms = _restore_harms(replica.harms)
@@ -127,6 +131,8 @@
             runs.take_answer(state, event, now)
         case Committed():
             _take_commit(state, now)
+        case Renewed(sent_at):
+            state.renewed_at = max(state.renewed_at, sent_at)
         case Submitted(submission):
             add_job(state, submission, now)
         case Cancelled(job_id):
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -20,6 +20,7 @@
     "HoldFailed",
     "OrderAnswered",
     "OrderKind",
+    "Renewed",
     "SendHold",
     "SendOrder",
     "Submitted",
@@ -95,6 +96,18 @@
     fenced: bool = False
 
 
+class Renewed(NamedTuple):
+    """The group has confirmed the ownership.
+
+    Attributes
+    ----------
+    sent_at : float
+        When it was asked.
+    """
+
+    sent_at: float
+
+
 class Tick(NamedTuple):
     """Time has passed."""
 
@@ -107,6 +120,7 @@
     | OrderAnswered
     | HoldAnswered
     | HoldFailed
+    | Renewed
     | Tick
 )
 
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -229,7 +229,7 @@
 ) -> None:
     assert runner.entry is not None
     runner.hold_out = True
-    until_ms = make_lease(runner, state.limits, now) if renew else 0
+    until_ms = make_lease(runner, state.limits, state.renewed_at, now) if renew else 0
     state.actions.append(SendHold(runner.entry, runner.stored_seen, until_ms, wait_s))
 
 
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -63,6 +63,7 @@
     task.order_out = True
     task.next_order_at = now + state.limits.order_retry_s
     starts = kind == OrderKind.START
+    lease_ms = make_lease(runner, state.limits, state.renewed_at, now) if starts else 0
     task.starts_sent += starts
     order = SendOrder(
         kind,
@@ -70,7 +71,7 @@
         task.key,
         task.run,
         spec=task.step.job.submission.spec if starts else "",
-        lease_until_ms=make_lease(runner, state.limits, now) if starts else 0,
+        lease_until_ms=lease_ms,
         checkpoint=task.checkpoint if starts else "",
     )
     state.actions.append(order)
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -43,6 +43,8 @@
         What it carries: acknowledged ends by life, ended jobs, tasks to start.
     actions : list of Action
         What the current step has asked for so far.
+    renewed_at : float
+        When the last renewal of the ownership that succeeded was sent.
     harms : Harms
         What is learnt of interference.
     harms_stored_at : float
@@ -65,6 +67,7 @@
     committing_ends: list[str] = field(default_factory=list)
     committing_starts: list[Task] = field(default_factory=list)
     actions: list[Action] = field(default_factory=list)
+    renewed_at: float = 0.0
     harms: Harms = field(default_factory=Harms)
     harms_stored_at: float = 0.0
     harms_forgotten_at: float = 0.0
--- a/plantainyard/dispatch/tests/test_dispatcher.py
+++ b/plantainyard/dispatch/tests/test_dispatcher.py
@@ -384,3 +384,32 @@
         runner.faults.stands_still = name == home
     world.run(6.0)
     assert world.ended("a") == "completed"
+
+
+def test_an_owner_that_is_cut_off_with_a_runner_lets_its_leases_end():
+    # An owner and a runner are cut off together from the store and all others. The
+    # successor can't reach the runner, waits for the longest lease, and starts the
+    # task elsewhere. The old owner must not have kept the first run alive.
+    world = World(runners=1, longest_lease_s=6.0)
+    world.runners["r0"].durations = {"a": 0.0}
+    world.submit("a", make_step(long_running=True))
+    world.run(1.0)
+    world.renewing = False
+    cut_at = world.now
+    world.run(7.0)
+    assert world.at_work("a") == []
+    lapse = world.runners["r0"].ends[-1] if world.runners["r0"].ends else None
+    assert lapse is None or lapse[3] == "lapsed"
+    assert world.now - cut_at < 6.0 * (1 + world.limits.clock_drift) + 1.0
+
+
+def test_leases_outlast_an_outage_of_the_store():
+    # The store is down for everyone. Nobody can take over, and what runs must go on.
+    world = World(runners=1)
+    world.runners["r0"].durations = {"a": 0.0}
+    world.submit("a", make_step(long_running=True))
+    world.run(1.0)
+    world.store_down = True
+    world.run(9.0)
+    assert len(world.starts("a")) == 1
+    assert len(world.at_work("a")) == 1
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -23,6 +23,7 @@
     Limits,
     OrderAnswered,
     OrderKind,
+    Renewed,
     SendHold,
     SendOrder,
     Submitted,
@@ -63,6 +64,7 @@
         self.delay_orders = 0
         self.late: list[tuple[SendOrder, int]] = []
         self.store_down = False
+        self.renewing = True
         self.waiting_commit: Commit | None = None
         self.held: list[SendHold] = []
         self.fence = 0
@@ -74,7 +76,7 @@
         self.waiting_commit = None
         self.held = []
         self.state = restore_dispatcher(
-            self.replica, self.limits, self.now, self.now * 1000
+            self.replica, self.limits, self.now, self.now * 1000, self.now
         )
         self.announce()
         self.run(TICK_S)
@@ -174,6 +176,8 @@
                 waiting, self.waiting_commit = self.waiting_commit, None
                 for event in self.commit(waiting):
                     self.tell(event)
+            if self.renewing and not self.store_down:
+                self.tell(Renewed(self.now))
             self.tell(Tick())
 
     def answer_holds(self) -> None:
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -15,6 +15,7 @@
     EMPTY_COUNTS,
     Cancelled,
     Limits,
+    Renewed,
     Submitted,
     count_state,
     restore_dispatcher,
@@ -171,6 +172,8 @@
     def take_ownership(self, ownership: Ownership) -> None:
         """Begin or end to own the unit, as the group says."""
         wanted = self.unit in ownership.units
+        if wanted and ownership.asked_at:
+            self._tell(Renewed(ownership.asked_at))
         if not wanted:
             self.give_up()
         elif self._wanted == 0 and not self.deposed.is_set():
@@ -195,6 +198,7 @@
             self._world = world
             if not self._is_wanted(epoch):
                 return
+            fenced_at = read_clock()
             if not self._fence_predecessors(world, epoch):
                 return
             if not self._catch_up(epoch):
@@ -208,7 +212,9 @@
                 lease_s=min(limits.lease_s, limits.longest_lease_s)
             )
             now = read_clock()
-            dispatcher = restore_dispatcher(self.replica, limits, now, read_wall_ms())
+            dispatcher = restore_dispatcher(
+                self.replica, limits, now, read_wall_ms(), fenced_at
+            )
             world.dispatcher = dispatcher
             with keep_unit_actor(world, dispatcher) as actor:
                 self.owned = Owned(world, actor)
--- a/plantainyard/entry/ownership.py
+++ b/plantainyard/entry/ownership.py
@@ -25,10 +25,10 @@
 JOIN_TIMEOUT_S = 0.8
 """Longest wait for an answer to a renewal."""
 
-KEEP_S = 9.0
-"""How long an owner that can't reach the store goes on renewing its runners' leases.
-The store may be down for everyone, and then nobody could take over; a successor
-waits for the longest lease before it takes a silent runner's tasks for ended."""
+KEEP_S = 12.0
+"""How long an owner that can't reach the store goes on noting ends and stopping what
+is cancelled: the store may be down for everyone, and then nobody could take over. By
+then every lease that it could grant has lapsed."""
 
 
 class Ownership(NamedTuple):
@@ -40,10 +40,13 @@
         The group's generation.
     units : frozenset of int
         Units that this instance owns.
+    asked_at : float
+        When the group was asked; zero where it didn't answer.
     """
 
     generation: int
     units: frozenset[int]
+    asked_at: float = 0.0
 
 
 def name_member(instance: str) -> str:
@@ -109,6 +112,6 @@
                 for row in found.assignments
                 if row.topic == PROGRESS and row.partition < units
             )
-            take(Ownership(generation, owned))
+            take(Ownership(generation, owned, sent_at))
         stopping.wait(JOIN_EVERY_S)
     store.leave(GROUP, member, JOIN_TIMEOUT_S)
