--- a/plantainyard/dispatch/pacing.py
+++ b/plantainyard/dispatch/pacing.py
@@ -15,7 +15,7 @@
 
 HIGH = 0.92
 """Tail in targets above which backfilling work is slowed. Serving tasks reach 0.7 by
-their own load; slowing at 0.85 kept a third of the backfilling work waiting."""
+their own load, and a lower bound slows work that isn't the cause."""
 
 GOAL = 0.8
 """Tail in targets that slowing aims at."""
--- a/plantainyard/entry/eventlog.py
+++ b/plantainyard/entry/eventlog.py
@@ -22,7 +22,8 @@
 
 LINES_PER_EVENT_S = 50
 """Lines of one event written in a second; more are counted in a line `left_out`.
-Fifty a second keep the cost of logging under one hundredth of a core."""
+Fifty a second of an event are enough to follow single jobs; the cost of logging by
+itself is not measured."""
 
 EVENTS = frozenset(
     {
