--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,6 +3,7 @@
 import sys
 from collections.abc import Callable
 
+from bench.dispatch.experiment import run_dispatch
 from bench.placement import run_command as run_placement
 from bench.proofs import run_proofs
 from bench.replay import run_replay
@@ -12,6 +13,7 @@
 __all__ = ["COMMANDS", "main"]
 
 COMMANDS: dict[str, Callable[[list[str]], int]] = {
+    "dispatch": run_dispatch,
     "proofs": run_proofs,
     "placement": run_placement,
     "replay": run_replay,
--- /dev/null
+++ b/bench/dispatch/switches.py
@@ -0,0 +1,109 @@
+"""Variants of the policy: switches and figures of the deciding modules, set by name.
+
+They live here and not in operators' settings: an experiment sets them in its own
+process, in every module that has taken the name over.
+"""
+
+import importlib
+import pkgutil
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import plantainyard.dispatch
+from bench.dispatch.oracle import find_true_weight, find_true_weight_at_worst
+
+__all__ = ["VARIANTS", "SwitchError", "Switches", "apply_switches", "parse_variant"]
+
+Switches = Mapping[str, Any]
+"""Values by the name of a constant or function of a module of `dispatch`."""
+
+
+class SwitchError(ValueError):
+    """A variant names what no module has; the message says which."""
+
+
+def _ignore_pair(*_: Any) -> float:
+    return 0.3
+
+
+VARIANTS: dict[str, Switches] = {
+    "as it is": {},
+    "one weight for all pairs": {"find_weight_at_worst": lambda *_: 2.0},
+    "true weights": {
+        "find_weight": find_true_weight,
+        "find_weight_at_worst": find_true_weight_at_worst,
+    },
+    "only steady reports": {"UNSTEADY_COUNT": 1e9},
+    "harm isn't seen": {"find_weight_at_worst": _ignore_pair},
+    "bases as last read": {"DRIFT": 0.0},
+    "no quiet phases": {"QUIET_PART": 1.0},
+    "no undoing of smoothing": {"JUMP": 1e9},
+    "images not kept apart": {"OTHER_IMAGE_COST": 0.0, "SAME_IMAGE_BONUS": 0.0},
+    "jobs not kept together": {"SAME_JOB_BONUS": 0.0},
+    "tolerant places not kept free": {"FREEDOM_COST": 0.0},
+    "no patience": {"PATIENCE_S": 0.0},
+    "any place at once": {"LEAST_SPEED": 0.0, "LEAST_SPEED_LATE": 0.0},
+    "no lonely rule": {"LONELY_S": 1e9, "LONELY_BUSY_S": 1e9},
+    "gaps at once": {"GAP_TICKS": 1, "_is_gap_old": lambda *_: True},
+    "no quarantine": {"BAD_COST": 0.0},
+    "no moves": {"MOST_MOVES": 0},
+    "much more isn't passed over": {"MUCH_MORE": 1e9},
+    "late work isn't put back": {"LATE_FACTOR": 1e9, "OPTIMISM": 0.0},
+    "work isn't ordered by size": {"measure_work": lambda *_: 0.0},
+}
+"""Variants by name: each switches one mechanism off, or sets a figure."""
+
+
+def list_modules() -> list[Any]:
+    """Return the modules of the dispatcher."""
+    package = plantainyard.dispatch
+    names = [
+        f"{package.__name__}.{m.name}" for m in pkgutil.iter_modules(package.__path__)
+    ]
+    return [importlib.import_module(name) for name in names]
+
+
+def apply_switches(switches: Switches) -> Callable[[], None]:
+    """Set names in all modules that have them, and return what undoes it.
+
+    Raises
+    ------
+    SwitchError
+        If no module has a name.
+    """
+    undo: list[tuple[Any, str, Any]] = []
+    for name, value in switches.items():
+        holders = [m for m in list_modules() if name in vars(m)]
+        if not holders:
+            raise SwitchError(f"no module of the dispatcher has {name}")
+        for module in holders:
+            undo.append((module, name, getattr(module, name)))
+            setattr(module, name, value)
+
+    def restore() -> None:
+        for module, name, value in reversed(undo):
+            setattr(module, name, value)
+
+    return restore
+
+
+def parse_variant(text: str) -> tuple[str, Switches]:
+    """Return a variant by its name, or by ``NAME=VALUE,NAME=VALUE``.
+
+    Raises
+    ------
+    SwitchError
+        If it is neither.
+    """
+    if text in VARIANTS:
+        return text, VARIANTS[text]
+    switches = {}
+    for part in text.split(","):
+        name, equals, value = part.partition("=")
+        try:
+            switches[name.strip()] = float(value)
+        except ValueError:
+            equals = ""
+        if not equals:
+            raise SwitchError(f"no variant {text!r}: a name, or NAME=VALUE,...")
+    return text, switches
--- /dev/null
+++ b/bench/dispatch/tests/test_play.py
@@ -0,0 +1,60 @@
+"""The model itself: the same day for the same seed, and switches that are undone."""
+
+import math
+
+import pytest
+
+from bench.dispatch.accounts import measure_day
+from bench.dispatch.customers import CUSTOMERS, draw_customer
+from bench.dispatch.patterns import Pattern
+from bench.dispatch.play import play_day
+from bench.dispatch.switches import SwitchError, apply_switches, parse_variant
+from bench.dispatch.workers import find_tail
+from bench.dispatch.workload import draw_day
+from plantainyard.dispatch import placing, planning
+
+SHORT = Pattern("short", seconds=3.0)
+
+
+def test_a_day_is_the_same_for_the_same_seed():
+    customer = CUSTOMERS["ovens"]
+    first = measure_day(play_day(customer, SHORT, 5))
+    assert measure_day(play_day(customer, SHORT, 5)) == first
+    assert measure_day(play_day(customer, SHORT, 6)) != first
+
+
+def test_jobs_dont_depend_on_the_policy():
+    jobs = draw_day(CUSTOMERS["tanks"], SHORT, 2)
+    restore = apply_switches({"LEAST_SPEED": 0.0})
+    try:
+        assert draw_day(CUSTOMERS["tanks"], SHORT, 2) == jobs
+    finally:
+        restore()
+
+
+def test_a_switch_holds_in_every_module_and_is_undone():
+    before = placing.find_least_speed
+    restore = apply_switches({"find_least_speed": max})
+    assert placing.find_least_speed is max
+    assert planning.find_least_speed is max
+    restore()
+    assert placing.find_least_speed is planning.find_least_speed is before
+
+
+def test_variants_are_named_or_spelled():
+    assert parse_variant("LEAST_SPEED=0.5,NOISE=1")[1] == {
+        "LEAST_SPEED": 0.5,
+        "NOISE": 1.0,
+    }
+    with pytest.raises(SwitchError):
+        parse_variant("LEAST_SPEED")
+
+
+def test_drawn_customers_differ_and_repeat():
+    assert draw_customer(1) == draw_customer(1)
+    assert draw_customer(1) != draw_customer(2)
+
+
+def test_a_tail_has_a_bound_where_the_queue_is_full():
+    assert math.isclose(find_tail(0.0, 1.0, 5.0), 0.2)
+    assert find_tail(0.9, 4.0, 5.0) < 100
