Say at a job's end where its time went

Cause: the logs of a late job held its start and its end and nothing of the 48 s between. Ruled out: a line for each look (hundreds a second at a burst; the bound on lines drops them first). Change: the dispatcher adds up, tick by tick, what a job's tasks do: waiting (for a runner, room, a place that harms nobody, their turn), ordered, working, slowed, stopping; and runs lost by how they ended. The sums stand in the line `job_ended` and, over all jobs, in two counters that no bound on lines touches. Comments of the deciding modules lose the stories of their tuning.

--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -21,6 +21,7 @@
     HarmsTold,
     HoldAnswered,
     HoldFailed,
+    JobSummary,
     LoadsTold,
     OrderAnswered,
     Renewed,
@@ -38,11 +39,13 @@
 from plantainyard.dispatch.interference import forget_unseen
 from plantainyard.dispatch.jobs import add_job, cancel_job, open_due_occurrences
 from plantainyard.dispatch.limits import Limits
-from plantainyard.dispatch.model import Phase, StepRun
+from plantainyard.dispatch.model import Job, Phase, StepRun
 from plantainyard.dispatch.placing import note_gaps
 from plantainyard.dispatch.planning import plan_moves, plan_starts
+from plantainyard.dispatch.queue import find_allowed_s
 from plantainyard.dispatch.restoring import restore_jobs
 from plantainyard.dispatch.state import Dispatcher
+from plantainyard.dispatch.timing import measure_times, summarize_times
 from plantainyard.dispatch.weights import decode_harms, encode_harms, merge_harms
 from plantainyard.platform.store import Record
 
@@ -121,6 +124,7 @@
         runs.repeat_orders(state, now)
         reports.expire_leases(state, now)
         plan_moves(state, now)
+        _measure_times(state, now)
         _forget_harms(state, now)
     state.plan_due |= _changes_plan(state, event)
     if not state.commit_out:
@@ -139,8 +143,8 @@
 
     Notes
     -----
-    Most events are reports and answers after which nothing is free that wasn't before;
-    looking through all jobs after each took a third of the dispatcher's time. What a
+    Most events are reports and answers after which nothing is free that wasn't before,
+    and a look through all jobs after each is most of an owner's work. What a
     report tells of harm waits for the next tick, a tenth of a second at most.
     """
     if isinstance(event, HoldAnswered):
@@ -155,6 +159,11 @@
         state.load_at = now
 
 
+def _measure_times(state: Dispatcher, now: float) -> None:
+    measure_times(state.jobs.values(), now - (state.timed_at or now))
+    state.timed_at = now
+
+
 def _forget_harms(state: Dispatcher, now: float) -> None:
     elapsed_s = now - state.harms_forgotten_at
     if elapsed_s >= FORGET_EVERY_S:
@@ -193,6 +202,7 @@
 
 def _commit(state: Dispatcher, now: float) -> None:
     """Put all that changed since the last commit into the next one."""
+    summaries = [_summarize(state.jobs[job_id], now) for job_id in state.ending]
     records = [
         Record(_progress_key(item), _encode_step(item))
         for item in state.dirty.values()
@@ -227,7 +237,19 @@
     state.dirty = {}
     state.ending = {}
     state.assigned = []
-    state.actions.append(Commit(records))
+    state.actions.append(Commit(records, summaries))
+
+
+def _summarize(job: Job, now: float) -> JobSummary:
+    accepted_at = job.deadline - find_allowed_s(job.submission)
+    return JobSummary(
+        job.submission.record_id,
+        job.ended,
+        round(now - accepted_at, 3),
+        round(now - job.deadline, 3),
+        summarize_times(job),
+        dict(job.lost),
+    )
 
 
 def _take_commit(state: Dispatcher, now: float) -> None:
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -21,6 +21,7 @@
     "HarmsTold",
     "HoldAnswered",
     "HoldFailed",
+    "JobSummary",
     "LoadsTold",
     "OrderAnswered",
     "OrderKind",
@@ -140,10 +141,43 @@
 )
 
 
+class JobSummary(NamedTuple):
+    """What became of a job.
+
+    Attributes
+    ----------
+    job_id, state : str
+        The job and its final state.
+    took_s, late_s : float
+        From its acceptance to its end, and by how much that is over its objective as
+        far as estimates tell; negative where it is in time.
+    times : dict
+        Seconds of its tasks by `timing.TimePart`, since this owner took over.
+    lost : dict
+        Runs since then that ended otherwise than done, by how they ended.
+    """
+
+    job_id: str
+    state: str
+    took_s: float
+    late_s: float
+    times: dict[str, float]
+    lost: dict[str, int]
+
+
 class Commit(NamedTuple):
-    """Store records, then say `Committed`; one at a time, in order."""
+    """Store records, then say `Committed`; one at a time, in order.
+
+    Attributes
+    ----------
+    records : sequence of Record
+        What to store.
+    summaries : sequence of JobSummary
+        Of the jobs whose ends are among them, for logs and meters.
+    """
 
     records: Sequence[Record]
+    summaries: Sequence[JobSummary] = ()
 
 
 class Forward(NamedTuple):
--- a/plantainyard/dispatch/interference.py
+++ b/plantainyard/dispatch/interference.py
@@ -14,8 +14,7 @@
 where the base, the margin without backfilling work, follows the job's own load. It is
 read off where nothing harms it: at the job's other tasks, or at the same task a moment
 ago. Weights belong to a pair of images, stay what they are, and are learnt by recursive
-least squares. Fitted to 9,000 reports of two days, the model is off by 6 to 9 % of a
-tail in the middle and by 16 to 25 % in the worst tenth, the least of seven forms.
+least squares.
 """
 
 from collections.abc import Mapping
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -135,6 +135,8 @@
         All of them, by index.
     done : int
         Number of finished tasks.
+    waits_for, explained_at : str, float
+        Why its tasks wait, one of `timing.TimePart` or empty, and when that was found.
     """
 
     job: "Job"
@@ -143,6 +145,8 @@
     spec: Step
     tasks: list[Task] = field(default_factory=list)
     done: int = 0
+    waits_for: str = ""
+    explained_at: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -169,6 +173,10 @@
         Nothing of it may start any more.
     ended : str
         Final state, or empty.
+    times : dict
+        Seconds of its tasks since this owner took over, by `timing.TimePart`.
+    lost : dict
+        Runs since then that ended otherwise than done, by how they ended.
     """
 
     submission: Submission
@@ -180,6 +188,8 @@
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     cancelled: bool = False
     ended: str = ""
+    times: dict[str, float] = field(default_factory=dict)
+    lost: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
--- a/plantainyard/dispatch/pacing.py
+++ b/plantainyard/dispatch/pacing.py
@@ -30,8 +30,8 @@
 open is allowed for by the weights, which are taken at their worst."""
 
 LOWEST_BASE = 1.5
-"""Base that a serving task is taken to have before it has told: their own loads take
-bases down to 1.6 on the sites that were measured."""
+"""Base that a serving task is taken to have before it has told: low enough that little
+is let in beside a task whose load may be at its peak."""
 
 NEAR_S = 0.5
 """How far ahead paces are chosen: the time to the next report, and 0.1 s until a pace
@@ -49,12 +49,11 @@
 """Shares below it are taken as a stop: they still disturb, and do next to no work."""
 
 MUCH_MORE = 3.0
-"""Factor between two weights from which the larger is slowed for the smaller: in one
-day harmless pairs were at 0.0 to 0.4 and harmful ones at 1.1 to 5.2."""
+"""Factor between two weights from which the larger is slowed for the smaller."""
 
 SERVING_USE = 0.5
-"""Share of its processor time that a serving task is taken to use; in reports it is
-between 0.2 and 0.7."""
+"""Share of its processor time that a serving task is taken to use; reports don't tell,
+as a serving task's row holds its tail."""
 
 
 def pace_of(runner: Runner, image: str) -> int:
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -15,10 +15,12 @@
 from plantainyard.dispatch.weights import find_weight, list_images
 
 __all__ = [
+    "can_start",
     "choose_runner",
     "expect_speed",
     "find_least_speed",
     "find_reserved_cpu",
+    "has_room",
     "note_gaps",
     "release_room",
     "take_room",
@@ -31,8 +33,7 @@
 
 LEAST_SPEED = 0.85
 """Expected share of full speed below which a backfilling task isn't placed while it can
-wait. A slow one holds its memory for long and meets the peak of its neighbours' load:
-with 0.4 in place of 0.6 a tenth fewer jobs were in time."""
+wait: a slow one holds its memory for long and meets its neighbours' next peak."""
 
 LEAST_SPEED_LATE = 0.6
 """The same once it has waited for long."""
@@ -112,7 +113,7 @@
     usable = [
         runner
         for runner in runners
-        if _can_start(task, runner, now) and _has_room(spec, runner)
+        if can_start(task, runner, now) and has_room(spec, runner)
     ]
     fresh = [r for r in usable if r.entry and r.entry.runner not in task.avoided]
     scored = fresh or usable
@@ -144,8 +145,8 @@
 
     Notes
     -----
-    Guards against a job that runs nowhere while most of the fleet is free: in one day
-    of thirty-two a task waited for 28 s for a place that promised 0.6.
+    Guards against a job that runs nowhere while most of the fleet is free, since no
+    place promises `LEAST_SPEED_LATE`.
     """
     waited_s = now - task.waiting_since
     if waited_s > (LONELY_S if idle else LONELY_BUSY_S) and not _is_begun(task):
@@ -205,7 +206,8 @@
     return runner.known and runner.answering
 
 
-def _can_start(task: Task, runner: Runner, now: float) -> bool:
+def can_start(task: Task, runner: Runner, now: float) -> bool:
+    """Return whether a task may start on the runner, if that has room for it."""
     entry = runner.entry
     if entry is None or not takes_work(runner):
         return False
@@ -243,7 +245,8 @@
     return 0 if spec.backfill else spec.resources.cpu
 
 
-def _has_room(spec: Step, runner: Runner) -> bool:
+def has_room(spec: Step, runner: Runner) -> bool:
+    """Return whether a task of a step fits into what a runner has left."""
     assert runner.entry is not None
     capacity = runner.entry.capacity
     wanted = spec.resources
--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -14,6 +14,7 @@
 from plantainyard.dispatch.queue import has_waiting, order_steps
 from plantainyard.dispatch.runs import pace_backfill, send_stop
 from plantainyard.dispatch.state import Dispatcher, mark_dirty
+from plantainyard.dispatch.timing import explain_wait
 
 __all__ = ["plan_moves", "plan_starts"]
 
@@ -39,7 +40,7 @@
 
 MOST_STARTS = 200
 """Tasks assigned with one commit: bounds its size and the time until the first of
-them starts; about two seconds' worth of starts of a whole site."""
+them starts."""
 
 
 class _Kind(NamedTuple):
@@ -174,11 +175,13 @@
     for task in _begin_waiting(step, now):
         kind = _find_kind(state, task, now)
         if _fits_nowhere(step.spec.resources, unplaced.get(kind, [])):
+            explain_wait(step, task, allowed, now)
             return
         runner = _choose(state, task, allowed, now)
         if runner is None:
             if allowed is runners and not step.spec.max_per_runner:
                 unplaced.setdefault(kind, []).append(step.spec.resources)
+            explain_wait(step, task, allowed, now)
             return
         _assign(state, task, runner, task.run + 1, now)
 
@@ -300,6 +303,7 @@
     task.run = run
     task.life = runner.life
     task.waiting_since = 0.0
+    task.step.waits_for = ""
     take_room(runner, task)
     if task.step.spec.backfill or task.step.spec.target_ms:
         # What is there already is slowed before the newcomer adds to the harm.
--- a/plantainyard/dispatch/queue.py
+++ b/plantainyard/dispatch/queue.py
@@ -11,6 +11,7 @@
 from plantainyard.dispatch.model import Job, Phase, StepRun
 
 __all__ = [
+    "find_allowed_s",
     "find_chains_ms",
     "find_deadline",
     "has_waiting",
@@ -65,9 +66,8 @@
     -----
     Long-running tasks that were at work come first: their users are without service
     until they run again. Counted tasks that can still be in time go before long-running
-    ones that never ran, since both need processors that are reserved. Where
-    long-running tasks hold 97 % of them, the gaps that are left are enough for all
-    short tasks; given away for good, a third of the short jobs came too late. Counted
+    ones that never ran, since both need processors that are reserved: the gaps that are
+    left are enough for short tasks, and given away for good they would be lost. Counted
     tasks that are late and still of use come next: they hold a gap for a second, and a
     long-running one for a minute. Then the rest: what can still be in time, then what
     is late and still of use, both by priority and by the work that is left, so that as
@@ -159,9 +159,14 @@
     factor : float
         Multiple of the objective.
     """
+    return accepted + factor * find_allowed_s(submission)
+
+
+def find_allowed_s(submission: Submission) -> float:
+    """Return the time that a job may take by its own estimates, in seconds."""
     chain_ms = max(find_chains_ms(submission.steps))
     allowed_ms = submission.stretch * chain_ms + submission.target_latency_ms
-    return accepted + factor * allowed_ms / 1000
+    return allowed_ms / 1000
 
 
 def set_deadlines(job: Job, accepted: float) -> None:
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -12,6 +12,7 @@
 )
 from plantainyard.dispatch.placing import release_room
 from plantainyard.dispatch.state import Dispatcher, mark_dirty
+from plantainyard.dispatch.timing import note_lost
 from plantainyard.platform.runners import OrderOutcome
 
 __all__ = [
@@ -29,8 +30,8 @@
 """Points by which a pace has to fall to be ordered anew; reports are off by more."""
 
 RISE_STEP = 20
-"""Points by which it has to rise: each order costs 0.3 ms of the owner's processor, and
-with rises of 6 points a site of 33 runners had 8,400 orders in a minute."""
+"""Points by which it has to rise: small rises do little more work, and each order costs
+the owner's processor time."""
 
 STOP_ALL = 0.45
 """Part of the time that harm may last after which all backfilling work is stopped:
@@ -246,6 +247,7 @@
         task.life = ""
         jobs.finish_task(state, task)
         return
+    note_lost(job, how)
     if how == "failed":
         _note_failure(state, task, runner, now)
     free_task(state, task)
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -71,6 +71,8 @@
         the commit on its way carries.
     cancelled_handing : set of str
         Those of them that were cancelled meanwhile.
+    timed_at : float
+        When the times of jobs were last added to.
     """
 
     limits: Limits
@@ -101,6 +103,7 @@
     handing: dict[str, Submission] = field(default_factory=dict)
     committing_handing: dict[str, Submission] = field(default_factory=dict)
     cancelled_handing: set[str] = field(default_factory=set)
+    timed_at: float = 0.0
 
 
 def mark_dirty(state: Dispatcher, step: StepRun) -> None:
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -23,6 +23,7 @@
     Forward,
     HoldAnswered,
     HoldFailed,
+    JobSummary,
     Limits,
     OrderAnswered,
     OrderKind,
@@ -65,6 +66,7 @@
         self.waiting_commit: Commit | None = None
         self.held: list[SendHold] = []
         self.forwarded: list[Forward] = []
+        self.summaries: list[JobSummary] = []
         self.fence = 0
         self.begin()
 
@@ -136,6 +138,7 @@
     def commit(self, action: Commit) -> list[Event]:
         for record in action.records:
             apply_record(self.replica, record.key, record.value)
+        self.summaries += action.summaries
         return [Committed()]
 
     def order(self, action: SendOrder) -> list[Event]:
--- a/plantainyard/dispatch/weights.py
+++ b/plantainyard/dispatch/weights.py
@@ -26,12 +26,11 @@
 ]
 
 IDLE_TAIL = 0.2
-"""Tail, in targets, of a serving task without any load: a fifth on the sites that were
-measured. Where it is another part, weights come out larger or smaller alike."""
+"""Tail, in targets, that a serving task is taken to have without any load. Where it is
+another part, all weights come out larger or smaller alike, which changes no choice."""
 
 PRIOR = 2.0
-"""Weight of a pair that was never seen, between the harmless ones (0 to 0.3) and the
-harmful ones (2.5 to 5)."""
+"""Weight of a pair that was never seen, between harmless and harmful ones."""
 
 DOUBT = 4.0
 """Variance of a weight that was never seen."""
@@ -55,14 +54,13 @@
 """Standard deviations added to a weight before more work of its image is placed."""
 
 HARMFUL = 1.0
-"""Weight from which a pair counts as harmful; none was measured between 0.7 and 2."""
+"""Weight from which a pair counts as harmful."""
 
 HARMFUL_FACTOR = 1.4
 """Factor by which a harmful weight may be low: it is learnt through quiet phases."""
 
 LEAST_WEIGHT = 0.2
-"""Weight that a pair is taken to have at least: harmless ones are at 0.13 to 0.21 in
-the middle."""
+"""Weight that a pair is taken to have at least: nothing that works is harmless."""
 
 MEMORY = 0.999
 """Factor by which older reports count less with each new one of the same image."""
--- a/plantainyard/entry/meters.py
+++ b/plantainyard/entry/meters.py
@@ -27,6 +27,8 @@
     "plantainyard_refused": "Requests of callers turned away, by reason.",
     "plantainyard_call_seconds": "Calls to store and runners by step and result.",
     "plantainyard_first_start_seconds": "From reading a job to its first start.",
+    "plantainyard_task_seconds": "Time of ended jobs' tasks, by what they did then.",
+    "plantainyard_lost_runs": "Runs of ended jobs that weren't done, by their end.",
     "plantainyard_unit_owned": "Units that this instance owns.",
     "plantainyard_jobs_open": "Jobs that haven't ended, as the owner sees them.",
     "plantainyard_tasks": "Tasks of open jobs at the owner, by phase.",
@@ -50,6 +52,8 @@
         self.first_start = self._measure(
             "plantainyard_first_start_seconds", WAIT_SECONDS
         )
+        self.task_seconds = self._count("plantainyard_task_seconds", "part")
+        self.lost_runs = self._count("plantainyard_lost_runs", "how")
         self.lost_lines = self._gauge("plantainyard_log_lost_lines")
         self.owned = self._gauge("plantainyard_unit_owned")
         self.jobs = self._gauge("plantainyard_jobs_open")
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -12,7 +12,6 @@
 import pykka
 from result import Err, Ok
 
-from plantainyard.batch.records import RecordKind, parse_key
 from plantainyard.batch.replica import Replica, apply_record
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.clock import read_clock
@@ -24,6 +23,7 @@
     Forward,
     HoldAnswered,
     HoldFailed,
+    JobSummary,
     Limits,
     OrderAnswered,
     OrderKind,
@@ -213,12 +213,33 @@
         )
         if append_until_known(world, append):
             for record in action.records:
-                job_id = apply_record(world.replica, record.key, record.value)
-                if job_id and parse_key(record.key).kind == RecordKind.END:
-                    state = record.value.decode()
-                    world.log.write("job_ended", job=job_id, state=state)
+                apply_record(world.replica, record.key, record.value)
+            for summary in action.summaries:
+                self._note_end(summary)
             self.actor_ref.tell(Committed())
 
+    def _note_end(self, summary: JobSummary) -> None:
+        """Log a job's end with where its time went, and count that time.
+
+        Notes
+        -----
+        The counters tell of all jobs, also of those whose lines are left out.
+        """
+        world = self.world
+        world.log.write(
+            "job_ended",
+            job=summary.job_id,
+            state=summary.state,
+            took_s=summary.took_s,
+            late_s=summary.late_s,
+            task_s=summary.times,
+            lost=summary.lost,
+        )
+        for part, seconds in summary.times.items():
+            world.meters.task_seconds.labels(part).inc(seconds)
+        for how, runs in summary.lost.items():
+            world.meters.lost_runs.labels(how).inc(runs)
+
     def _forward(self, action: Forward) -> None:
         """Store records for another unit, however often it takes.
 
