--- a/plantainyard/dispatch/handover.py
+++ b/plantainyard/dispatch/handover.py
@@ -75,7 +75,7 @@
             waiting[step.spec.backfill] += left * step.spec.resources.cpu
     return Load(
         reserved=sum(r.cpu for r in usable) / total,
-        backfill=sum(sum(r.backfill.values()) for r in usable) / total,
+        backfill=sum(r.backfill_cpu for r in usable) / total,
         waiting=waiting[False] / total,
         waiting_backfill=waiting[True] / total,
         gap=max(r.entry.capacity.cpu - r.cpu for r in usable if r.entry is not None),
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -208,8 +208,8 @@
         Tasks whose run is or may be there, and those that are being stopped.
     cpu, memory, gpu : int
         Room taken by them.
-    backfill : dict
-        Processor time that its backfilling tasks ask for, by image.
+    backfill_cpu : int
+        Processor time that its backfilling tasks ask for.
     serving_cpu : int
         Part of `cpu` that serving tasks ask for.
     known : bool
@@ -262,7 +262,7 @@
     cpu: int = 0
     memory: int = 0
     gpu: int = 0
-    backfill: dict[str, int] = field(default_factory=dict)
+    backfill_cpu: int = 0
     serving_cpu: int = 0
     known: bool = False
     answering: bool = False
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -5,6 +5,7 @@
 because they are always free.
 """
 
+import math
 from collections.abc import Iterable
 
 from plantainyard.batch.values import Step
@@ -118,16 +119,19 @@
     fresh = [r for r in usable if r.entry and r.entry.runner not in task.avoided]
     scored = fresh or usable
     if spec.backfill:
-        scored = _spare_serving(task, scored, harms, now, idle)
-    if not scored:
-        return None
-    return max(scored, key=lambda runner: _score(task, runner, limits, harms))
+        return _choose_for_backfill(task, scored, limits, harms, now, idle)
+    return max(scored, key=lambda runner: _score(task, runner, limits), default=None)
 
 
-def _spare_serving(
-    task: Task, runners: list[Runner], harms: Harms, now: float, idle: bool
-) -> list[Runner]:
-    """Return the runners where a backfilling task may start for all that is known.
+def _choose_for_backfill(
+    task: Task,
+    runners: list[Runner],
+    limits: Limits,
+    harms: Harms,
+    now: float,
+    idle: bool,
+) -> Runner | None:
+    """Return the runner where a backfilling task may start for all that is known.
 
     Notes
     -----
@@ -137,7 +141,15 @@
     """
     least = find_least_speed(task, now, idle)
     spec = task.step.spec
-    return [r for r in runners if expect_speed(spec, r, harms) >= least]
+    speeds = [(expect_speed(spec, runner, harms), runner) for runner in runners]
+    best, chosen = -math.inf, None
+    for speed, runner in speeds:
+        if speed < least:
+            continue
+        score = _score_backfill(task, runner, limits, harms, speed)
+        if score > best:
+            best, chosen = score, runner
+    return chosen
 
 
 def find_least_speed(task: Task, now: float, idle: bool) -> float:
@@ -179,7 +191,7 @@
     """Return the processor time that further backfilling work would find unused."""
     assert runner.entry is not None
     reserved = runner.cpu - (1 - SERVING_USE) * runner.serving_cpu
-    return runner.entry.capacity.cpu - reserved - sum(runner.backfill.values())
+    return runner.entry.capacity.cpu - reserved - runner.backfill_cpu
 
 
 def _is_gap_old(spec: Step, runner: Runner) -> bool:
@@ -257,16 +269,10 @@
     )
 
 
-def _score(task: Task, runner: Runner, limits: Limits, harms: Harms) -> float:
+def _score(task: Task, runner: Runner, limits: Limits) -> float:
     assert runner.entry is not None
     spec = task.step.spec
-    near = runner.entry.rack == spec.preferred_rack and spec.preferred_rack != ""
-    score = RACK_BONUS if near and limits.remote_factor > 1 else 0.0
-    score -= BAD_COST * runner.bad
-    if spec.backfill:
-        score += SPEED_GAIN * expect_speed(spec, runner, harms)
-        score += _measure_unused(runner) / runner.entry.capacity.cpu * EMPTY_GAIN
-        return score - FREEDOM_COST * _measure_freedom(runner, harms)
+    score = _score_runner(spec, runner, limits)
     if spec.target_ms:
         score += _match_images(task, runner)
     # The fullest runner that has room: what is left free stays whole, for tasks that
@@ -274,6 +280,24 @@
     return score - (runner.entry.capacity.cpu - runner.cpu) / 1000
 
 
+def _score_backfill(
+    task: Task, runner: Runner, limits: Limits, harms: Harms, speed: float
+) -> float:
+    assert runner.entry is not None
+    score = _score_runner(task.step.spec, runner, limits)
+    score += SPEED_GAIN * speed
+    score += _measure_unused(runner) / runner.entry.capacity.cpu * EMPTY_GAIN
+    return score - FREEDOM_COST * _measure_freedom(runner, harms)
+
+
+def _score_runner(spec: Step, runner: Runner, limits: Limits) -> float:
+    """Return what speaks for a runner whatever kind of task a step has."""
+    assert runner.entry is not None
+    near = runner.entry.rack == spec.preferred_rack and spec.preferred_rack != ""
+    score = RACK_BONUS if near and limits.remote_factor > 1 else 0.0
+    return score - BAD_COST * runner.bad
+
+
 def _measure_freedom(runner: Runner, harms: Harms) -> float:
     """Return the share of known backfilling images that do no harm on the runner."""
     images = list_images(harms)
@@ -317,7 +341,7 @@
     spec = task.step.spec
     cpu = sign * spec.resources.cpu
     if spec.backfill:
-        runner.backfill[spec.image] = runner.backfill.get(spec.image, 0) + cpu
+        runner.backfill_cpu += cpu
     else:
         runner.cpu += cpu
         runner.serving_cpu += cpu if spec.target_ms else 0
