Send orders in a module of its own, and untie jobs from runs

`jobs` and `runs` imported each other. What is sent to runners is now in `orders`, which knows neither; `jobs` uses it, and `runs` (what answers and ends mean) uses both.

--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -10,7 +10,7 @@
 )
 from plantainyard.batch.replica import HARMS_KEY, Replica
 from plantainyard.batch.values import StepProgress, TaskProgress
-from plantainyard.dispatch import reports, runs
+from plantainyard.dispatch import orders, reports, runs
 from plantainyard.dispatch.events import (
     Action,
     Cancelled,
@@ -121,7 +121,7 @@
         plan_handovers(state, state.jobs.values(), now)
         plan_task_handovers(state, now)
         open_due_occurrences(state, now)
-        runs.repeat_orders(state, now)
+        orders.repeat_orders(state, now)
         reports.expire_leases(state, now)
         plan_moves(state, now)
         _measure_times(state, now)
@@ -263,7 +263,7 @@
     forward_handed(state)
     for task in state.committing_starts:
         if task.phase == Phase.STORING:
-            runs.send_start(state, task, now)
+            orders.send_start(state, task, now)
     state.committing_seen = {}
     state.committing_ends = []
     state.committing_starts = []
--- a/plantainyard/dispatch/jobs.py
+++ b/plantainyard/dispatch/jobs.py
@@ -2,9 +2,9 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import JobState, Submission
-from plantainyard.dispatch import runs
 from plantainyard.dispatch.forwarding import find_piece, forward_cancel
 from plantainyard.dispatch.model import Job, Phase, StepRun, Task
+from plantainyard.dispatch.orders import release_task, send_stop
 from plantainyard.dispatch.queue import find_chains_ms, set_deadlines
 from plantainyard.dispatch.state import Dispatcher, mark_dirty
 
@@ -105,11 +105,11 @@
     for step in job.steps.values():
         for task in step.tasks:
             if task.phase == Phase.STORING:
-                runs.free_task(state, task)
+                release_task(state, task)
             elif task.phase == Phase.HANDED:
                 forward_cancel(state, find_piece(task).record_id)
             elif task.phase in Phase.OUT:
-                runs.send_stop(state, task, now)
+                send_stop(state, task, now)
 
 
 def check_end(state: Dispatcher, job: Job) -> None:
--- /dev/null
+++ b/plantainyard/dispatch/orders.py
@@ -0,0 +1,146 @@
+"""Orders to runners: starts, stops and paces, and what is ordered again."""
+
+from plantainyard.dispatch.events import OrderKind, SendOrder
+from plantainyard.dispatch.leases import make_lease
+from plantainyard.dispatch.model import Phase, Runner, Task
+from plantainyard.dispatch.pacing import FULL, choose_paces, measure_rooms, pace_of
+from plantainyard.dispatch.placing import release_room
+from plantainyard.dispatch.state import Dispatcher
+
+__all__ = [
+    "pace_backfill",
+    "release_task",
+    "repeat_orders",
+    "send_pace",
+    "send_start",
+    "send_stop",
+]
+
+PACE_STEP = 10
+"""Points by which a pace has to fall to be ordered anew; reports are off by more."""
+
+RISE_STEP = 20
+"""Points by which it has to rise: small rises do little more work, and each order costs
+the owner's processor time."""
+
+STOP_ALL = 0.45
+"""Part of the time that harm may last after which all backfilling work is stopped:
+what is left is twice the time until a stop shows in the reports."""
+
+
+def send_start(state: Dispatcher, task: Task, now: float) -> None:
+    """Order an assigned run to start; its record is in the store."""
+    runner = state.runners.get(task.life)
+    if runner is None or runner.entry is None or not runner.answering:
+        release_task(state, task)
+        return
+    task.phase = Phase.ORDERED
+    task.settled_at = None
+    task.listed = False
+    task.starts_sent = 0
+    task.percent = -1
+    task.moved_at = now
+    task.pace = task.pace_before = 100
+    _send(state, OrderKind.START, task, runner, now)
+
+
+def send_stop(state: Dispatcher, task: Task, now: float) -> None:
+    """Order a run to stop; its end will be listed."""
+    task.phase = Phase.STOPPING
+    runner = state.runners.get(task.life)
+    if runner is None or runner.entry is None:
+        return
+    _send(state, OrderKind.STOP, task, runner, now)
+
+
+def send_pace(
+    state: Dispatcher, task: Task, runner: Runner, percent: int, now: float
+) -> None:
+    """Order a run to work at a share of full speed."""
+    assert runner.entry is not None
+    if percent < task.pace:
+        task.slowed_at = now
+    task.pace_before = max(0, task.pace)
+    task.pace = percent
+    order = SendOrder(OrderKind.PACE, runner.entry, task.key, task.run, percent=percent)
+    state.actions.append(order)
+
+
+def pace_backfill(state: Dispatcher, runner: Runner, now: float) -> None:
+    """Choose the paces of the runner's backfilling tasks, and order what changes."""
+    over_s = now - runner.harmed_since if runner.harmed_since else 0.0
+    if over_s > state.limits.harm_s * STOP_ALL:
+        images = {t.step.spec.image for t in runner.tasks.values()}
+        runner.paces = dict.fromkeys(images, 0)
+    else:
+        runner.paces = choose_paces(runner, state.harms)
+    measure_rooms(runner, state.harms)
+    for task in runner.tasks.values():
+        pace = pace_of(runner, task.step.spec.image)
+        if _needs_pace(task, pace):
+            send_pace(state, task, runner, pace, now)
+
+
+def _needs_pace(task: Task, pace: int) -> bool:
+    if task.phase != Phase.RUNNING or not task.step.spec.backfill:
+        return False
+    least = RISE_STEP if pace > task.pace else PACE_STEP
+    small = abs(task.pace - pace) < least and 0 < pace < FULL
+    return task.pace != pace and not small
+
+
+def _send(state: Dispatcher, kind: str, task: Task, runner: Runner, now: float) -> None:
+    assert runner.entry is not None
+    task.order_out = True
+    task.next_order_at = now + state.limits.order_retry_s
+    starts = kind == OrderKind.START
+    lease_ms = make_lease(runner, state.limits, state.renewed_at, now) if starts else 0
+    task.starts_sent += starts
+    order = SendOrder(
+        kind,
+        runner.entry,
+        task.key,
+        task.run,
+        spec=task.step.job.submission.spec if starts else "",
+        lease_until_ms=lease_ms,
+        checkpoint=task.checkpoint if starts else "",
+    )
+    state.actions.append(order)
+
+
+def repeat_orders(state: Dispatcher, now: float) -> None:
+    """Send again what wasn't answered.
+
+    Notes
+    -----
+    Guards against a start whose answer is lost: it may be carried out seconds later,
+    when the task has long been started elsewhere, and then two runs of one task are
+    at work. Sent again, it is either answered, which settles where the run is, or the
+    run's lease lapses. The later order then finds the run there or ended.
+    """
+    for runner in state.runners.values():
+        if runner.entry is None:
+            continue
+        for task in list(runner.tasks.values()):
+            if task.order_out or now < task.next_order_at:
+                continue
+            if task.phase == Phase.STOPPING:
+                _send(state, OrderKind.STOP, task, runner, now)
+            elif (
+                task.phase == Phase.ORDERED
+                and task.settled_at is None
+                and runner.answering
+            ):
+                _send(state, OrderKind.START, task, runner, now)
+
+
+def release_task(state: Dispatcher, task: Task) -> None:
+    """Let a task wait again: its run is certainly nowhere."""
+    runner = state.runners.get(task.life)
+    if runner is not None:
+        release_room(runner, task)
+    task.phase = Phase.WAITING
+    task.life = ""
+    task.settled_at = None
+    task.order_out = False
+    task.percent = -1
--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -5,6 +5,7 @@
 
 from plantainyard.batch.values import Resources
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun, Task
+from plantainyard.dispatch.orders import pace_backfill, send_stop
 from plantainyard.dispatch.placing import (
     choose_runner,
     find_least_speed,
@@ -12,7 +13,6 @@
     take_room,
 )
 from plantainyard.dispatch.queue import has_waiting, order_steps
-from plantainyard.dispatch.runs import pace_backfill, send_stop
 from plantainyard.dispatch.state import Dispatcher, mark_dirty
 from plantainyard.dispatch.timing import explain_wait
 
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -1,7 +1,7 @@
 """Reports and entries of runners: who is there, what runs, what has ended."""
 
 from plantainyard.batch.tasks import TaskKey
-from plantainyard.dispatch import runs
+from plantainyard.dispatch import orders, runs
 from plantainyard.dispatch.events import (
     HoldAnswered,
     HoldFailed,
@@ -81,7 +81,7 @@
         release_room(old, task)
         task.life = new.life
         take_room(new, task)
-        runs.send_stop(state, task, now)
+        orders.send_stop(state, task, now)
     new.lease_bound = max(new.lease_bound, old.lease_bound)
     del state.runners[old.life]
 
@@ -238,7 +238,7 @@
         sample = read_sample(runner, held.running)
         runner.bases = learn(state.harms, sample, now)
         _note_harm(runner, max((t.value for t in sample.tails), default=0.0), now)
-    runs.pace_backfill(state, runner, now)
+    orders.pace_backfill(state, runner, now)
 
 
 def _note_harm(runner: Runner, worst: float, now: float) -> None:
--- a/plantainyard/dispatch/tests/test_pacing.py
+++ b/plantainyard/dispatch/tests/test_pacing.py
@@ -5,14 +5,14 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import Resources, Step, Submission
-from plantainyard.dispatch import runs
+from plantainyard.dispatch import orders
 from plantainyard.dispatch.harms import Harms, Track
 from plantainyard.dispatch.interference import learn
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun, Task
+from plantainyard.dispatch.orders import pace_backfill
 from plantainyard.dispatch.pacing import choose_paces, measure_rooms, pace_of
 from plantainyard.dispatch.placing import choose_runner, take_room
-from plantainyard.dispatch.runs import pace_backfill
 from plantainyard.dispatch.samples import QUIET_PART, SMOOTHING_S, read_sample
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.tests.test_interference import TRUE, find_tail, swing
@@ -281,16 +281,16 @@
     task = put(runner, filling("heavy"))
 
     def order(pace: int) -> int:
-        monkeypatch.setattr(runs, "choose_paces", lambda *_: {"heavy": pace})
+        monkeypatch.setattr(orders, "choose_paces", lambda *_: {"heavy": pace})
         pace_backfill(state, runner, 100.0)
         return task.pace
 
-    lower = 50 - runs.PACE_STEP
+    lower = 50 - orders.PACE_STEP
     assert order(50) == 50
-    assert order(50 + runs.RISE_STEP - 1) == 50
+    assert order(50 + orders.RISE_STEP - 1) == 50
     assert order(lower + 1) == 50
     assert order(lower) == lower
-    assert order(lower + runs.RISE_STEP) == lower + runs.RISE_STEP
+    assert order(lower + orders.RISE_STEP) == lower + orders.RISE_STEP
     assert order(100) == 100
 
 
