--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -110,7 +110,8 @@
         task.life = ""
         jobs.finish_task(state, task)
         return
-    note_lost(job, how)
+    if how != "done":
+        note_lost(job, how)
     if how == "failed":
         _note_failure(state, task, runner, now)
     free_task(state, task)
--- a/plantainyard/dispatch/tests/test_timing.py
+++ b/plantainyard/dispatch/tests/test_timing.py
@@ -61,3 +61,16 @@
     world.run(5.0)
     found = summary(world, "long")
     assert 2.0 < found.times[TimePart.WORKING] < 3.5
+
+
+def test_a_long_running_task_that_is_done_is_not_lost():
+    # A watcher ends by itself from time to time and is started anew. Counted among
+    # lost runs, it would send an engineer looking for a fault.
+    world = World(runners=1)
+    world.runners["r0"].durations = {"watch": 1.0}
+    world.submit("watch", make_step(1, long_running=True))
+    world.run(5.0)
+    assert len(world.starts("watch")) > 1
+    world.cancel("watch")
+    world.run(2.0)
+    assert "done" not in summary(world, "watch").lost
