--- a/bench/dispatch/play.py
+++ b/bench/dispatch/play.py
@@ -413,7 +413,6 @@
         old = day.workers[name]
         if old.condition.gone:
             new = Worker(name, old.life + 1, old.cpu, old.memory, old.rack, old.delay_s)
-            new.fence = 0
             day.workers[name] = new
             _tell(day, EntryChanged(name, new.entry))
         old.condition = Condition()
