Let modelled reports show processor time over half a second

Cause: the users' pages call it a rough figure for the last half second; the model's workers showed that of the moment.

--- a/bench/dispatch/workers.py
+++ b/bench/dispatch/workers.py
@@ -56,6 +56,9 @@
 LEAST_IDLE = 0.02
 """Part of a queue's time that is free at the least: tails have a bound."""
 
+AVERAGING_S = 0.25
+"""Mean age of the processor time that reports show: they cover half a second."""
+
 NOISE = 0.04
 """Relative error of a reported tail."""
 
@@ -90,6 +93,7 @@
     turns_at: float = math.inf
     tail: float = 0.0
     use: float = 0.0
+    reported_use: float = 0.0
     spent_s: float = 0.0
 
 
@@ -274,7 +278,9 @@
     _share_processors(site, worker, runs, at)
     _move_tails(site, worker, runs, at, step_s)
     before = worker.ended
+    moved = 1 - math.exp(-step_s / AVERAGING_S)
     for run in runs:
+        run.reported_use += moved * (run.use - run.reported_use)
         _advance_run(site, worker, run, at, step_s)
     return worker.ended > before
 
@@ -441,4 +447,4 @@
 def _measure_run(site: Site, run: Run) -> float:
     if run.spec.long_running and run.spec.target_ms:
         return round(run.tail * run.spec.target_ms * site.luck.gauss(1, NOISE))
-    return run.use
+    return run.reported_use
