Let a test's server close its own sockets

Cause: the test closed the server's sockets while the server's loop waited for them. Change: the test serves through the product's own context, whose loop closes its sockets; what it asserts is the same. Ruled out: the daemon, which never served that way.

--- a/plantainyard/commands/tests/test_run.py
+++ b/plantainyard/commands/tests/test_run.py
@@ -2,7 +2,6 @@
 
 import io
 import json
-import threading
 import urllib.request
 
 import pytest
@@ -11,7 +10,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from result import Ok
-from waitress.server import create_server
 
 from plantainyard.api import (
     METHODS,
@@ -37,6 +35,7 @@
     read,
 )
 from plantainyard.metrics import create_meter
+from plantainyard.serving import serve_app
 from plantainyard.settings import Metrics, parse_settings
 from plantainyard.settings.tests.test_load import MINIMAL
 
@@ -322,11 +321,9 @@
     loaded = parse_settings(MINIMAL, "x").unwrap()
     probes = Probes(list, list, dict)
     app = create_app(loaded, accept_jobs(accepted), probes, create_meter(Metrics()))
-    server = create_server(app, host="127.0.0.1", port=0)
-    thread = threading.Thread(target=server.run, daemon=True)
-    thread.start()
-    try:
-        address = f"127.0.0.1:{server.effective_port}"
+    # Its loop closes its own sockets: closed from here, they would be gone while the
+    # loop waits for them, and its thread would end in an error.
+    with serve_app(app, "127.0.0.1:0", 4, 10, 100_000, 1.0) as address:
         environ = {**ENVIRON, "PLANTAINYARD_ADDRESSES": address}
         world = create_world()._replace(
             environ=environ, out=io.StringIO(), err=io.StringIO()
@@ -345,5 +342,3 @@
         with urllib.request.urlopen(request) as answer:
             assert json.load(answer)["job"]["job_id"] == "j0"
         assert "j0 accepted" in read(world.out)
-    finally:
-        server.close()
