End a cancelled job only once other units have its cancel

Cause: a cancelled job whose tasks had been handed to other units ended as soon as nothing of it ran in its own unit. The requests to cancel the tasks elsewhere were still on their way then. An owner that was lost in that moment (all instances lose power) left nobody to send them again: the successor passes over ended jobs.

Also: a cancel of a job that was handed over as a whole, read between the restoring of a new owner's state and the start of its actor, was told to nobody.

Change: the dispatcher is told which forwarded records are stored (Forwarded), and a job with handed tasks stays out until their cancels are. A new owner is told of cancels of moved jobs too.

--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -18,6 +18,7 @@
     Committed,
     EntryChanged,
     Event,
+    Forwarded,
     HarmsTold,
     HoldAnswered,
     HoldFailed,
@@ -28,7 +29,11 @@
     Submitted,
     Tick,
 )
-from plantainyard.dispatch.forwarding import forward_cancel, forward_handed
+from plantainyard.dispatch.forwarding import (
+    forward_cancel,
+    forward_handed,
+    note_forwarded,
+)
 from plantainyard.dispatch.handover import (
     measure_lasting_room,
     measure_load,
@@ -37,7 +42,12 @@
 )
 from plantainyard.dispatch.harms import Harms
 from plantainyard.dispatch.interference import forget_unseen
-from plantainyard.dispatch.jobs import add_job, cancel_job, open_due_occurrences
+from plantainyard.dispatch.jobs import (
+    add_job,
+    cancel_job,
+    end_cancelled,
+    open_due_occurrences,
+)
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.model import Job, Phase, StepRun
 from plantainyard.dispatch.placing import note_gaps
@@ -191,6 +201,9 @@
             forward_cancel(state, job_id)
         case Cancelled(job_id):
             cancel_job(state, job_id, now)
+        case Forwarded(keys):
+            note_forwarded(state, keys)
+            end_cancelled(state)
         case LoadsTold(loads):
             state.loads = dict(loads)
         case HarmsTold(harms):
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -18,6 +18,7 @@
     "EntryChanged",
     "Event",
     "Forward",
+    "Forwarded",
     "HarmsTold",
     "HoldAnswered",
     "HoldFailed",
@@ -110,6 +111,18 @@
     sent_at: float
 
 
+class Forwarded(NamedTuple):
+    """The records of a `Forward` are stored in their unit.
+
+    Attributes
+    ----------
+    keys : sequence of str
+        Their keys.
+    """
+
+    keys: Sequence[str]
+
+
 class LoadsTold(NamedTuple):
     """The owners of other units have told how full those are."""
 
@@ -135,6 +148,7 @@
     | HoldAnswered
     | HoldFailed
     | Renewed
+    | Forwarded
     | LoadsTold
     | HarmsTold
     | Tick
--- a/plantainyard/dispatch/forwarding.py
+++ b/plantainyard/dispatch/forwarding.py
@@ -1,10 +1,14 @@
 """What is sent to other units: jobs, single tasks, and requests to cancel them."""
 
+from collections.abc import Iterable
+
 from plantainyard.batch.records import (
     CANCEL,
+    RecordKind,
     encode_submission,
     make_cancel_key,
     make_submission_key,
+    parse_key,
 )
 from plantainyard.batch.values import Submission
 from plantainyard.dispatch.events import Forward
@@ -17,6 +21,7 @@
     "forward_cancel",
     "forward_handed",
     "make_forward",
+    "note_forwarded",
     "pass_on",
 ]
 
@@ -42,6 +47,13 @@
         state.actions.append(make_forward(submission, state.moved[job_id], cancelled))
 
 
+def note_forwarded(state: Dispatcher, keys: Iterable[str]) -> None:
+    """Take note that records are stored in other units."""
+    found = map(parse_key, keys)
+    cancels = {key.job_id for key in found if key.kind == RecordKind.CANCEL}
+    state.cancels_out -= cancels
+
+
 def make_forward(submission: Submission, unit: int, cancelled: bool) -> Forward:
     """Return what sends a submission to a unit; a repeat of it does no harm there."""
     job_id = submission.record_id
@@ -52,7 +64,15 @@
 
 
 def forward_cancel(state: Dispatcher, job_id: str) -> None:
-    """Pass the cancelling of a job on to the unit that has it."""
+    """Pass the cancelling of a job on to the unit that has it.
+
+    Notes
+    -----
+    Guards against a cancelled task that goes on elsewhere: a job whose end was stored
+    while the request was still on its way to another unit had nobody left to send it
+    again once the owner was lost. It is out until the other unit's record is stored.
+    """
+    state.cancels_out.add(job_id)
     if job_id in state.handing or job_id in state.committing_handing:
         state.cancelled_handing.add(job_id)
         return
--- a/plantainyard/dispatch/jobs.py
+++ b/plantainyard/dispatch/jobs.py
@@ -12,6 +12,7 @@
     "add_job",
     "cancel_job",
     "check_end",
+    "end_cancelled",
     "finish_task",
     "open_due_occurrences",
     "open_occurrence",
@@ -117,7 +118,7 @@
     if job.ended:
         return
     if job.cancelled:
-        if not _is_out(job):
+        if not _is_out(state, job):
             end_job(state, job, JobState.CANCELLED)
         return
     expected = max(1, job.submission.times) * len(job.submission.steps)
@@ -126,9 +127,20 @@
         end_job(state, job, JobState.COMPLETED)
 
 
-def _is_out(job: Job) -> bool:
+def _is_out(state: Dispatcher, job: Job) -> bool:
     tasks = (task for step in job.steps.values() for task in step.tasks)
-    return any(task.phase in Phase.OUT for task in tasks)
+    return any(task.phase in Phase.OUT or _awaits_cancel(state, task) for task in tasks)
+
+
+def _awaits_cancel(state: Dispatcher, task: Task) -> bool:
+    handed = task.phase == Phase.HANDED
+    return handed and find_piece(task).record_id in state.cancels_out
+
+
+def end_cancelled(state: Dispatcher) -> None:
+    """End the cancelled jobs of which nothing is left to do any more."""
+    for job in [job for job in state.jobs.values() if job.cancelled]:
+        check_end(state, job)
 
 
 def end_job(state: Dispatcher, job: Job, ended: str) -> None:
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -71,6 +71,9 @@
         the commit on its way carries.
     cancelled_handing : set of str
         Those of them that were cancelled meanwhile.
+    cancels_out : set of str
+        Jobs and tasks that other units have, and whose cancelling isn't stored there
+        yet.
     timed_at : float
         When the times of jobs were last added to.
     """
@@ -103,6 +106,7 @@
     handing: dict[str, Submission] = field(default_factory=dict)
     committing_handing: dict[str, Submission] = field(default_factory=dict)
     cancelled_handing: set[str] = field(default_factory=set)
+    cancels_out: set[str] = field(default_factory=set)
     timed_at: float = 0.0
 
 
--- a/plantainyard/dispatch/tests/test_handover.py
+++ b/plantainyard/dispatch/tests/test_handover.py
@@ -230,6 +230,21 @@
     assert world.ended("a") == "cancelled"
 
 
+def test_a_cancel_outlives_the_owner_that_was_to_pass_it_on():
+    # Guards against cancelled tasks that go on in another unit after a loss of power.
+    world = make_interrupted_world()
+    ((_, (key,)),) = list_forwarded(world)
+    world.losing_forwards = True
+    world.cancel("a")
+    world.run(1.0)
+    assert world.at_work("a") == []
+    world.losing_forwards = False
+    world.begin()
+    world.run(1.0)
+    assert list_forwarded(world)[-1] == (5, ["c" + key[1:]])
+    assert world.ended("a") == "cancelled"
+
+
 def test_a_task_from_another_unit_goes_on_from_its_last_run():
     # Its old runs may still be started late; numbered alike, the new one would be
     # taken for one of them.
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -21,6 +21,7 @@
     EntryChanged,
     Event,
     Forward,
+    Forwarded,
     HoldAnswered,
     HoldFailed,
     JobSummary,
@@ -66,6 +67,8 @@
         self.waiting_commit: Commit | None = None
         self.held: list[SendHold] = []
         self.forwarded: list[Forward] = []
+        self.waiting_forwards: list[Forward] = []
+        self.losing_forwards = False
         self.summaries: list[JobSummary] = []
         self.fence = 0
         self.begin()
@@ -74,6 +77,7 @@
         """Let a new owner take over from what is stored."""
         self.fence += 1
         self.waiting_commit = None
+        self.waiting_forwards = []
         self.held = []
         self.state = restore_dispatcher(
             self.replica, self.limits, self.now, self.now * 1000, self.now
@@ -126,8 +130,10 @@
                 return []
             return self.commit(action)
         if isinstance(action, Forward):
-            self.forwarded.append(action)
-            return []
+            if self.store_down or self.losing_forwards:
+                self.waiting_forwards.append(action)
+                return []
+            return self.forward(action)
         if isinstance(action, SendHold):
             # A report that waits is answered with the next step of time.
             self.held.append(action)
@@ -135,6 +141,10 @@
         assert isinstance(action, SendOrder)
         return self.order(action)
 
+    def forward(self, action: Forward) -> list[Event]:
+        self.forwarded.append(action)
+        return [Forwarded([record.key for record in action.records])]
+
     def commit(self, action: Commit) -> list[Event]:
         for record in action.records:
             apply_record(self.replica, record.key, record.value)
@@ -180,6 +190,11 @@
                 waiting, self.waiting_commit = self.waiting_commit, None
                 for event in self.commit(waiting):
                     self.tell(event)
+            if not self.store_down and not self.losing_forwards:
+                waiting_forwards, self.waiting_forwards = self.waiting_forwards, []
+                for forward in waiting_forwards:
+                    for event in self.forward(forward):
+                        self.tell(event)
             if self.renewing and not self.store_down:
                 self.tell(Renewed(self.now))
             self.tell(Tick())
--- a/plantainyard/entry/owning.py
+++ b/plantainyard/entry/owning.py
@@ -42,7 +42,7 @@
 from plantainyard.entry.wall import read_wall_ms
 from plantainyard.platform.store import Append, Record
 
-__all__ = ["Owners"]
+__all__ = ["Owners", "tell_jobs"]
 
 RUNNERS_EVERY_S = 0.25
 """Time between the owner's reads of runners' entries, which nearly all change every
@@ -142,7 +142,7 @@
         instance.log.write("owner_gained", unit=unit, epoch=epoch, took_s=took_s)
         try:
             with _follow_intake(instance, copy, owned.world.stopping):
-                _tell_jobs(instance, copy)
+                tell_jobs(instance, copy)
                 _announce(instance, unit, epoch, owned.world.stopping)
                 self._follow_runners(unit, epoch, owned.actor)
         finally:
@@ -226,19 +226,20 @@
         stopping.set()
 
 
-def _tell_jobs(instance: Instance, copy: UnitCopy) -> None:
+def tell_jobs(instance: Instance, copy: UnitCopy) -> None:
     """Tell the actor of all jobs that are open.
 
     Notes
     -----
-    Guards against an accepted job that nobody starts: its record may have been read
-    after the dispatcher was restored and before there was an actor to tell. The
-    dispatcher passes over what it knows.
+    Guards against an accepted job that nobody starts, and a cancelled one that goes on
+    in another unit: a record may have been read after the dispatcher was restored and
+    before there was an actor to tell. The dispatcher passes over what it knows.
     """
     for job_id, view in list(copy.replica.jobs.items()):
-        if view.ended or view.moved is not None or view.submission is None:
+        if view.ended or view.submission is None:
             continue
-        instance.tell(copy.unit, Submitted(view.submission))
+        if view.moved is None:
+            instance.tell(copy.unit, Submitted(view.submission))
         if view.cancelled:
             instance.tell(copy.unit, Cancelled(job_id))
 
--- a/plantainyard/entry/tests/test_owning.py
+++ b/plantainyard/entry/tests/test_owning.py
@@ -13,7 +13,7 @@
 from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.instance import Owned
 from plantainyard.entry.ownership import Ownership, follow_ownership, name_member
-from plantainyard.entry.owning import Owners
+from plantainyard.entry.owning import Owners, tell_jobs
 from plantainyard.entry.peers import Found, ask_about_job
 from plantainyard.entry.tails import poll_tail
 from plantainyard.entry.tests.site import (
@@ -24,7 +24,7 @@
     run_instance,
     wait_until,
 )
-from plantainyard.entry.topics import INTAKE
+from plantainyard.entry.topics import INTAKE, PROGRESS
 from plantainyard.platform.runners import Held, OrderOutcome, OrderResult
 from plantainyard.platform.store import Append, Record, build_store_calls
 from standins.platform import RunnerState, StoreState, serve_platform
@@ -158,3 +158,18 @@
         instance.owned[0] = Owned(Mock(), Mock())
         assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 200
         assert ask_about_job(instance, 0, JOB) == Found("queued")
+
+
+def test_a_new_owner_is_told_of_the_cancel_of_a_job_that_was_handed_over():
+    # Guards against a cancelled job that runs on in another unit: its cancel was read
+    # during the takeover.
+    store = StoreState()
+    with run_instance(store) as instance:
+        assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 200
+        store.put(PROGRESS, f"h/{JOB}", b"1")
+        store.put(INTAKE, f"c/{JOB}", b"1")
+        assert refresh_copy(instance.copies[0])
+        actor = Mock()
+        instance.owned[0] = Owned(Mock(), actor)
+        tell_jobs(instance, instance.copies[0])
+    assert [sent.args[0] for sent in actor.tell.call_args_list] == [Cancelled(JOB)]
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -21,6 +21,7 @@
     Committed,
     Dispatcher,
     Forward,
+    Forwarded,
     HoldAnswered,
     HoldFailed,
     JobSummary,
@@ -255,6 +256,7 @@
             if isinstance(answer, Ok):
                 keys = [record.key for record in action.records]
                 world.log.write("job_handed_over", key=keys[0], unit=action.unit)
+                self._tell(Forwarded(keys))
                 return
             why = answer.err_value.detail
             world.log.write("order_failed", kind="forward", why=why)
