Let a unit stay with its owner while that one is at work

Cause: the platform's group deals all units anew whenever a member comes or goes, and at times without cause, and an instance owned exactly what it was dealt. After a loss of power, or while instances are restarted in turn, the members change several times within seconds: on the users' larger deployment all units changed their owners at 39, 43, 46, 47 to 51 and 52 to 54 s after all instances had been powered off at 34.5 s. Each change costs a reading of the unit and a look at all its runners, and between them the leases of what runs lapse (LOST).

Ruled out: fewer members (a single death would still deal all units anew); a lease of our own in the store (a heartbeat each second, read by 97 instances).

Change: the group names candidates only. Whoever is dealt a unit asks the announced owner, and claims the unit where that one is gone (three questions without an answer, or an answer that it doesn't own it), leaves, is cut off from the store, or has two units more. A claim is announced before the unit is fenced; a reading of the layout that shows no later claim is what renews an ownership, so the wait of a successor covers all leases that its predecessor can have granted. Whoever is stopped commands its units until others have claimed them. Members renew every 0.3 s instead of 0.15.

Tests that waited for the event of a deposed instance now check that it owns nothing and gets a later epoch.

--- a/plantainyard/entry/eventlog.py
+++ b/plantainyard/entry/eventlog.py
@@ -47,6 +47,7 @@
         "owner_gained",
         "owner_lost",
         "owner_named",
+        "owner_succeeded",
         "refused",
         "reloaded",
         "reload_failed",
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -3,6 +3,7 @@
 import contextlib
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import NamedTuple
 
 import pykka
@@ -29,12 +30,16 @@
 from plantainyard.platform.settings import InstanceSettings
 from plantainyard.platform.store import Record, StoreCalls, build_store_calls
 
-__all__ = ["Instance", "Owned", "run_follower"]
+__all__ = ["Claim", "Instance", "Owned", "run_follower"]
 
 LAYOUT_POLL_S = 5.0
 """Wait of reads of the layout. A change of owner is read at once; where the connection
 has fallen silent it shows as an owner that doesn't answer, and the store is asked."""
 
+CONFIRM_S = 0.5
+"""The same for an instance that owns a unit: each reading renews its ownership, and
+with it the leases that it may grant."""
+
 LONG_POLL_S = 1.0
 """Wait of reads that must notice at once: the configuration by all, submissions by
 the owner. One call a second each while nothing happens."""
@@ -50,6 +55,22 @@
     actor: pykka.ActorRef[UnitActor]
 
 
+@dataclass(slots=True)
+class Claim:
+    """A unit that this instance owns or is taking over.
+
+    Attributes
+    ----------
+    epoch : int
+        The fencing token.
+    confirmed_at : float
+        When the store was last asked that knew of no later owner.
+    """
+
+    epoch: int
+    confirmed_at: float
+
+
 class Instance:
     """State shared by an instance's threads.
 
@@ -68,10 +89,14 @@
         Number of units, and their owners.
     copies : list of UnitCopy
         By unit; empty until the number of units is known.
+    claims : dict
+        The units that this instance owns or is taking over.
     owned : dict
-        The units that this instance owns now.
+        Those of them that it owns now.
     deposed : Event
-        Set when a successor has shown itself.
+        Set when it needs a later epoch: it is to join the group anew.
+    leaving : Event
+        Set while it owns units only until others take them over.
     """
 
     def __init__(self, settings: InstanceSettings, log: EventLog) -> None:
@@ -85,9 +110,11 @@
         self.configuration: Configuration | None = None
         self.layout = Layout(log)
         self.copies: list[UnitCopy] = []
+        self.claims: dict[int, Claim] = {}
         self.owned: dict[int, Owned] = {}
         self.stopping = threading.Event()
         self.deposed = threading.Event()
+        self.leaving = threading.Event()
         self.operations = Tail(self.store, OPERATIONS, 0, self._take_operation)
         self.layout_tail = Tail(self.store, LAYOUT, 0, self.layout.take)
 
@@ -167,6 +194,7 @@
     tail: Tail,
     choose_wait: Callable[[], tuple[float, float]],
     stopping: threading.Event,
+    note: Callable[[], None] = lambda: None,
 ) -> None:
     """Follow a tail until `stopping` is set.
 
@@ -178,10 +206,14 @@
         Returns the wait of the next read and the pause before it, in seconds.
     stopping : Event
         Ends it.
+    note : callable
+        Called after each reading, also after one that failed.
     """
     while not stopping.is_set():
         wait_s, pause_s = choose_wait()
         if pause_s and stopping.wait(pause_s):
             return
-        if isinstance(poll_tail(tail, wait_s), Err):
+        found = poll_tail(tail, wait_s)
+        note()
+        if isinstance(found, Err):
             stopping.wait(RETRY_S)
--- a/plantainyard/entry/layout.py
+++ b/plantainyard/entry/layout.py
@@ -97,7 +97,10 @@
     def _take_owner(self, record: Record) -> None:
         unit = int(record.key.removeprefix(OWNER_PREFIX))
         data = json.loads(record.value)
-        owner = Owner(int(data["epoch"]), str(data["address"]))
+        self.note_owner(unit, Owner(int(data["epoch"]), str(data["address"])))
+
+    def note_owner(self, unit: int, owner: Owner) -> None:
+        """Take note of who owns a unit."""
         held = self.owners.get(unit)
         # An owner that was slow to announce itself must not hide its successor.
         if held is None or owner.epoch >= held.epoch:
@@ -209,12 +212,18 @@
 
 def announce_owner(
     store: StoreCalls, unit: int, owner: Owner, stopping: threading.Event
-) -> None:
-    """Tell all instances who owns a unit; a repeat does no harm."""
+) -> bool:
+    """Tell all instances who owns a unit; return whether that is stored.
+
+    Notes
+    -----
+    A repeat does no harm.
+    """
     value = json.dumps(owner._asdict()).encode()
     append = Append(LAYOUT, 0, [Record(f"{OWNER_PREFIX}{unit}", value)])
     while not stopping.is_set():
         answer = store.append(append, READ_TIMEOUT_S)
         if not isinstance(answer, Err):
-            return
+            return True
         stopping.wait(POLL_S)
+    return False
--- a/plantainyard/entry/ownership.py
+++ b/plantainyard/entry/ownership.py
@@ -1,4 +1,4 @@
-"""Which units this instance owns, by the platform's group."""
+"""Which units this instance may claim, by the platform's group."""
 
 import secrets
 import threading
@@ -14,31 +14,23 @@
     is_strong,
     watch_group,
 )
-from plantainyard.entry.eventlog import EventLog
+from plantainyard.entry.instance import Instance
 from plantainyard.entry.topics import GROUP, PROGRESS
 from plantainyard.errors import CallError
-from plantainyard.platform.settings import InstanceSettings
-from plantainyard.platform.store import Holding, StoreCalls
+from plantainyard.platform.store import Holding
 
 __all__ = ["Member", "Ownership", "follow_ownership", "name_member"]
 
-JOIN_EVERY_S = 0.15
-"""Time between renewals: seven may be lost before a successor is named. A change of
-members takes two of them until the new owner knows, and while instances are restarted
-one after the other each of them is such a change."""
+JOIN_EVERY_S = 0.3
+"""Time between renewals, and between a candidate's questions to the owners of what it
+was dealt: three of them may be lost before the group deals anew."""
 
 TTL_S = 1.2
-"""Time of silence after which the group names a successor; a pause of the process
-shorter than this costs nothing, and runners' leases last four times as long."""
+"""Time of silence after which the group names other candidates."""
 
 JOIN_TIMEOUT_S = 0.8
 """Longest wait for an answer to a renewal."""
 
-KEEP_S = 12.0
-"""How long an owner that can't reach the store goes on noting ends and stopping what
-is cancelled: the store may be down for everyone, and then nobody could take over. By
-then every lease that it could grant has lapsed."""
-
 
 class Ownership(NamedTuple):
     """What the group has said.
@@ -48,14 +40,14 @@
     generation : int
         The group's generation.
     units : frozenset of int
-        Units that this instance owns.
-    asked_at : float
-        When the group was asked; zero where it didn't answer.
+        Units that it has dealt to this instance.
+    steady_s : float
+        For how long it has answered without a break.
     """
 
     generation: int
     units: frozenset[int]
-    asked_at: float = 0.0
+    steady_s: float = 0.0
 
 
 def name_member(instance: str, strong: bool = True) -> str:
@@ -79,21 +71,17 @@
     ----------
     name : str
         Its name there.
-    store : StoreCalls
-        Where the group is.
-    units : int
-        Number of units.
-    log : EventLog
-        For lost and regained answers.
+    instance : Instance
+        Whose place it is.
     take : callable
-        Told what the instance owns.
+        Told what the group has dealt to it.
 
     Attributes
     ----------
     generation : int
         The last one that the group told; zero for a member that is to join anew.
-    answered_at : float
-        When the last call that was answered was sent.
+    steady_since : float
+        Since when each call was answered.
     lost : bool
         The last call wasn't answered.
     joined : bool
@@ -103,100 +91,91 @@
     def __init__(
         self,
         name: str,
-        store: StoreCalls,
-        units: int,
-        log: EventLog,
+        instance: Instance,
         take: Callable[[Ownership], None],
     ) -> None:
         self.name = name
-        self.store = store
-        self.units = units
-        self.log = log
+        self.instance = instance
         self.take = take
         self.generation = 0
-        self.answered_at = read_clock()
+        self.steady_since = read_clock()
         self.lost = False
         self.joined = False
 
     def renew(self) -> None:
-        """Join the group or stay in it, and pass on what it says.
-
-        Notes
-        -----
-        After `KEEP_S` without an answer the instance gives up what it owned: it may
-        have a successor for long, and must not keep alive what that one counts as
-        ended.
-        """
+        """Join the group or stay in it, and pass on what it says."""
         self.joined = True
-        sent_at = read_clock()
-        answer = self.store.join(
+        asked_at = read_clock()
+        answer = self.instance.store.join(
             GROUP, self.name, [PROGRESS], TTL_S, self.generation, JOIN_TIMEOUT_S
         )
         if isinstance(answer, Err):
             self._note_silence(answer.err_value.detail)
             return
         if self.lost:
-            self.log.write("dependency_regained", of="store")
+            self.instance.log.write("dependency_regained", of="store")
+            self.steady_since = asked_at
         self.lost = False
-        self.answered_at = sent_at
         self.generation = answer.ok_value.generation
-        owned = frozenset(
+        dealt = frozenset(
             row.partition
             for row in answer.ok_value.assignments
-            if row.topic == PROGRESS and row.partition < self.units
+            if row.topic == PROGRESS and row.partition < self.instance.layout.units
         )
-        self.take(Ownership(self.generation, owned, sent_at))
+        steady_s = read_clock() - self.steady_since
+        self.take(Ownership(self.generation, dealt, steady_s))
 
     def _note_silence(self, why: str) -> None:
         if not self.lost:
-            self.log.write("dependency_lost", of="store", detail=why)
+            self.instance.log.write("dependency_lost", of="store", detail=why)
         self.lost = True
-        if read_clock() - self.answered_at > KEEP_S:
-            self.take(Ownership(self.generation, frozenset()))
 
     def leave(self) -> None:
         """Leave the group; a later `renew` joins it anew, under a later generation."""
-        self.store.leave(GROUP, self.name, JOIN_TIMEOUT_S)
+        self.instance.store.leave(GROUP, self.name, JOIN_TIMEOUT_S)
         self.generation = 0
         self.joined = False
 
 
 def follow_ownership(
-    settings: InstanceSettings,
-    store: StoreCalls,
-    units: int,
-    log: EventLog,
+    instance: Instance,
     take: Callable[[Ownership], None],
     answers: Callable[[int], bool],
-    deposed: threading.Event,
     stopping: threading.Event,
 ) -> None:
     """Stay in the group and call `take` with each answer, until `stopping` is set.
 
     Notes
     -----
-    An instance that was fenced off although the group still names it leaves the group
-    and joins it anew: only a later generation is a higher fencing token. A reserve is
-    in the group only while strong instances are too few; see `candidacy`.
+    An instance that needs a later epoch leaves the group and joins it anew: only a
+    later generation is a higher fencing token. A reserve is in the group only while
+    strong instances are too few; see `candidacy`. Whoever leaves goes on with the units
+    that it owns until others have claimed them.
     """
-    strong = is_strong(settings)
-    member = Member(name_member(settings.instance, strong), store, units, log, take)
+    strong = is_strong(instance.settings)
+    member = Member(name_member(instance.settings.instance, strong), instance, take)
     reserve = Reserve(read_clock())
 
     def look() -> Result[list[Holding], CallError]:
-        return store.read_holdings(GROUP, JOIN_TIMEOUT_S)
+        return instance.store.read_holdings(GROUP, JOIN_TIMEOUT_S)
+
+    def is_needed() -> bool:
+        units = instance.layout.units
+        return strong or watch_group(reserve, look, answers, units, read_clock())
 
     while not stopping.is_set():
-        if deposed.is_set():
+        if instance.deposed.is_set():
             member.leave()
-            deposed.clear()
-        if strong or watch_group(reserve, look, answers, units, read_clock()):
+            instance.deposed.clear()
+        if is_needed():
             if not strong and not member.joined:
-                log.write("reserve_joined", shortages=reserve.shortages)
+                instance.log.write("reserve_joined", shortages=reserve.shortages)
+            instance.leaving.clear()
             member.renew()
         elif member.joined:
-            log.write("reserve_left", generation=member.generation)
-            take(Ownership(member.generation, frozenset()))
+            instance.log.write("reserve_left", generation=member.generation)
+            instance.leaving.set()
             member.leave()
         stopping.wait(JOIN_EVERY_S)
+    instance.leaving.set()
     member.leave()
--- a/plantainyard/entry/owning.py
+++ b/plantainyard/entry/owning.py
@@ -3,6 +3,7 @@
 import contextlib
 import threading
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import pykka
 from result import Err
@@ -20,17 +21,21 @@
     choose_lease,
     restore_dispatcher,
 )
+from plantainyard.entry.candidacy import is_strong
+from plantainyard.entry.claims import Candidate, ClaimReason, Seen, judge_owner
 from plantainyard.entry.copies import UnitCopy, refresh_copy
 from plantainyard.entry.directory import Directory
 from plantainyard.entry.instance import (
     LONG_POLL_S,
     RETRY_S,
+    Claim,
     Instance,
     Owned,
     run_follower,
 )
 from plantainyard.entry.layout import Owner, announce_owner, find_unit
 from plantainyard.entry.ownership import Ownership
+from plantainyard.entry.peers import ask_owner
 from plantainyard.entry.tails import Tail, poll_tail
 from plantainyard.entry.topics import PRODUCER, PROGRESS, RUNNERS
 from plantainyard.entry.unit import (
@@ -44,6 +49,14 @@
 
 __all__ = ["Owners", "tell_jobs"]
 
+KEEP_S = 12.0
+"""How long an owner that can't reach the store goes on noting ends and stopping what
+is cancelled: the store may be down for everyone, and then nobody could take over. By
+then every lease that it could grant has lapsed."""
+
+MOST_ASKED = 4
+"""Owners asked at once; a candidate is dealt a few units at a time."""
+
 RUNNERS_EVERY_S = 0.25
 """Time between the owner's reads of runners' entries, which nearly all change every
 second: waiting for each would cost thirty calls a second."""
@@ -55,42 +68,104 @@
     Parameters
     ----------
     instance : Instance
-        Whose `owned` is kept up to date.
+        Whose `claims` and `owned` are kept up to date.
 
     Attributes
     ----------
-    wanted : dict
-        Epochs under which this instance is to own units, by unit.
     worlds : dict
         What the owners of units work with, by unit.
+    generation, changed_at : int, float
+        The group's, and when that was first seen.
+    moved_at : float
+        When a unit was last taken from an owner at work.
+    seen : list of Seen
+        What was seen of the owners of units that the group has dealt to this instance.
     """
 
     def __init__(self, instance: Instance) -> None:
         self.instance = instance
-        self.wanted: dict[int, int] = {}
         self.worlds: dict[int, UnitWorld] = {}
+        self.generation = 0
+        self.changed_at = 0.0
+        self.moved_at = read_clock()
+        self.seen = [Seen() for _ in instance.copies]
         self._owning = [threading.Lock() for _ in instance.copies]
+        self._asking = ThreadPoolExecutor(MOST_ASKED, "ask")
 
     def take(self, ownership: Ownership) -> None:
-        """Begin or end to own units, as the group says."""
-        for copy in self.instance.copies:
-            unit = copy.unit
-            if unit not in ownership.units:
+        """Claim those units that the group has dealt and nobody else owns."""
+        now = read_clock()
+        if ownership.generation != self.generation:
+            self.generation, self.changed_at = ownership.generation, now
+        dealt = sorted(ownership.units - self.instance.claims.keys())
+        for unit in {copy.unit for copy in self.instance.copies}.difference(dealt):
+            self.seen[unit] = Seen()
+        replies = self._asking.map(lambda unit: ask_owner(self.instance, unit), dealt)
+        for unit, reply in zip(dealt, replies, strict=True):
+            candidate = self._describe_candidate(ownership)
+            why = judge_owner(self.seen[unit], reply, candidate)
+            if why:
+                self._claim(unit, why)
+
+    def _describe_candidate(self, ownership: Ownership) -> Candidate:
+        now = read_clock()
+        return Candidate(
+            now,
+            units=len(self.instance.claims),
+            reserve=not is_strong(self.instance.settings),
+            settled_s=now - self.changed_at,
+            steady_s=ownership.steady_s,
+            rested_s=now - self.moved_at,
+        )
+
+    def _claim(self, unit: int, why: str) -> None:
+        """Begin to take a unit over; its epoch must be later than the last one.
+
+        Notes
+        -----
+        Guards against a unit that nobody can own: this instance has lost it under the
+        generation that still deals it the unit, whose records the store refuses now.
+        """
+        instance, epoch = self.instance, self.generation
+        held = instance.layout.owners.get(unit)
+        if held is not None and held.epoch >= epoch:
+            instance.deposed.set()
+            return
+        if why in (ClaimReason.SHARE, ClaimReason.RESERVE):
+            self.moved_at = read_clock()
+        instance.claims[unit] = Claim(epoch, read_clock())
+        instance.log.write("owner_named", unit=unit, epoch=epoch, why=why)
+        arguments = (instance.copies[unit], epoch)
+        threading.Thread(target=self._own, args=arguments, daemon=True).start()
+
+    def confirm(self) -> None:
+        """Take in what the layout says of this instance's units.
+
+        Notes
+        -----
+        A successor announces itself before it counts what its predecessor may have
+        left at work. So a reading of the layout that shows none proves that there was
+        none when it began, and what is commanded until then is in time.
+
+        An owner that can't reach the store keeps its units for a while: the store may
+        be down for everyone, and then nobody could take over.
+        """
+        instance = self.instance
+        read_at = instance.layout_tail.synced_at
+        for unit, claim in list(instance.claims.items()):
+            held = instance.layout.owners.get(unit)
+            if held is not None and held.epoch > claim.epoch:
+                instance.log.write("owner_succeeded", unit=unit, epoch=held.epoch)
+                self.give_up(unit)
+            elif held is not None and held.epoch == claim.epoch:
+                claim.confirmed_at = max(claim.confirmed_at, read_at)
+                instance.tell(unit, Renewed(read_at))
+            if read_clock() - claim.confirmed_at > KEEP_S:
                 self.give_up(unit)
-                continue
-            if ownership.asked_at:
-                self.instance.tell(unit, Renewed(ownership.asked_at))
-            if unit not in self.wanted and not self.instance.deposed.is_set():
-                self.wanted[unit] = ownership.generation
-                self.instance.log.write(
-                    "owner_named", unit=unit, epoch=ownership.generation
-                )
-                arguments = (copy, ownership.generation)
-                threading.Thread(target=self._own, args=arguments, daemon=True).start()
 
     def give_up(self, unit: int) -> None:
         """End to own a unit at once."""
-        self.wanted.pop(unit, None)
+        self.instance.claims.pop(unit, None)
         world = self.worlds.pop(unit, None)
         if world is not None:
             world.stopping.set()
@@ -99,18 +174,12 @@
         """End to own anything."""
         for copy in self.instance.copies:
             self.give_up(copy.unit)
-
-    def _depose(self) -> None:
-        # The group deals anew only once this member has left it, with all its units.
-        self.give_up_all()
-        self.instance.deposed.set()
+        self._asking.shutdown(wait=False, cancel_futures=True)
 
     def _own(self, copy: UnitCopy, epoch: int) -> None:
-        """Own a unit until the group or a successor says otherwise."""
+        """Own a unit until a successor says otherwise."""
         unit, instance = copy.unit, self.instance
         with self._owning[unit]:
-            if not self._is_wanted(unit, epoch):
-                return
             world = UnitWorld(
                 unit,
                 epoch,
@@ -118,12 +187,17 @@
                 instance.runners,
                 copy.replica,
                 instance.log,
-                self._depose,
+                lambda: self.give_up(unit),
                 instance.meters,
             )
             self.worlds[unit] = world
-            if not self._is_wanted(unit, epoch):
+            if not self._is_claimed(unit, epoch):
+                return
+            began_at = read_clock()
+            owner = Owner(epoch, instance.peer_address())
+            if not announce_owner(instance.store, unit, owner, world.stopping):
                 return
+            instance.layout.note_owner(unit, owner)
             fenced_at = read_clock()
             if not _fence_predecessors(world, instance.peer_address()):
                 return
@@ -131,32 +205,30 @@
                 return
             world.dispatcher = _restore(instance, copy, fenced_at)
             with keep_unit_actor(world, world.dispatcher) as actor:
-                self._serve(copy, epoch, Owned(world, actor), fenced_at)
+                self._serve(copy, epoch, Owned(world, actor), began_at)
 
-    def _serve(
-        self, copy: UnitCopy, epoch: int, owned: Owned, fenced_at: float
-    ) -> None:
+    def _serve(self, copy: UnitCopy, epoch: int, owned: Owned, began_at: float) -> None:
         unit, instance = copy.unit, self.instance
         instance.owned[unit] = owned
-        took_s = round(read_clock() - fenced_at, 3)
+        took_s = round(read_clock() - began_at, 3)
         instance.log.write("owner_gained", unit=unit, epoch=epoch, took_s=took_s)
         try:
             with _follow_intake(instance, copy, owned.world.stopping):
                 tell_jobs(instance, copy)
-                _announce(instance, unit, epoch, owned.world.stopping)
                 self._follow_runners(unit, epoch, owned.actor)
         finally:
             instance.owned.pop(unit, None)
             instance.log.write("owner_lost", unit=unit, epoch=epoch)
 
-    def _is_wanted(self, unit: int, epoch: int) -> bool:
+    def _is_claimed(self, unit: int, epoch: int) -> bool:
+        claim = self.instance.claims.get(unit)
         stopping = self.instance.stopping.is_set()
-        return self.wanted.get(unit) == epoch and not stopping
+        return claim is not None and claim.epoch == epoch and not stopping
 
     def _catch_up(self, copy: UnitCopy, epoch: int) -> bool:
         """Read all that is stored; what comes later is told to the actor."""
         while not refresh_copy(copy):
-            if not self._is_wanted(copy.unit, epoch):
+            if not self._is_claimed(copy.unit, epoch):
                 return False
             self.instance.stopping.wait(RETRY_S)
         return True
@@ -167,7 +239,7 @@
         instance = self.instance
         directory = Directory(_choose_runners(instance, unit, actor), instance.log)
         tail = Tail(instance.store, RUNNERS, 0, directory.take, directory.begin)
-        while self._is_wanted(unit, epoch):
+        while self._is_claimed(unit, epoch):
             if not isinstance(poll_tail(tail), Err):
                 directory.finish()
             instance.stopping.wait(RUNNERS_EVERY_S)
@@ -242,11 +314,3 @@
             instance.tell(copy.unit, Submitted(view.submission))
         if view.cancelled:
             instance.tell(copy.unit, Cancelled(job_id))
-
-
-def _announce(
-    instance: Instance, unit: int, epoch: int, stopping: threading.Event
-) -> None:
-    owner = Owner(epoch, instance.peer_address())
-    arguments = (instance.store, unit, owner, stopping)
-    threading.Thread(target=announce_owner, args=arguments, daemon=True).start()
--- a/plantainyard/entry/peers.py
+++ b/plantainyard/entry/peers.py
@@ -8,11 +8,15 @@
 from result import Err
 
 from plantainyard.batch.replica import count_pending, describe_state
+from plantainyard.clock import read_clock
 from plantainyard.dispatch import Load
 from plantainyard.entry.answers import OK, send_json
+from plantainyard.entry.candidacy import is_strong
+from plantainyard.entry.claims import Reply, Word
 from plantainyard.entry.copies import UnitCopy
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.tails import read_ahead
+from plantainyard.errors import ErrorKind
 from plantainyard.transport import build_peer, build_pool, call_json
 
 __all__ = [
@@ -20,6 +24,7 @@
     "ask_about_job",
     "ask_harms",
     "ask_load",
+    "ask_owner",
     "ask_pending",
     "build_peer_app",
     "look_up",
@@ -28,6 +33,9 @@
 OWNER_S = 0.4
 """Longest wait for an owner's answer; between regions it takes 30 ms."""
 
+ASK_OWNER_S = 0.3
+"""The same for the question whether it is there, of which three in a row count."""
+
 _pool = build_pool(pools=64, connections_per_peer=4)
 
 
@@ -99,6 +107,35 @@
     return b"" if body is None else str(body["harms"]).encode()
 
 
+def ask_owner(instance: Instance, unit: int) -> Reply:
+    """Return what the announced owner of a unit says of itself."""
+    owner = instance.layout.owners.get(unit)
+    if owner is None or owner.address == instance.peer_address():
+        word = _describe_claim(instance, unit)
+        return Reply(True, word)
+    peer = build_peer(f"http://{owner.address}", _pool, ASK_OWNER_S)
+    answer = call_json(peer, "peer.owner", "GET", f"/units/{unit}/owner")
+    if isinstance(answer, Err):
+        return Reply(answer.err_value.kind == ErrorKind.REFUSED)
+    try:
+        return Reply(True, Word(*answer.ok_value.body["owner"]))
+    except (TypeError, KeyError) as error:
+        instance.log.write("peer_silent", unit=unit, why=repr(error))
+        return Reply(False)
+
+
+def _describe_claim(instance: Instance, unit: int) -> Word | None:
+    claim = instance.claims.get(unit)
+    if claim is None:
+        return None
+    return Word(
+        units=len(instance.claims),
+        confirmed_s=round(read_clock() - claim.confirmed_at, 3),
+        leaving=instance.leaving.is_set(),
+        reserve=not is_strong(instance.settings),
+    )
+
+
 def _ask(
     instance: Instance, unit: int, step: str, path: str, field: str, kind: type
 ) -> dict[str, Any] | None:
@@ -154,6 +191,9 @@
     if len(parts) < 3 or parts[0] != "units" or not parts[1].isdigit():
         return None
     unit, topic, rest = int(parts[1]), parts[2], parts[3:]
+    if topic == "owner":
+        word = _describe_claim(instance, unit)
+        return None if word is None else {"owner": list(word)}
     # Only an owner is ahead of the store's readers.
     if unit not in instance.owned:
         return None
--- a/plantainyard/entry/process.py
+++ b/plantainyard/entry/process.py
@@ -19,6 +19,7 @@
 from plantainyard.entry.front import build_front
 from plantainyard.entry.inspection import build_inspection_app
 from plantainyard.entry.instance import (
+    CONFIRM_S,
     LAYOUT_POLL_S,
     LONG_POLL_S,
     Instance,
@@ -29,7 +30,7 @@
 from plantainyard.entry.meters import build_metrics_app
 from plantainyard.entry.ownership import follow_ownership
 from plantainyard.entry.owning import Owners
-from plantainyard.entry.peers import ask_load, build_peer_app
+from plantainyard.entry.peers import ask_owner, build_peer_app
 from plantainyard.platform.settings import (
     SETTINGS_VARIABLE,
     InstanceSettings,
@@ -152,8 +153,13 @@
     return LONG_POLL_S, 0.0
 
 
-def _wait_longest() -> tuple[float, float]:
-    return LAYOUT_POLL_S, 0.0
+def _follow_layout(instance: Instance, owners: Owners) -> None:
+    """Follow the layout, by which owners know that they still are owners."""
+
+    def choose_wait() -> tuple[float, float]:
+        return (CONFIRM_S if instance.claims else LAYOUT_POLL_S), 0.0
+
+    run_follower(instance.layout_tail, choose_wait, instance.stopping, owners.confirm)
 
 
 def _run_units(instance: Instance, draining: threading.Event) -> None:
@@ -172,21 +178,19 @@
     instance.open_units()
     owners = Owners(instance)
     followers = (
-        (run_follower, (instance.layout_tail, _wait_longest, instance.stopping)),
+        (_follow_layout, (instance, owners)),
         (watch_loads, (instance,)),
     )
     for target, arguments in followers:
         threading.Thread(target=target, args=arguments, daemon=True).start()
     follow_ownership(
-        instance.settings,
-        instance.store,
-        instance.layout.units,
-        instance.log,
+        instance,
         owners.take,
-        lambda unit: ask_load(instance, unit) is not None,
-        instance.deposed,
+        lambda unit: ask_owner(instance, unit).word is not None,
         draining,
     )
+    # Units are commanded until others have claimed them.
+    instance.stopping.wait()
     owners.give_up_all()
 
 
--- a/plantainyard/entry/tests/site.py
+++ b/plantainyard/entry/tests/site.py
@@ -4,12 +4,14 @@
 import io
 import json
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from plantainyard.clock import read_clock
 from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.front import serve_request
 from plantainyard.entry.instance import Instance
+from plantainyard.entry.ownership import Ownership
+from plantainyard.entry.owning import Owners
 from plantainyard.entry.tails import poll_tail
 from plantainyard.entry.topics import LAYOUT, UNITS_KEY
 from plantainyard.platform.settings import InstanceSettings
@@ -82,3 +84,28 @@
     }
     answer = serve_request(instance, environ)
     return int(answer.status[:3]), answer.body
+
+
+def own_units(instance: Instance, epoch: int, *units: int) -> Owners:
+    """Let an instance own units that the group has dealt to it."""
+    owners = Owners(instance)
+    deal_until(owners, epoch, units, lambda: bool(instance.owned.keys() >= set(units)))
+    return owners
+
+
+def poll_layout(owners: Owners) -> None:
+    """Let an instance read the layout once, as its follower does."""
+    assert poll_tail(owners.instance.layout_tail).is_ok()
+    owners.confirm()
+
+
+def deal_until(
+    owners: Owners, epoch: int, units: Iterable[int], check: Callable[[], bool]
+) -> None:
+    """Tell owners again and again what the group has dealt, until a check holds."""
+
+    def is_true() -> bool:
+        owners.take(Ownership(epoch, frozenset(units)))
+        return check()
+
+    wait_until(is_true)
--- a/plantainyard/entry/tests/test_candidacy.py
+++ b/plantainyard/entry/tests/test_candidacy.py
@@ -1,6 +1,5 @@
 """Which instances own units."""
 
-import io
 import threading
 
 from result import Err, Ok
@@ -12,13 +11,12 @@
     needs_reserves,
     watch_group,
 )
-from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.ownership import Ownership, follow_ownership, name_member
-from plantainyard.entry.tests.site import make_settings, wait_until
+from plantainyard.entry.tests.site import make_settings, run_instance, wait_until
 from plantainyard.entry.topics import GROUP, PROGRESS
 from plantainyard.errors import CallError, ErrorKind
-from plantainyard.platform.store import Holding, build_store_calls
-from standins.platform import StoreState, serve_platform
+from plantainyard.platform.store import Holding
+from standins.platform import StoreState
 
 STRONG = [Holding(PROGRESS, unit, f"strong-{unit}/1") for unit in range(4)]
 MIXED = [*STRONG[:3], Holding(PROGRESS, 3, "weak/1/reserve")]
@@ -107,31 +105,22 @@
 
 
 def test_a_reserve_owns_a_unit_until_a_strong_instance_comes():
-    # A site has one weak instance, which serves; a strong one is added. The weak one
-    # must leave the group, or the strong one never gets the unit.
+    # Guards against a unit that stays with a weak instance: it leaves the group for a
+    # strong one, and says that the unit may be taken.
     store = StoreState()
-    with serve_platform(store, ()) as servers:
+    with run_instance(store) as instance:
+        instance.settings = instance.settings._replace(cores=0.5)
         stopping = threading.Event()
         told: list[Ownership] = []
-        calls = build_store_calls(servers.store)
-        weak = make_settings(servers.store)._replace(cores=0.5)
-        arguments = (
-            weak,
-            calls,
-            1,
-            EventLog("edge-1", io.StringIO()),
-            told.append,
-            answer,
-            threading.Event(),
-            stopping,
-        )
+        arguments = (instance, told.append, answer, stopping)
         thread = threading.Thread(target=follow_ownership, args=arguments, daemon=True)
         thread.start()
         wait_until(lambda: told and told[-1].units)
+        assert not instance.leaving.is_set()
         # The platform deals partitions to those who are there once one of them leaves.
-        calls.join(GROUP, "strong/1", [PROGRESS], 600.0, 0, 5.0)
+        instance.store.join(GROUP, "strong/1", [PROGRESS], 600.0, 0, 5.0)
         store.groups[GROUP].owners[0] = "strong/1"
-        wait_until(lambda: not told[-1].units)
+        wait_until(instance.leaving.is_set)
         wait_until(lambda: list(store.groups[GROUP].members) == ["strong/1"])
         stopping.set()
         thread.join()
--- a/plantainyard/entry/tests/test_front.py
+++ b/plantainyard/entry/tests/test_front.py
@@ -7,13 +7,12 @@
 
 from plantainyard.entry.front import build_front
 from plantainyard.entry.instance import Instance
-from plantainyard.entry.ownership import Ownership
-from plantainyard.entry.owning import Owners
 from plantainyard.entry.peers import look_up
 from plantainyard.entry.tests.site import (
     BODY,
     JOB,
     call,
+    own_units,
     run_instance,
     wait_until,
 )
@@ -26,8 +25,7 @@
     store = StoreState()
     runner = RunnerState("r0", {JOB: 0.1})
     with run_instance(store, runner) as instance:
-        owners = Owners(instance)
-        owners.take(Ownership(5, frozenset({0})))
+        own_units(instance, 5, 0)
         assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 200
         wait_until(lambda: look_up(instance.copies[0], JOB).state == "completed")
         assert call(instance, "GET", f"/jobs/{JOB}") == (200, {"state": "completed"})
--- a/plantainyard/entry/tests/test_instance.py
+++ b/plantainyard/entry/tests/test_instance.py
@@ -4,13 +4,12 @@
 from unittest.mock import Mock
 
 from plantainyard.entry.inspection import build_inspection_app, describe_job
-from plantainyard.entry.ownership import Ownership
-from plantainyard.entry.owning import Owners
 from plantainyard.entry.tails import poll_tail
 from plantainyard.entry.tests.site import (
     BODY,
     JOB,
     call,
+    own_units,
     put_configuration,
     run_instance,
     wait_until,
@@ -40,7 +39,7 @@
     store = StoreState()
     runner = RunnerState("r0", {JOB: 0.0})
     with run_instance(store, runner) as instance:
-        Owners(instance).take(Ownership(5, frozenset({0})))
+        own_units(instance, 5, 0)
         assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 200
         wait_until(lambda: len(runner.running) == 2)
         wait_until(
--- a/plantainyard/entry/tests/test_owning.py
+++ b/plantainyard/entry/tests/test_owning.py
@@ -1,6 +1,5 @@
 """Taking, keeping and losing the ownership of units."""
 
-import io
 import threading
 from unittest.mock import Mock
 
@@ -10,7 +9,6 @@
 from plantainyard.batch.values import StepProgress, TaskProgress
 from plantainyard.dispatch import Cancelled, Submitted
 from plantainyard.entry.copies import refresh_copy
-from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.instance import Owned
 from plantainyard.entry.ownership import Ownership, follow_ownership, name_member
 from plantainyard.entry.owning import Owners, tell_jobs
@@ -20,14 +18,15 @@
     BODY,
     JOB,
     call,
-    make_settings,
+    deal_until,
+    own_units,
     run_instance,
     wait_until,
 )
 from plantainyard.entry.topics import INTAKE, PROGRESS
 from plantainyard.platform.runners import Held, OrderOutcome, OrderResult
 from plantainyard.platform.store import Append, Record, build_store_calls
-from standins.platform import RunnerState, StoreState, serve_platform
+from standins.platform import RunnerState, StoreState
 
 
 def test_an_owner_whose_epoch_is_over_stops_at_once():
@@ -35,15 +34,15 @@
     # records; whatever it would still order is based on what is no longer true.
     store = StoreState()
     with run_instance(store, RunnerState("r0", {JOB: 0.1})) as instance:
-        owners = Owners(instance)
-        owners.take(Ownership(5, frozenset({0})))
-        wait_until(lambda: instance.owned)
+        owners = own_units(instance, 5, 0)
         calls = build_store_calls(instance.settings.store_address)
         successor = Append("keyed.progress", 0, [], "owner", 6, 0)
         assert calls.append(successor, 5.0).unwrap().accepted
         call(instance, "POST", f"/jobs/{JOB}", BODY)
-        wait_until(instance.deposed.is_set)
+        wait_until(lambda: not instance.claims)
         wait_until(lambda: not instance.owned)
+        deal_until(owners, 5, {0}, instance.deposed.is_set)
+        assert not instance.claims
 
 
 def test_two_lives_of_an_instance_are_two_members():
@@ -52,26 +51,19 @@
     assert name_member("edge-1") != name_member("edge-1")
 
 
-def test_a_member_that_was_fenced_off_joins_anew():
+def test_a_member_that_needs_a_later_epoch_joins_anew():
+    # Guards against a unit that nobody can own: the only member has lost it under the
+    # generation that goes on dealing it the unit.
     store = StoreState()
-    with serve_platform(store, ()) as servers:
+    with run_instance(store) as instance:
         generations = []
-        stopping, deposed = threading.Event(), threading.Event()
+        stopping = threading.Event()
 
         def take(ownership: Ownership) -> None:
             generations.append(ownership.generation)
-            deposed.set() if len(generations) == 1 else stopping.set()
-
-        follow_ownership(
-            make_settings(servers.store),
-            build_store_calls(servers.store),
-            1,
-            EventLog("edge-1", io.StringIO()),
-            take,
-            lambda unit: True,
-            deposed,
-            stopping,
-        )
+            instance.deposed.set() if len(generations) == 1 else stopping.set()
+
+        follow_ownership(instance, take, lambda unit: True, stopping)
     assert generations[1] > generations[0]
 
 
@@ -98,8 +90,7 @@
     # learn of it.
     store = StoreState()
     with run_instance(store) as instance:
-        Owners(instance).take(Ownership(7, frozenset({0})))
-        wait_until(lambda: instance.owned)
+        own_units(instance, 7, 0)
         late = Append("keyed.progress", 0, [Record("p/x/0/0", b"{}")], "owner", 6, 4)
         assert not instance.store.append(late, 5.0).unwrap().accepted
 
@@ -111,8 +102,8 @@
     runner = RunnerState("r0")
     runner.fence = 99
     with run_instance(store, runner) as instance:
-        Owners(instance).take(Ownership(5, frozenset({0})))
-        wait_until(instance.deposed.is_set)
+        deal_until(Owners(instance), 5, {0}, instance.deposed.is_set)
+        assert not instance.claims
 
 
 def test_an_owner_whose_order_a_runner_refuses_gives_up():
@@ -126,9 +117,10 @@
         instance.runners = Mock()
         instance.runners.hold.return_value = Ok(held)
         instance.runners.start.return_value = refused
-        Owners(instance).take(Ownership(5, frozenset({0})))
+        owners = own_units(instance, 5, 0)
         assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 200
-        wait_until(instance.deposed.is_set)
+        wait_until(lambda: not instance.claims)
+        deal_until(owners, 5, {0}, instance.deposed.is_set)
 
 
 def test_a_cancel_that_is_read_before_its_job_is_told_after_it():
--- a/plantainyard/entry/tests/test_units.py
+++ b/plantainyard/entry/tests/test_units.py
@@ -19,14 +19,13 @@
     propose_units,
     settle_layout,
 )
-from plantainyard.entry.ownership import Ownership
-from plantainyard.entry.owning import Owners
 from plantainyard.entry.peers import Found, ask_about_job, build_peer_app, look_up
 from plantainyard.entry.tests.site import (
     BODY,
     JOB,
     call,
     make_settings,
+    own_units,
     run_instance,
     wait_until,
 )
@@ -152,8 +151,7 @@
     for runner in runners.values():
         runner.durations = dict.fromkeys(jobs.values(), 0.1)
     with run_instance(store, *runners.values(), units=2) as instance:
-        owners = Owners(instance)
-        owners.take(Ownership(5, frozenset({0, 1})))
+        own_units(instance, 5, 0, 1)
         for job in jobs.values():
             assert call(instance, "POST", f"/jobs/{job}", BODY)[0] == 200
         wait_until(lambda: all(is_completed(instance, j) for j in jobs.values()))
