Call all runners from one thread

Cause: an owner asks each of its runners for a report all the time. Each call took a thread of a pool of 96 and went through urllib3: on this machine, 24 calls at once over loopback with 14 runs in the report, 1,564 us of processor time a look (748 from one thread, 472 over a kept urllib3 connection, 93 with selectors and httptools without the decoding of the report, which takes 77).

Ruled out: urllib3 connections without its pool (still a thread for each look that waits, and five times the cost of a parser in C).

Change: plantainyard/multiplexer.py, one thread that waits for all answers and tells each to a function; httptools parses. Whatever has arrived is taken in before a call counts as timed out, so that an owner that was held up doesn't take its own lateness for the silence of its runners. Parsed names of tasks are kept.

Tests of the multiplexer run against raw sockets.

--- a/plantainyard/entry/tests/site.py
+++ b/plantainyard/entry/tests/site.py
@@ -65,6 +65,7 @@
             yield instance
         finally:
             instance.stopping.set()
+            instance.runners.close()
 
 
 def put_configuration(store: StoreState, version: int, **changes: object) -> None:
--- a/plantainyard/entry/tests/test_owning.py
+++ b/plantainyard/entry/tests/test_owning.py
@@ -1,6 +1,8 @@
 """Taking, keeping and losing the ownership of units."""
 
 import threading
+from collections.abc import Callable
+from typing import Any
 from unittest.mock import Mock
 
 from result import Ok
@@ -106,17 +108,23 @@
         assert not instance.claims
 
 
+def later(take: Callable[[Any], None], answer: Any) -> None:
+    """Give an answer a tenth of a second later, as a runner does."""
+    threading.Timer(0.1, take, (answer,)).start()
+
+
 def test_an_owner_whose_order_a_runner_refuses_gives_up():
     # The runner answers an owner's report a moment before its successor calls. The
     # owner's next order is refused, and waiting for the next report it would go on
     # assigning tasks to runners that do nothing it says.
     store = StoreState()
     with run_instance(store, RunnerState("r0")) as instance:
-        held = Held(1000, None, [], [])
+        held = Ok(Held(1000, None, [], []))
         refused = OrderResult(OrderOutcome.FENCED)
+        instance.runners.close()
         instance.runners = Mock()
-        instance.runners.hold.return_value = Ok(held)
-        instance.runners.start.return_value = refused
+        instance.runners.hold.side_effect = lambda *args: later(args[-1], held)
+        instance.runners.start.side_effect = lambda *args: args[-1](refused)
         owners = own_units(instance, 5, 0)
         assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 200
         wait_until(lambda: not instance.claims)
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import pykka
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from plantainyard.batch.replica import Replica, apply_record
 from plantainyard.batch.tasks import TaskKey
@@ -36,9 +36,15 @@
 from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.meters import Meters
 from plantainyard.entry.topics import INTAKE, PRODUCER, PROGRESS
-from plantainyard.errors import ErrorKind
+from plantainyard.errors import CallError, ErrorKind
 from plantainyard.platform.entries import RunnerEntry
-from plantainyard.platform.runners import Order, OrderOutcome, RunnerCalls
+from plantainyard.platform.runners import (
+    Held,
+    Order,
+    OrderOutcome,
+    OrderResult,
+    RunnerCalls,
+)
 from plantainyard.platform.store import Append, StoreCalls
 
 __all__ = ["UnitActor", "UnitWorld", "keep_unit_actor"]
@@ -46,12 +52,6 @@
 TICK_S = 0.1
 """Time between looks at what waits for a time: repeats, leases, schedules."""
 
-HOLD_THREADS = 96
-"""Reports waited for at once; one for each runner that an instance commands."""
-
-ORDER_THREADS = 24
-"""Orders on their way at once: 800 calls a second where a call takes 30 ms."""
-
 ORDER_TIMEOUT_S = 0.4
 """Longest wait for the answer to an order; a region away it takes 30 ms."""
 
@@ -123,8 +123,6 @@
         self.world = world
         self.dispatcher = dispatcher
         self.sequence = 0
-        self.holds = ThreadPoolExecutor(HOLD_THREADS, "hold")
-        self.orders = ThreadPoolExecutor(ORDER_THREADS, "order")
         self.commits = ThreadPoolExecutor(1, "commit")
         self.forwards = ThreadPoolExecutor(1, "forward")
 
@@ -175,7 +173,7 @@
 
     def on_stop(self) -> None:
         """Let go of the threads; calls that are out end by their own timeouts."""
-        for pool in (self.holds, self.orders, self.commits, self.forwards):
+        for pool in (self.commits, self.forwards):
             pool.shutdown(wait=False, cancel_futures=True)
 
     def on_failure(
@@ -201,11 +199,11 @@
             self.sequence += 1
             self.commits.submit(self._commit, action, self.sequence)
         elif isinstance(action, SendHold):
-            self.holds.submit(self._hold, action)
+            self._hold(action)
         elif isinstance(action, Forward):
             self.forwards.submit(self._forward, action)
         else:
-            self.orders.submit(self._order, action)
+            self._order(action)
 
     def _commit(self, action: Commit, sequence: int) -> None:
         world = self.world
@@ -266,19 +264,25 @@
         sent_at = read_clock()
         entry = action.entry
         order = _address(entry, self.world.epoch, lease=action.lease_until_ms)
-        answer = self.world.runners.hold(
-            order, action.last_seen, action.wait_s, HOLD_TIMEOUT_S
+
+        def take(answer: Result[Held, CallError]) -> None:
+            self._tell(self._judge_report(entry.life, answer, sent_at))
+
+        self.world.runners.hold(
+            order, action.last_seen, action.wait_s, HOLD_TIMEOUT_S, take
         )
-        if isinstance(answer, Err):
-            error = answer.err_value
-            if error.kind == ErrorKind.CONFLICT:
-                self.world.depose()
-            other_life = error.kind == ErrorKind.OTHER_LIFE
-            event: Any = HoldFailed(entry.life, sent_at, error.detail, other_life)
-            self.world.log.write("runner_silent", runner=entry.life, why=error.detail)
-        else:
-            event = HoldAnswered(entry.life, answer.ok_value, sent_at)
-        self._tell(event)
+
+    def _judge_report(
+        self, life: str, answer: Result[Held, CallError], sent_at: float
+    ) -> HoldAnswered | HoldFailed:
+        if isinstance(answer, Ok):
+            return HoldAnswered(life, answer.ok_value, sent_at)
+        error = answer.err_value
+        if error.kind == ErrorKind.CONFLICT:
+            self.world.depose()
+        self.world.log.write("runner_silent", runner=life, why=error.detail)
+        other_life = error.kind == ErrorKind.OTHER_LIFE
+        return HoldFailed(life, sent_at, error.detail, other_life)
 
     def _order(self, action: SendOrder) -> None:
         sent_at = read_clock()
@@ -300,7 +304,15 @@
             OrderKind.STOP: calls.stop,
             OrderKind.PACE: calls.pace,
         }[action.kind]
-        result = send(order, ORDER_TIMEOUT_S)
+        send(
+            order,
+            ORDER_TIMEOUT_S,
+            lambda result: self._take_result(action, result, sent_at),
+        )
+
+    def _take_result(
+        self, action: SendOrder, result: OrderResult, sent_at: float
+    ) -> None:
         if result.outcome == OrderOutcome.FENCED:
             self.world.depose()
         if result.outcome != OrderOutcome.DONE:
--- a/plantainyard/platform/runners.py
+++ b/plantainyard/platform/runners.py
@@ -1,26 +1,24 @@
 """Calls to runners: start, stop, pace, and hold with its report."""
 
+from collections.abc import Callable
+from functools import lru_cache
 from typing import Any, NamedTuple
 
-import urllib3
 from result import Err, Ok, Result
 
 from plantainyard.batch.tasks import TaskKey
+from plantainyard.clock import read_clock
 from plantainyard.errors import CallError, ErrorKind
+from plantainyard.multiplexer import Answered, Call, Multiplexer, build_request
 from plantainyard.platform.bodies import encode_body, read_object
-from plantainyard.transport import (
-    HttpAnswer,
-    HttpPeer,
-    Observer,
-    build_pool,
-    ignore_call,
-    send_observed,
-)
+from plantainyard.transport import HttpAnswer, Observer, ignore_call, name_result
 
 __all__ = [
     "Held",
     "HeldRun",
+    "HoldAnswer",
     "Order",
+    "OrderAnswer",
     "OrderOutcome",
     "OrderResult",
     "RunEnd",
@@ -28,13 +26,6 @@
     "build_runner_calls",
 ]
 
-CONNECTIONS_PER_RUNNER = 6
-"""Idle connections kept to each runner: one waits for ends, the others carry orders;
-a new connection costs more than one that is kept."""
-
-MAX_RUNNERS = 512
-"""Runners whose connections are kept; twice what one instance commands at most."""
-
 
 class Order(NamedTuple):
     """An order about one run of a task at one life of a runner.
@@ -119,6 +110,10 @@
 
 OTHER_LIFE = 421
 
+KEPT_TASKS = 8192
+"""Parsed names of tasks that are kept: each is in one report after the other for as
+long as it runs, and an owner has a few thousand."""
+
 
 class OrderResult(NamedTuple):
     """An order's outcome.
@@ -204,21 +199,32 @@
     ended: list[RunEnd]
 
 
+OrderAnswer = Callable[[OrderResult], None]
+"""Told what became of an order."""
+
+HoldAnswer = Callable[[Result[Held, CallError]], None]
+"""Told a runner's report, or why there is none."""
+
+
 class RunnerCalls(NamedTuple):
-    """Calls to runners over kept connections.
+    """Calls to runners; each is told to a function what came of it.
 
     Attributes
     ----------
-    pool : urllib3.PoolManager
+    multiplexer : Multiplexer
         The connections.
     observe : Observer
         Told of each call.
+
+    Notes
+    -----
+    The functions that are told run on the multiplexer's thread and must not wait.
     """
 
-    pool: urllib3.PoolManager
+    multiplexer: Multiplexer
     observe: Observer = ignore_call
 
-    def start(self, order: Order, timeout_s: float) -> OrderResult:
+    def start(self, order: Order, timeout_s: float, answered: OrderAnswer) -> None:
         """Order a run to start; a repeat of the same order does no harm."""
         body: dict[str, Any] = {
             "task": format_task(order.task),
@@ -229,14 +235,14 @@
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
-        return self._order("run-start", order, body, timeout_s)
+        self._order("run-start", order, body, timeout_s, answered)
 
-    def stop(self, order: Order, timeout_s: float) -> OrderResult:
+    def stop(self, order: Order, timeout_s: float, answered: OrderAnswer) -> None:
         """Order a run to stop; one that isn't there yet will be refused."""
         body = {"task": format_task(order.task), "run": order.run, "fence": order.fence}
-        return self._order("run-stop", order, body, timeout_s)
+        self._order("run-stop", order, body, timeout_s, answered)
 
-    def pace(self, order: Order, timeout_s: float) -> OrderResult:
+    def pace(self, order: Order, timeout_s: float, answered: OrderAnswer) -> None:
         """Let a run work at a share of its full speed."""
         body = {
             "task": format_task(order.task),
@@ -244,7 +250,7 @@
             "percent": order.percent,
             "fence": order.fence,
         }
-        return self._order("pace", order, body, timeout_s)
+        self._order("pace", order, body, timeout_s, answered)
 
     def hold(
         self,
@@ -252,7 +258,8 @@
         last_seen: int,
         wait_s: float,
         timeout_s: float,
-    ) -> Result[Held, CallError]:
+        answered: HoldAnswer,
+    ) -> None:
         """Renew the lease of all that runs at a runner, and read its report.
 
         Parameters
@@ -265,41 +272,70 @@
             The answer waits so long for an end that isn't acknowledged.
         timeout_s : float
             Longest time for the answer beyond `wait_s`.
+        answered : HoldAnswer
+            Told the report, or why there is none.
         """
         body: dict[str, Any] = {"fence": order.fence, "lastSeen": last_seen}
         if order.lease_until_ms:
             body["untilMs"] = order.lease_until_ms
         if wait_s:
             body["waitMs"] = round(wait_s * 1000)
-        answer = self._call("hold", order, body, timeout_s + wait_s)
-        return answer.and_then(lambda found: decode_held(found, order))
+
+        def take(answer: Result[HttpAnswer, CallError]) -> None:
+            answered(answer.and_then(lambda found: decode_held(found, order)))
+
+        self._call("hold", order, body, timeout_s + wait_s, take)
+
+    def close(self) -> None:
+        """Close all connections; calls that are out end untold."""
+        self.multiplexer.close()
 
     def _order(
-        self, name: str, order: Order, body: dict[str, Any], timeout_s: float
-    ) -> OrderResult:
-        answer = self._call(name, order, body, timeout_s)
-        if isinstance(answer, Err):
-            return OrderResult(OrderOutcome.UNKNOWN, None, answer.err_value.detail)
-        return decode_result(answer.ok_value)
+        self,
+        name: str,
+        order: Order,
+        body: dict[str, Any],
+        timeout_s: float,
+        answered: OrderAnswer,
+    ) -> None:
+        def take(answer: Result[HttpAnswer, CallError]) -> None:
+            if isinstance(answer, Err):
+                detail = answer.err_value.detail
+                answered(OrderResult(OrderOutcome.UNKNOWN, None, detail))
+            else:
+                answered(decode_result(answer.ok_value))
+
+        self._call(name, order, body, timeout_s, take)
 
     def _call(
-        self, name: str, order: Order, body: dict[str, Any], timeout_s: float
-    ) -> Result[HttpAnswer, CallError]:
-        peer = HttpPeer(f"http://{order.address}", self.pool, timeout_s, timeout_s)
+        self,
+        name: str,
+        order: Order,
+        body: dict[str, Any],
+        timeout_s: float,
+        answered: Answered,
+    ) -> None:
+        step = f"runner.{name}"
+        began = read_clock()
+
+        def take(answer: Result[HttpAnswer, CallError]) -> None:
+            self.observe(step, name_result(answer), read_clock() - began)
+            answered(answer)
+
         headers = {
             "Content-Type": "application/json",
             "Expect-Instance": order.runner,
         }
-        data = encode_body(body)
-        step = f"runner.{name}"
-        return send_observed(
-            self.observe, peer, step, "POST", f"/v1/{name}", data, headers, timeout_s
+        data = build_request(
+            "POST", f"/v1/{name}", order.address, headers, encode_body(body)
         )
+        call = Call(step, order.runner, order.address, data, timeout_s, take)
+        self.multiplexer.send(call)
 
 
 def build_runner_calls(observe: Observer = ignore_call) -> RunnerCalls:
-    """Return calls to runners with a pool of connections of their own."""
-    return RunnerCalls(build_pool(MAX_RUNNERS, CONNECTIONS_PER_RUNNER), observe)
+    """Return calls to runners with connections of their own."""
+    return RunnerCalls(Multiplexer(), observe)
 
 
 def decode_result(answer: HttpAnswer) -> OrderResult:
@@ -361,6 +397,7 @@
     return f"{task.job_id}.{task.occurrence}.{task.step}.{task.number}"
 
 
+@lru_cache(maxsize=KEPT_TASKS)
 def parse_task(name: str) -> TaskKey:
     """Return the task that `format_task` named; ValueError if it is no such name."""
     job_id, occurrence, step, index = name.split(".")
--- a/plantainyard/transport.py
+++ b/plantainyard/transport.py
@@ -37,6 +37,7 @@
     "call_json",
     "parse_answer",
     "ignore_call",
+    "name_result",
     "read_retry_after",
     "send_observed",
     "send_request",
@@ -132,22 +133,20 @@
     headers: Mapping[str, str],
     timeout_s: float,
 ) -> Result[HttpAnswer, CallError]:
-    """Send one request as `send_request` does, and tell `observe` of it.
-
-    Notes
-    -----
-    The result is the hundred of the status, such as ``2xx``, or the error's kind.
-    """
+    """Send one request as `send_request` does, and tell `observe` of it."""
     began = read_clock()
     answer = send_request(peer, step, method, path, body, headers, timeout_s)
-    if isinstance(answer, Err):
-        result = answer.err_value.kind
-    else:
-        result = f"{answer.ok_value.status // 100}xx"
-    observe(step, result, read_clock() - began)
+    observe(step, name_result(answer), read_clock() - began)
     return answer
 
 
+def name_result(answer: Result[HttpAnswer, CallError]) -> str:
+    """Return the hundred of an answer's status, or the kind of its error."""
+    if isinstance(answer, Err):
+        return answer.err_value.kind
+    return f"{answer.ok_value.status // 100}xx"
+
+
 def send_request(
     peer: HttpPeer,
     step: str,
