Look through the runners once for each step, not for each task

Steps of the large site have 9 to 39 tasks and units 45 runners.

The test that counted choices counts passes over the runners now, which is what it guarded.

--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -6,13 +6,15 @@
 from plantainyard.batch.values import Resources
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun, Task
 from plantainyard.dispatch.orders import pace_backfill, send_stop
-from plantainyard.dispatch.placing import (
+from plantainyard.dispatch.placing import find_least_speed, release_room, take_room
+from plantainyard.dispatch.queue import has_waiting, order_steps
+from plantainyard.dispatch.ranking import (
+    Ranked,
+    choose_place,
     choose_runner,
-    find_least_speed,
-    release_room,
-    take_room,
+    rank_places,
+    refresh_places,
 )
-from plantainyard.dispatch.queue import has_waiting, order_steps
 from plantainyard.dispatch.state import Dispatcher, mark_dirty
 from plantainyard.dispatch.timing import explain_wait
 
@@ -65,8 +67,8 @@
     -----
     Once a task of a step finds no runner the rest of the step isn't tried: its tasks
     are alike. Nor are tasks of other jobs that are of the same kind and need at least
-    as much: a pass only takes room. The cost is one pass over the runners for each task
-    that is placed and each kind and size that isn't.
+    as much: a pass only takes room. The cost is one pass over the runners for each step
+    of which a task is placed, and for each kind and size that finds no place.
     """
     ready = [s for job in state.jobs.values() for s in _find_ready(job)]
     runners = list(state.runners.values())
@@ -172,18 +174,27 @@
     now: float,
 ) -> None:
     allowed = _narrow_to_rack(step, runners)
+    ranked: dict[bool, Ranked] = {}
+    assigned: list[Runner] = []
     for task in _begin_waiting(step, now):
         kind = _find_kind(state, task, now)
         if _fits_nowhere(step.spec.resources, unplaced.get(kind, [])):
             explain_wait(step, task, allowed, now)
             return
-        runner = _choose(state, task, allowed, now)
+        has_run = task.run > 0
+        if has_run not in ranked:
+            ranked[has_run] = rank_places(task, allowed, state.harms, now)
+        places = ranked[has_run]
+        refresh_places(places, task, assigned, state.harms, now)
+        idle = _is_idle(state)
+        runner = choose_place(task, places, state.limits, state.harms, now, idle)
         if runner is None:
             if allowed is runners and not step.spec.max_per_runner:
                 unplaced.setdefault(kind, []).append(step.spec.resources)
             explain_wait(step, task, allowed, now)
             return
         _assign(state, task, runner, task.run + 1, now)
+        assigned.append(runner)
 
 
 def _find_kind(state: Dispatcher, task: Task, now: float) -> _Kind:
--- a/plantainyard/dispatch/tests/test_pacing.py
+++ b/plantainyard/dispatch/tests/test_pacing.py
@@ -12,7 +12,8 @@
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun, Task
 from plantainyard.dispatch.orders import pace_backfill
 from plantainyard.dispatch.pacing import choose_paces, measure_rooms, pace_of
-from plantainyard.dispatch.placing import choose_runner, take_room
+from plantainyard.dispatch.placing import take_room
+from plantainyard.dispatch.ranking import choose_runner
 from plantainyard.dispatch.samples import QUIET_PART, SMOOTHING_S, read_sample
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.tests.test_interference import TRUE, find_tail, swing
--- a/plantainyard/dispatch/tests/test_planning.py
+++ b/plantainyard/dispatch/tests/test_planning.py
@@ -1,10 +1,23 @@
 """What one pass of planning costs, and that it leaves nothing out."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from plantainyard.batch.tasks import TaskKey
+from plantainyard.batch.values import Submission
 from plantainyard.dispatch import planning
+from plantainyard.dispatch.model import Job, Runner, StepRun, Task
+from plantainyard.dispatch.placing import take_room
 from plantainyard.dispatch.planning import plan_starts
+from plantainyard.dispatch.ranking import (
+    choose_place,
+    choose_runner,
+    rank_places,
+    refresh_places,
+)
 from plantainyard.dispatch.tests.world import World, make_step
+from standins.platform.samples import SERVICE
 
 CAPACITY = 64_000
 
@@ -13,13 +26,13 @@
 def searches(monkeypatch):
     """Return the names of the jobs for which runners were looked through."""
     names: list[str] = []
-    choose = planning.choose_runner
+    rank = planning.rank_places
 
     def note(task, *arguments):
         names.append(task.key.job_id)
-        return choose(task, *arguments)
+        return rank(task, *arguments)
 
-    monkeypatch.setattr(planning, "choose_runner", note)
+    monkeypatch.setattr(planning, "rank_places", note)
     return names
 
 
@@ -64,3 +77,44 @@
     world.run(1.0)
     world.submit("other", make_step(2, 1_000, estimate_ms=90_000))
     assert world.starts("other")
+
+
+def test_a_wide_step_is_searched_for_once(searches):
+    # Guards against an owner that falls behind in a burst of jobs of forty tasks each.
+    world = World(8)
+    world.submit("wide", make_step(40, 2_000))
+    assert searches == ["wide"]
+    assert len(world.starts("wide")) == 40
+
+
+@given(
+    free=st.lists(st.integers(0, 12), min_size=1, max_size=5),
+    size=st.integers(1, 12),
+    backfill=st.booleans(),
+    avoided=st.sets(st.integers(0, 4)),
+)
+@settings(max_examples=40, deadline=None, derandomize=True)
+def test_what_is_kept_of_a_search_is_what_a_new_one_finds(
+    free, size, backfill, avoided
+):
+    # Guards against tasks of a step that go where the ones before left no room.
+    world = World(len(free))
+    state, now = world.state, world.now
+    runners = list(state.runners.values())
+    for runner, cores in zip(runners, free, strict=True):
+        runner.cpu = CAPACITY - 1_000 * cores
+    job = Job(Submission("a", "q", SERVICE, "", ()), 0.0, ())
+    step = StepRun(job, 0, 0, make_step(size, 2_000, backfill=backfill))
+    tasks = [Task(TaskKey("a", 0, 0, number), step) for number in range(size)]
+    tasks[-1].avoided = {f"r{number}" for number in avoided}
+    ranked = rank_places(tasks[0], runners, state.harms, now)
+    assigned: list[Runner] = []
+    for task in tasks:
+        refresh_places(ranked, task, assigned, state.harms, now)
+        kept = choose_place(task, ranked, state.limits, state.harms, now, False)
+        new = choose_runner(task, runners, state.limits, state.harms, now)
+        assert kept is new
+        if new is None:
+            return
+        take_room(new, task)
+        assigned.append(new)
