Let a late refusal end only the ownership that it was for

Cause (found by reading): an answer to a call of an earlier ownership of this instance may come seconds after it, and ended whatever the instance owned by then.

The test fails without the comparison of epochs.

--- a/plantainyard/entry/owning.py
+++ b/plantainyard/entry/owning.py
@@ -170,6 +170,18 @@
         if world is not None:
             world.stopping.set()
 
+    def _depose(self, unit: int, epoch: int) -> None:
+        """End an ownership that was refused.
+
+        Notes
+        -----
+        Guards against the end of a later ownership of this instance: answers to calls
+        of the one before may come seconds after it.
+        """
+        claim = self.instance.claims.get(unit)
+        if claim is not None and claim.epoch == epoch:
+            self.give_up(unit)
+
     def give_up_all(self) -> None:
         """End to own anything."""
         for copy in self.instance.copies:
@@ -187,7 +199,7 @@
                 instance.runners,
                 copy.replica,
                 instance.log,
-                lambda: self.give_up(unit),
+                lambda: self._depose(unit, epoch),
                 instance.meters,
             )
             self.worlds[unit] = world
--- a/plantainyard/entry/tests/test_claims.py
+++ b/plantainyard/entry/tests/test_claims.py
@@ -198,3 +198,18 @@
         owners = own_units(instance, 5, 0)
         owners.take(Ownership(6, frozenset()))
         assert instance.claims[0].epoch == 5 and 0 in instance.owned
+
+
+def test_a_late_refusal_of_an_earlier_ownership_ends_no_later_one():
+    # Guards against an owner that loses its unit to the answer of a call that it sent
+    # under an earlier epoch.
+    store = StoreState()
+    with run_instance(store) as instance:
+        owners = own_units(instance, 5, 0)
+        earlier = owners.worlds[0]
+        owners.give_up(0)
+        deal_until(owners, 6, {0}, lambda: 0 in owners.worlds)
+        earlier.depose()
+        assert instance.claims[0].epoch == 6
+        owners.worlds[0].depose()
+        assert not instance.claims
