Call the store from one thread too

Change: the store's calls go through a multiplexer of their own and wait for its answer; send_observed, which nothing uses any more, is gone. Closing a multiplexer fails what is out instead of leaving it untold.

--- a/plantainyard/entry/tests/site.py
+++ b/plantainyard/entry/tests/site.py
@@ -66,6 +66,7 @@
         finally:
             instance.stopping.set()
             instance.runners.close()
+            instance.store.close()
 
 
 def put_configuration(store: StoreState, version: int, **changes: object) -> None:
--- a/plantainyard/multiplexer.py
+++ b/plantainyard/multiplexer.py
@@ -12,6 +12,7 @@
 import heapq
 import itertools
 import logging
+import queue
 import selectors
 import socket
 import threading
@@ -67,7 +68,7 @@
 
 
 def build_request(
-    method: str, path: str, address: str, headers: dict[str, str], body: bytes
+    method: str, path: str, address: str, headers: dict[str, str], body: bytes | None
 ) -> bytes:
     """Return the bytes of a request; one piece, so that it is sent with one call.
 
@@ -80,9 +81,10 @@
         f"{method} {path} HTTP/1.1",
         f"Host: {address}",
         *(f"{name}: {value}" for name, value in headers.items()),
-        f"Content-Length: {len(body)}",
     ]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+    if body is not None:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + (body or b"")
 
 
 class _Connection:
@@ -153,6 +155,11 @@
 class Multiplexer:
     """Calls to many peers over kept connections, from one thread.
 
+    Parameters
+    ----------
+    idle : int
+        Connections kept to each peer.
+
     Notes
     -----
     The thread begins with the first call. Whatever has arrived is taken in before a
@@ -160,7 +167,8 @@
     for the peer's silence.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, idle: int = IDLE_PER_ADDRESS) -> None:
+        self._most_idle = idle
         self._new: deque[Call] = deque()
         self._idle: dict[str, list[_Connection]] = defaultdict(list)
         self._deadlines: list[tuple[float, int, _Connection, Call]] = []
@@ -177,14 +185,25 @@
     def send(self, call: Call) -> None:
         """Send a request; `call.answered` is told what came of it."""
         self._new.append(call)
+        if self._closing:
+            self._refuse_new()
+            return
         if self._thread is None:
             self._start()
         if self._sleeping:
             self._sleeping = False
             self._waking.send(b"\0")
 
+    def call(
+        self, step: str, peer: str, address: str, data: bytes, timeout_s: float
+    ) -> Result[HttpAnswer, CallError]:
+        """Send a request and wait for what comes of it; see `Call`."""
+        answers: queue.SimpleQueue[Result[HttpAnswer, CallError]] = queue.SimpleQueue()
+        self.send(Call(step, peer, address, data, timeout_s, answers.put))
+        return answers.get()
+
     def close(self) -> None:
-        """End the thread and close all connections; calls that are out end untold."""
+        """End the thread and close all connections; calls that are out fail."""
         self._closing = True
         self._waking.send(b"\0")
         if self._thread is not None:
@@ -192,11 +211,17 @@
         keys = list(self._selector.get_map().values())
         for key in keys:
             if key.data is not None:
-                self._drop(key.data)
+                self._fail(key.data, ErrorKind.LOST, "closed")
+        self._refuse_new()
         self._selector.close()
         self._waking.close()
         self._woken.close()
 
+    def _refuse_new(self) -> None:
+        while self._new:
+            call = self._new.popleft()
+            _tell(call, Err(_describe(ErrorKind.UNREACHABLE, call, "closed")))
+
     def _start(self) -> None:
         with self._started:
             if self._thread is None:
@@ -320,7 +345,7 @@
         answer = HttpAnswer(status, {}, b"".join(connection.chunks))
         connection.call = None
         idle = self._idle[connection.address]
-        if connection.lasting and len(idle) < IDLE_PER_ADDRESS:
+        if connection.lasting and len(idle) < self._most_idle:
             idle.append(connection)
         else:
             self._drop(connection)
--- a/plantainyard/platform/store.py
+++ b/plantainyard/platform/store.py
@@ -8,17 +8,11 @@
 
 from result import Err, Ok, Result
 
+from plantainyard.clock import read_clock
 from plantainyard.errors import CallError, ErrorKind
+from plantainyard.multiplexer import Multiplexer, build_request
 from plantainyard.platform.bodies import encode_body, read_object
-from plantainyard.transport import (
-    HttpAnswer,
-    HttpPeer,
-    Observer,
-    build_peer,
-    build_pool,
-    ignore_call,
-    send_observed,
-)
+from plantainyard.transport import HttpAnswer, Observer, ignore_call, name_result
 
 __all__ = [
     "Append",
@@ -161,13 +155,16 @@
 
     Attributes
     ----------
-    peer : HttpPeer
-        Its address and connections.
+    address : str
+        ``ip:port``.
+    multiplexer : Multiplexer
+        The connections.
     observe : Observer
         Told of each call.
     """
 
-    peer: HttpPeer
+    address: str
+    multiplexer: Multiplexer
     observe: Observer = ignore_call
 
     def append(self, append: Append, timeout_s: float) -> Result[Appended, CallError]:
@@ -264,15 +261,20 @@
             path += "?" + urlencode(query, quote_via=quote)
         headers = {"Content-Type": "application/json"} if body is not None else {}
         step = "store." + name.removeprefix("log-")
-        return send_observed(
-            self.observe, self.peer, step, method, path, body, headers, timeout_s
-        )
+        data = build_request(method, path, self.address, headers, body)
+        began = read_clock()
+        answer = self.multiplexer.call(step, "store", self.address, data, timeout_s)
+        self.observe(step, name_result(answer), read_clock() - began)
+        return answer
+
+    def close(self) -> None:
+        """Close all connections; calls that are out fail."""
+        self.multiplexer.close()
 
 
 def build_store_calls(address: str, observe: Observer = ignore_call) -> StoreCalls:
-    """Return the calls to the store at ``ip:port``."""
-    pool = build_pool(pools=1, connections_per_peer=CONNECTIONS)
-    return StoreCalls(build_peer(f"http://{address}", pool), observe)
+    """Return the calls to the store at ``ip:port``, with connections of their own."""
+    return StoreCalls(address, Multiplexer(CONNECTIONS), observe)
 
 
 def _pack_record(record: Record) -> bytes:
--- a/plantainyard/tests/test_multiplexer.py
+++ b/plantainyard/tests/test_multiplexer.py
@@ -213,3 +213,16 @@
         assert caller.call().is_ok()
         assert caller.call().is_ok()
     assert "a function that took an answer to hold failed" in caplog.text
+
+
+def test_calls_fail_once_all_is_closed():
+    # Guards against a stop that waits for answers which nobody takes in any more.
+    with serve(be_silent) as address:
+        multiplexer = Multiplexer()
+        caller = Caller(multiplexer, address)
+        caller.send()
+        time.sleep(0.1)
+        multiplexer.close()
+        assert caller.answers.get(timeout=PATIENCE_S).unwrap_err().detail == "closed"
+        late = multiplexer.call("hold", "r0", address, b"", PATIENCE_S)
+        assert late.unwrap_err().kind == ErrorKind.UNREACHABLE
--- a/plantainyard/transport.py
+++ b/plantainyard/transport.py
@@ -39,7 +39,6 @@
     "ignore_call",
     "name_result",
     "read_retry_after",
-    "send_observed",
     "send_request",
 ]
 
@@ -123,23 +122,6 @@
     """Observe nothing."""
 
 
-def send_observed(
-    observe: Observer,
-    peer: HttpPeer,
-    step: str,
-    method: str,
-    path: str,
-    body: bytes | None,
-    headers: Mapping[str, str],
-    timeout_s: float,
-) -> Result[HttpAnswer, CallError]:
-    """Send one request as `send_request` does, and tell `observe` of it."""
-    began = read_clock()
-    answer = send_request(peer, step, method, path, body, headers, timeout_s)
-    observe(step, name_result(answer), read_clock() - began)
-    return answer
-
-
 def name_result(answer: Result[HttpAnswer, CallError]) -> str:
     """Return the hundred of an answer's status, or the kind of its error."""
     if isinstance(answer, Err):
