Close connections that carry nothing for a minute

Cause (found by reading): a runner that is lost without a word leaves its connections open for good, six each; a process that lives for months would run out of descriptors.

--- a/plantainyard/multiplexer.py
+++ b/plantainyard/multiplexer.py
@@ -37,6 +37,13 @@
 """Connections kept to each peer: one waits for ends, the others carry orders; a new
 connection costs more than one that is kept."""
 
+IDLE_S = 60.0
+"""Time after which a connection that carried no call is closed: a runner that is lost
+without a word leaves its connections open for good."""
+
+SWEEP_EVERY_S = 10.0
+"""Time between looks for such connections."""
+
 Answered = Callable[[Result[HttpAnswer, CallError]], None]
 """Told what came of a call, on the multiplexer's thread; it must not wait."""
 
@@ -100,6 +107,8 @@
         The peer has accepted it.
     deadline : float
         When the call ends without an answer.
+    used_at : float
+        When its last call ended.
     done, lasting : bool
         The whole answer is there; its connection may be used again.
     """
@@ -111,6 +120,7 @@
         self.unsent = call.data
         self.connected = False
         self.deadline = 0.0
+        self.used_at = 0.0
         self.done = False
         self.lasting = False
         self.chunks: list[bytes] = []
@@ -174,6 +184,7 @@
         self._deadlines: list[tuple[float, int, _Connection, Call]] = []
         self._numbers = itertools.count()
         self._selector = selectors.DefaultSelector()
+        self._swept_at = read_clock()
         self._sleeping = False
         self._closing = False
         self._started = threading.Lock()
@@ -239,6 +250,9 @@
             while self._new:
                 self._begin(self._new.popleft())
             self._expire(asked_at)
+            if asked_at - self._swept_at > SWEEP_EVERY_S:
+                self._swept_at = asked_at
+                self._sweep(asked_at - IDLE_S)
 
     def _wait(self) -> list[tuple[selectors.SelectorKey, int]]:
         # Set before the look at what is new: whoever adds a call after it wakes this.
@@ -346,6 +360,7 @@
         connection.call = None
         idle = self._idle[connection.address]
         if connection.lasting and len(idle) < self._most_idle:
+            connection.used_at = read_clock()
             idle.append(connection)
         else:
             self._drop(connection)
@@ -360,6 +375,12 @@
                 kind = ErrorKind.LOST if connection.connected else ErrorKind.UNREACHABLE
                 self._fail(connection, kind, "no answer in time")
 
+    def _sweep(self, before: float) -> None:
+        """Close the connections whose last call ended before a time."""
+        idle = itertools.chain.from_iterable(list(self._idle.values()))
+        for connection in [found for found in idle if found.used_at < before]:
+            self._drop(connection)
+
     def _fail(self, connection: _Connection, kind: str, detail: str) -> None:
         call = connection.call
         connection.call = None
--- a/plantainyard/tests/test_multiplexer.py
+++ b/plantainyard/tests/test_multiplexer.py
@@ -226,3 +226,23 @@
         assert caller.answers.get(timeout=PATIENCE_S).unwrap_err().detail == "closed"
         late = multiplexer.call("hold", "r0", address, b"", PATIENCE_S)
         assert late.unwrap_err().kind == ErrorKind.UNREACHABLE
+
+
+def test_connections_that_carry_nothing_are_closed(monkeypatch):
+    # Guards against descriptors that run out as runners are lost without a word.
+    monkeypatch.setattr("plantainyard.multiplexer.IDLE_S", 0.05)
+    monkeypatch.setattr("plantainyard.multiplexer.SWEEP_EVERY_S", 0.0)
+    ended = threading.Event()
+
+    def handle(connection: socket.socket) -> None:
+        answer_all(connection)
+        ended.set()
+
+    with (
+        serve(handle) as lost,
+        serve(answer_all) as busy,
+        open_multiplexer() as multiplexer,
+    ):
+        assert Caller(multiplexer, lost).call().is_ok()
+        while not ended.wait(0.02):
+            assert Caller(multiplexer, busy).call().is_ok()
