--- a/plantainyard/tests/test_multiplexer.py
+++ b/plantainyard/tests/test_multiplexer.py
@@ -244,5 +244,7 @@
         open_multiplexer() as multiplexer,
     ):
         assert Caller(multiplexer, lost).call().is_ok()
+        until = time.monotonic() + PATIENCE_S
         while not ended.wait(0.02):
+            assert time.monotonic() < until, "still open"
             assert Caller(multiplexer, busy).call().is_ok()
