--- a/bench/dispatch/play.py
+++ b/bench/dispatch/play.py
@@ -16,7 +16,7 @@
 from bench.dispatch.customers import Customer
 from bench.dispatch.oracle import remember_weights
 from bench.dispatch.patterns import Fault, Pattern
-from bench.dispatch.workers import Condition, Site, Worker
+from bench.dispatch.site import Condition, Site, Worker, build_workers
 from bench.dispatch.workload import Arrival, draw_day
 from plantainyard.batch.records import (
     RecordKind,
@@ -147,7 +147,7 @@
     seed : int
         Jobs, runners and luck; the same jobs for the same seed, whatever the policy.
     """
-    site, fleet = workers.build_workers(customer, seed)
+    site, fleet = build_workers(customer, seed)
     remember_weights(site.weights)
     limits = Limits(
         lease_s=choose_lease(customer.longest_lease_s, customer.cancelled_s),
--- a/bench/owner.py
+++ b/bench/owner.py
@@ -27,9 +27,13 @@
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.process import start_threads
 from plantainyard.entry.topics import LAYOUT, UNITS_KEY
-from plantainyard.platform.settings import InstanceSettings
 from standins.platform import RunnerState, StoreState, serve_platform
-from standins.platform.samples import HOST, make_body, make_configuration
+from standins.platform.samples import (
+    HOST,
+    make_body,
+    make_configuration,
+    make_settings,
+)
 
 __all__ = ["run_owner"]
 
@@ -90,20 +94,9 @@
 
 @contextlib.contextmanager
 def _open_owner(store: str) -> Iterator[Instance]:
-    settings = InstanceSettings(
-        instance="edge-1",
-        domain="zone",
-        region="region",
-        ip="127.0.0.1",
-        caller_address="127.0.0.1:0",
-        ready_address="127.0.0.1:0",
-        peer_port=1,
-        metrics_port=2,
-        store_address=store,
-    )
     log = EventLog("edge-1", io.StringIO())
     threading.Thread(target=log.run, daemon=True).start()
-    instance = Instance(settings, log)
+    instance = Instance(make_settings(store), log)
     draining = threading.Event()
     start_threads(instance, draining)
     try:
--- a/plantainyard/entry/owning.py
+++ b/plantainyard/entry/owning.py
@@ -1,53 +1,33 @@
-"""Taking and giving up the ownership of one unit."""
+"""Claiming units, keeping them, and giving them up."""
 
-import contextlib
 import threading
-from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 
 import pykka
 from result import Err
 
-from plantainyard.batch.replica import OWNER_KEY
 from plantainyard.clock import read_clock
-from plantainyard.dispatch import (
-    Cancelled,
-    Dispatcher,
-    EntryChanged,
-    Event,
-    Limits,
-    Renewed,
-    Submitted,
-    choose_lease,
-    restore_dispatcher,
-)
+from plantainyard.dispatch import Renewed
 from plantainyard.entry.candidacy import is_strong
 from plantainyard.entry.claims import Candidate, ClaimReason, Seen, judge_owner
 from plantainyard.entry.copies import UnitCopy, refresh_copy
 from plantainyard.entry.directory import Directory
-from plantainyard.entry.instance import (
-    LONG_POLL_S,
-    RETRY_S,
-    Claim,
-    Instance,
-    Owned,
-    run_follower,
-)
-from plantainyard.entry.layout import Owner, announce_owner, find_unit
+from plantainyard.entry.instance import RETRY_S, Claim, Instance, Owned
+from plantainyard.entry.layout import Owner, announce_owner
 from plantainyard.entry.ownership import Ownership
 from plantainyard.entry.peers import ask_owner
 from plantainyard.entry.tails import Tail, poll_tail
-from plantainyard.entry.topics import PRODUCER, PROGRESS, RUNNERS
-from plantainyard.entry.unit import (
-    UnitActor,
-    UnitWorld,
-    append_until_known,
-    keep_unit_actor,
+from plantainyard.entry.takeover import (
+    choose_runners,
+    fence_predecessors,
+    follow_intake,
+    restore_unit,
+    tell_jobs,
 )
-from plantainyard.entry.wall import read_wall_ms
-from plantainyard.platform.store import Append, Record
+from plantainyard.entry.topics import RUNNERS
+from plantainyard.entry.unit import UnitActor, UnitWorld, keep_unit_actor
 
-__all__ = ["Owners", "tell_jobs"]
+__all__ = ["KEEP_S", "Owners"]
 
 KEEP_S = 12.0
 """How long an owner that can't reach the store goes on noting ends and stopping what
@@ -211,11 +191,11 @@
                 return
             instance.layout.note_owner(unit, owner)
             fenced_at = read_clock()
-            if not _fence_predecessors(world, instance.peer_address()):
+            if not fence_predecessors(world, instance.peer_address()):
                 return
             if not self._catch_up(copy, epoch):
                 return
-            world.dispatcher = _restore(instance, copy, fenced_at)
+            world.dispatcher = restore_unit(instance, copy, fenced_at)
             with keep_unit_actor(world, world.dispatcher) as actor:
                 self._serve(copy, epoch, Owned(world, actor), began_at)
 
@@ -225,7 +205,7 @@
         took_s = round(read_clock() - began_at, 3)
         instance.log.write("owner_gained", unit=unit, epoch=epoch, took_s=took_s)
         try:
-            with _follow_intake(instance, copy, owned.world.stopping):
+            with follow_intake(instance, copy, owned.world.stopping):
                 tell_jobs(instance, copy)
                 self._follow_runners(unit, epoch, owned.actor)
         finally:
@@ -249,80 +229,9 @@
         self, unit: int, epoch: int, actor: pykka.ActorRef[UnitActor]
     ) -> None:
         instance = self.instance
-        directory = Directory(_choose_runners(instance, unit, actor), instance.log)
+        directory = Directory(choose_runners(instance, unit, actor), instance.log)
         tail = Tail(instance.store, RUNNERS, 0, directory.take, directory.begin)
         while self._is_claimed(unit, epoch):
             if not isinstance(poll_tail(tail), Err):
                 directory.finish()
             instance.stopping.wait(RUNNERS_EVERY_S)
-
-
-def _choose_runners(
-    instance: Instance, unit: int, actor: pykka.ActorRef[UnitActor]
-) -> Callable[[Event], None]:
-    """Return a function that tells a unit's actor of the entries of its runners."""
-    units = len(instance.copies)
-
-    def tell(event: Event) -> None:
-        if isinstance(event, EntryChanged) and event.entry is not None:
-            name = event.entry.machine or event.runner
-            if find_unit(name, units) != unit:
-                return
-        with contextlib.suppress(pykka.ActorDeadError):
-            actor.tell(event)
-
-    return tell
-
-
-def _fence_predecessors(world: UnitWorld, address: str) -> bool:
-    """Make the store refuse all records of earlier owners from now on."""
-    record = Record(OWNER_KEY, address.encode())
-    append = Append(PROGRESS, world.unit, [record], PRODUCER, world.epoch, 0)
-    return append_until_known(world, append)
-
-
-def _restore(instance: Instance, copy: UnitCopy, fenced_at: float) -> Dispatcher:
-    settings = instance.settings
-    limits = Limits(
-        lease_s=choose_lease(settings.longest_lease_s, settings.cancelled_s),
-        longest_lease_s=settings.longest_lease_s,
-        harm_s=settings.harm_s,
-        remote_factor=settings.remote_factor,
-    )
-    now = read_clock()
-    return restore_dispatcher(copy.replica, limits, now, read_wall_ms(), fenced_at)
-
-
-@contextlib.contextmanager
-def _follow_intake(
-    instance: Instance, copy: UnitCopy, stopping: threading.Event
-) -> Iterator[None]:
-    """Follow what callers store for the length of the context."""
-    follower = threading.Thread(
-        target=run_follower,
-        args=(copy.intake, lambda: (LONG_POLL_S, 0.0), stopping),
-        daemon=True,
-    )
-    follower.start()
-    try:
-        yield
-    finally:
-        stopping.set()
-
-
-def tell_jobs(instance: Instance, copy: UnitCopy) -> None:
-    """Tell the actor of all jobs that are open.
-
-    Notes
-    -----
-    Guards against an accepted job that nobody starts, and a cancelled one that goes on
-    in another unit: a record may have been read after the dispatcher was restored and
-    before there was an actor to tell. The dispatcher passes over what it knows.
-    """
-    for job_id, view in list(copy.replica.jobs.items()):
-        if view.ended or view.submission is None:
-            continue
-        if view.moved is None:
-            instance.tell(copy.unit, Submitted(view.submission))
-        if view.cancelled:
-            instance.tell(copy.unit, Cancelled(job_id))
--- /dev/null
+++ b/plantainyard/entry/takeover.py
@@ -0,0 +1,107 @@
+"""What a new owner of a unit does before it commands: fence, restore, follow."""
+
+import contextlib
+import threading
+from collections.abc import Callable, Iterator
+
+import pykka
+
+from plantainyard.batch.replica import OWNER_KEY
+from plantainyard.clock import read_clock
+from plantainyard.dispatch import (
+    Cancelled,
+    Dispatcher,
+    EntryChanged,
+    Event,
+    Limits,
+    Submitted,
+    choose_lease,
+    restore_dispatcher,
+)
+from plantainyard.entry.copies import UnitCopy
+from plantainyard.entry.instance import LONG_POLL_S, Instance, run_follower
+from plantainyard.entry.layout import find_unit
+from plantainyard.entry.topics import PRODUCER, PROGRESS
+from plantainyard.entry.unit import UnitActor, UnitWorld, append_until_known
+from plantainyard.entry.wall import read_wall_ms
+from plantainyard.platform.store import Append, Record
+
+__all__ = [
+    "choose_runners",
+    "fence_predecessors",
+    "follow_intake",
+    "restore_unit",
+    "tell_jobs",
+]
+
+
+def choose_runners(
+    instance: Instance, unit: int, actor: pykka.ActorRef[UnitActor]
+) -> Callable[[Event], None]:
+    """Return a function that tells a unit's actor of the entries of its runners."""
+    units = len(instance.copies)
+
+    def tell(event: Event) -> None:
+        if isinstance(event, EntryChanged) and event.entry is not None:
+            name = event.entry.machine or event.runner
+            if find_unit(name, units) != unit:
+                return
+        with contextlib.suppress(pykka.ActorDeadError):
+            actor.tell(event)
+
+    return tell
+
+
+def fence_predecessors(world: UnitWorld, address: str) -> bool:
+    """Make the store refuse all records of earlier owners from now on."""
+    record = Record(OWNER_KEY, address.encode())
+    append = Append(PROGRESS, world.unit, [record], PRODUCER, world.epoch, 0)
+    return append_until_known(world, append)
+
+
+def restore_unit(instance: Instance, copy: UnitCopy, fenced_at: float) -> Dispatcher:
+    """Return a dispatcher that goes on where a unit's stored records end."""
+    settings = instance.settings
+    limits = Limits(
+        lease_s=choose_lease(settings.longest_lease_s, settings.cancelled_s),
+        longest_lease_s=settings.longest_lease_s,
+        harm_s=settings.harm_s,
+        remote_factor=settings.remote_factor,
+    )
+    now = read_clock()
+    return restore_dispatcher(copy.replica, limits, now, read_wall_ms(), fenced_at)
+
+
+@contextlib.contextmanager
+def follow_intake(
+    instance: Instance, copy: UnitCopy, stopping: threading.Event
+) -> Iterator[None]:
+    """Follow what callers store for the length of the context."""
+    follower = threading.Thread(
+        target=run_follower,
+        args=(copy.intake, lambda: (LONG_POLL_S, 0.0), stopping),
+        daemon=True,
+    )
+    follower.start()
+    try:
+        yield
+    finally:
+        stopping.set()
+
+
+def tell_jobs(instance: Instance, copy: UnitCopy) -> None:
+    """Tell the actor of all jobs that are open.
+
+    Notes
+    -----
+    Guards against an accepted job that nobody starts, and a cancelled one that goes on
+    in another unit: a record may have been read after the dispatcher was restored and
+    before there was an actor to tell. The dispatcher passes over what it knows.
+    """
+    for job_id, view in list(copy.replica.jobs.items()):
+        if view.ended or view.submission is None:
+            continue
+        if view.moved is None:
+            instance.tell(copy.unit, Submitted(view.submission))
+        if view.cancelled:
+            instance.tell(copy.unit, Cancelled(job_id))
--- a/plantainyard/entry/tests/site.py
+++ b/plantainyard/entry/tests/site.py
@@ -14,12 +14,12 @@
 from plantainyard.entry.owning import Owners
 from plantainyard.entry.tails import poll_tail
 from plantainyard.entry.topics import LAYOUT, UNITS_KEY
-from plantainyard.platform.settings import InstanceSettings
 from standins.platform import RunnerState, StoreState, serve_platform
 from standins.platform.samples import (
     HOST,
     make_body,
     make_configuration,
+    make_settings,
     make_step_body,
 )
 
@@ -35,20 +35,6 @@
         time.sleep(0.02)
 
 
-def make_settings(store: str) -> InstanceSettings:
-    return InstanceSettings(
-        instance="edge-1",
-        domain="addis-kality",
-        region="addis",
-        ip="127.0.0.1",
-        caller_address="127.0.0.1:0",
-        ready_address="127.0.0.1:0",
-        peer_port=1,
-        metrics_port=2,
-        store_address=store,
-    )
-
-
 @contextlib.contextmanager
 def run_instance(
     store: StoreState, *runners: RunnerState, units: int = 1
--- a/plantainyard/entry/tests/test_owning.py
+++ b/plantainyard/entry/tests/test_owning.py
@@ -13,9 +13,10 @@
 from plantainyard.entry.copies import refresh_copy
 from plantainyard.entry.instance import Owned
 from plantainyard.entry.ownership import Ownership, follow_ownership, name_member
-from plantainyard.entry.owning import Owners, tell_jobs
+from plantainyard.entry.owning import Owners
 from plantainyard.entry.peers import Found, ask_about_job
 from plantainyard.entry.tails import poll_tail
+from plantainyard.entry.takeover import tell_jobs
 from plantainyard.entry.tests.site import (
     BODY,
     JOB,
--- a/plantainyard/multiplexer.py
+++ b/plantainyard/multiplexer.py
@@ -8,7 +8,6 @@
 A call is sent once and never repeated, as in `transport`, whose results it shares.
 """
 
-import errno
 import heapq
 import itertools
 import logging
@@ -17,19 +16,18 @@
 import socket
 import threading
 from collections import defaultdict, deque
-from collections.abc import Callable
-from typing import NamedTuple
 
 import httptools
 from result import Err, Ok, Result
 
 from plantainyard.clock import read_clock
+from plantainyard.connections import Call, Connection
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.transport import DEFAULT_BODY_LIMIT, HttpAnswer
 
 _logger = logging.getLogger(__name__)
 
-__all__ = ["Answered", "Call", "Multiplexer", "build_request"]
+__all__ = ["Multiplexer"]
 
 RECEIVE_BYTES = 64 * 1024
 
@@ -44,123 +42,6 @@
 SWEEP_EVERY_S = 10.0
 """Time between looks for such connections."""
 
-Answered = Callable[[Result[HttpAnswer, CallError]], None]
-"""Told what came of a call, on the multiplexer's thread; it must not wait."""
-
-
-class Call(NamedTuple):
-    """One request.
-
-    Attributes
-    ----------
-    step, peer : str
-        What is being done and with whom, for errors.
-    address : str
-        ``ip:port``.
-    data : bytes
-        The whole request, as `build_request` makes it.
-    timeout_s : float
-        Longest time until there is a connection, and then until the whole answer has
-        come.
-    answered : Answered
-        Called once.
-    """
-
-    step: str
-    peer: str
-    address: str
-    data: bytes
-    timeout_s: float
-    answered: Answered
-
-
-def build_request(
-    method: str, path: str, address: str, headers: dict[str, str], body: bytes | None
-) -> bytes:
-    """Return the bytes of a request; one piece, so that it is sent with one call.
-
-    Examples
-    --------
-    >>> build_request("POST", "/v1/hold", "10.0.0.1:80", {}, b"{}")[:22]
-    b'POST /v1/hold HTTP/1.1'
-    """
-    lines = [
-        f"{method} {path} HTTP/1.1",
-        f"Host: {address}",
-        *(f"{name}: {value}" for name, value in headers.items()),
-    ]
-    if body is not None:
-        lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + (body or b"")
-
-
-class _Connection:
-    """A connection and the call that is on it.
-
-    Attributes
-    ----------
-    call : Call or None
-        None while the connection is idle.
-    unsent : bytes
-        What is left of the request.
-    connected : bool
-        The peer has accepted it.
-    deadline : float
-        When the call ends without an answer.
-    used_at : float
-        When its last call ended.
-    done, lasting : bool
-        The whole answer is there; its connection may be used again.
-    """
-
-    def __init__(self, address: str, call: Call) -> None:
-        host, _, port = address.rpartition(":")
-        self.address = address
-        self.call: Call | None = call
-        self.unsent = call.data
-        self.connected = False
-        self.deadline = 0.0
-        self.used_at = 0.0
-        self.done = False
-        self.lasting = False
-        self.chunks: list[bytes] = []
-        self.size = 0
-        self.parser = httptools.HttpResponseParser(self)
-        self.sock = _connect(host, int(port))
-
-    def begin(self, call: Call) -> None:
-        """Put the next call on an idle connection."""
-        self.call = call
-        self.unsent = call.data
-        self.done = False
-        self.chunks = []
-        self.size = 0
-
-    def on_body(self, body: bytes) -> None:
-        """Take a part of the body; called by the parser."""
-        self.chunks.append(body)
-        self.size += len(body)
-
-    def on_message_complete(self) -> None:
-        """Take note of the answer's end; called by the parser."""
-        self.done = True
-        self.lasting = self.parser.should_keep_alive()
-
-
-def _connect(host: str, port: int) -> socket.socket:
-    """Return a socket that is connecting; OSError if it certainly won't."""
-    sock = socket.socket()
-    try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        found = sock.connect_ex((host, port))
-        if found not in (0, errno.EINPROGRESS):
-            raise OSError(found, errno.errorcode.get(found, "connect"))
-    except BaseException:
-        sock.close()
-        raise
-    return sock
-
 
 class Multiplexer:
     """Calls to many peers over kept connections, from one thread.
@@ -180,8 +61,8 @@
     def __init__(self, idle: int = IDLE_PER_ADDRESS) -> None:
         self._most_idle = idle
         self._new: deque[Call] = deque()
-        self._idle: dict[str, list[_Connection]] = defaultdict(list)
-        self._deadlines: list[tuple[float, int, _Connection, Call]] = []
+        self._idle: dict[str, list[Connection]] = defaultdict(list)
+        self._deadlines: list[tuple[float, int, Connection, Call]] = []
         self._numbers = itertools.count()
         self._selector = selectors.DefaultSelector()
         self._swept_at = read_clock()
@@ -275,7 +156,7 @@
                 connection = idle.pop()
                 connection.begin(call)
             else:
-                connection = _Connection(call.address, call)
+                connection = Connection(call.address, call)
                 self._selector.register(
                     connection.sock, selectors.EVENT_WRITE, connection
                 )
@@ -287,13 +168,13 @@
         if connection.connected:
             self._push(connection)
 
-    def _limit(self, connection: _Connection, call: Call) -> None:
+    def _limit(self, connection: Connection, call: Call) -> None:
         """Let a call end from now on after its timeout."""
         connection.deadline = read_clock() + call.timeout_s
         entry = (connection.deadline, next(self._numbers), connection, call)
         heapq.heappush(self._deadlines, entry)
 
-    def _serve(self, connection: _Connection) -> None:
+    def _serve(self, connection: Connection) -> None:
         """Go on with a connection that is ready."""
         if not connection.connected:
             self._connect(connection)
@@ -302,7 +183,7 @@
         else:
             self._pull(connection)
 
-    def _connect(self, connection: _Connection) -> None:
+    def _connect(self, connection: Connection) -> None:
         error = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
             self._fail(connection, ErrorKind.UNREACHABLE, f"errno {error}")
@@ -312,7 +193,7 @@
             self._limit(connection, connection.call)
         self._push(connection)
 
-    def _push(self, connection: _Connection) -> None:
+    def _push(self, connection: Connection) -> None:
         """Send what is left of a request, then wait for the answer."""
         try:
             sent = connection.sock.send(connection.unsent)
@@ -326,7 +207,7 @@
         if self._selector.get_key(connection.sock).events != wanted:
             self._selector.modify(connection.sock, wanted, connection)
 
-    def _pull(self, connection: _Connection) -> None:
+    def _pull(self, connection: Connection) -> None:
         """Take in what has come on a connection.
 
         Notes
@@ -354,7 +235,7 @@
         elif connection.done:
             self._finish(connection, connection.call)
 
-    def _finish(self, connection: _Connection, call: Call) -> None:
+    def _finish(self, connection: Connection, call: Call) -> None:
         status = connection.parser.get_status_code()
         answer = HttpAnswer(status, {}, b"".join(connection.chunks))
         connection.call = None
@@ -381,14 +262,14 @@
         for connection in [found for found in idle if found.used_at < before]:
             self._drop(connection)
 
-    def _fail(self, connection: _Connection, kind: str, detail: str) -> None:
+    def _fail(self, connection: Connection, kind: str, detail: str) -> None:
         call = connection.call
         connection.call = None
         self._drop(connection)
         if call is not None:
             _tell(call, Err(_describe(kind, call, detail)))
 
-    def _drop(self, connection: _Connection) -> None:
+    def _drop(self, connection: Connection) -> None:
         idle = self._idle[connection.address]
         if connection in idle:
             idle.remove(connection)
@@ -398,7 +279,7 @@
         connection.sock.close()
 
 
-def _is_due(deadline: float, _: int, connection: _Connection, call: Call) -> bool:
+def _is_due(deadline: float, _: int, connection: Connection, call: Call) -> bool:
     """Return whether a deadline still is that of the call on its connection."""
     return connection.call is call and connection.deadline == deadline
 
--- a/plantainyard/platform/runners.py
+++ b/plantainyard/platform/runners.py
@@ -8,8 +8,9 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.clock import read_clock
+from plantainyard.connections import Answered, Call, build_request
 from plantainyard.errors import CallError, ErrorKind
-from plantainyard.multiplexer import Answered, Call, Multiplexer, build_request
+from plantainyard.multiplexer import Multiplexer
 from plantainyard.platform.bodies import encode_body, read_object
 from plantainyard.transport import HttpAnswer, Observer, ignore_call, name_result
 
--- a/plantainyard/platform/store.py
+++ b/plantainyard/platform/store.py
@@ -9,8 +9,9 @@
 from result import Err, Ok, Result
 
 from plantainyard.clock import read_clock
+from plantainyard.connections import build_request
 from plantainyard.errors import CallError, ErrorKind
-from plantainyard.multiplexer import Multiplexer, build_request
+from plantainyard.multiplexer import Multiplexer
 from plantainyard.platform.bodies import encode_body, read_object
 from plantainyard.transport import HttpAnswer, Observer, ignore_call, name_result
 
--- a/plantainyard/tests/test_multiplexer.py
+++ b/plantainyard/tests/test_multiplexer.py
@@ -11,8 +11,9 @@
 import pytest
 from result import Result
 
+from plantainyard.connections import Call, build_request
 from plantainyard.errors import CallError, ErrorKind
-from plantainyard.multiplexer import Call, Multiplexer, build_request
+from plantainyard.multiplexer import Multiplexer
 from plantainyard.transport import HttpAnswer
 
 PATIENCE_S = 10.0
--- a/standins/platform/samples.py
+++ b/standins/platform/samples.py
@@ -20,6 +20,7 @@
     decode_result,
     format_task,
 )
+from plantainyard.platform.settings import InstanceSettings
 from plantainyard.transport import HttpAnswer
 from standins.platform.runner import RunnerState
 
@@ -32,6 +33,7 @@
     "hold_runner",
     "make_body",
     "make_configuration",
+    "make_settings",
     "make_step_body",
     "order_runner",
 ]
@@ -71,6 +73,21 @@
     return json.dumps(configuration | changes).encode()
 
 
+def make_settings(store: str) -> InstanceSettings:
+    """Return the settings of an instance on loopback, for a store at ``ip:port``."""
+    return InstanceSettings(
+        instance="edge-1",
+        domain="addis-kality",
+        region="addis",
+        ip="127.0.0.1",
+        caller_address="127.0.0.1:0",
+        ready_address="127.0.0.1:0",
+        peer_port=1,
+        metrics_port=2,
+        store_address=store,
+    )
+
+
 def make_step_body(
     size: int, cpu: int = 500, after: tuple[int, ...] = (), long_running: bool = False
 ) -> dict[str, Any]:
