--- a/plantainyard/tests/test_multiplexer.py
+++ b/plantainyard/tests/test_multiplexer.py
@@ -201,6 +201,27 @@
         assert caller.answers.get(timeout=PATIENCE_S).is_ok()
 
 
+def test_an_answer_that_came_while_the_caller_was_held_up_counts():
+    # Guards against runners that are called silent by an owner without processor time.
+    def answer_soon(connection: socket.socket) -> None:
+        connection.recv(65536)
+        time.sleep(0.1)
+        connection.sendall(ANSWER)
+
+    with (
+        serve(answer_soon) as soon,
+        serve(answer_all) as at_once,
+        open_multiplexer() as multiplexer,
+    ):
+        blocker = Caller(multiplexer, at_once)
+        assert blocker.call().is_ok()
+        caller = Caller(multiplexer, soon)
+        caller.send(timeout_s=0.3)
+        blocker.take = lambda _: time.sleep(0.6)
+        blocker.send()
+        assert caller.answers.get(timeout=PATIENCE_S).is_ok()
+
+
 def test_a_function_that_fails_ends_no_other_call(caplog):
     # Guards against an owner whose calls all stop after one faulty answer.
     def fail(_: object) -> None:
