Let no wrong address or fault end all calls

Cause (found by reading the diff): all calls of an instance go through one thread now. A runner's entry with a port over 65,535 raises OverflowError there and would have ended it; a host's name would have been looked up in it, which waits.

Change: addresses must be IPv4 with a port in range, else the call wasn't sent; a fault of the program ends the call that met it, with a line in the log.

--- a/plantainyard/connections.py
+++ b/plantainyard/connections.py
@@ -6,6 +6,7 @@
 import errno
 import socket
 from collections.abc import Callable
+from ipaddress import IPv4Address
 from typing import NamedTuple
 
 import httptools
@@ -16,6 +17,8 @@
 
 __all__ = ["Answered", "Call", "Connection", "build_request"]
 
+MOST_PORT = 65_535
+
 Answered = Callable[[Result[HttpAnswer, CallError]], None]
 """Told what came of a call, on the multiplexer's thread; it must not wait."""
 
@@ -120,7 +123,16 @@
 
 
 def connect(host: str, port: int) -> socket.socket:
-    """Return a socket that is connecting; OSError if it certainly won't."""
+    """Return a socket that is connecting.
+
+    Raises
+    ------
+    OSError, ValueError
+        If it certainly won't; names of hosts aren't looked up, as that would wait.
+    """
+    IPv4Address(host)
+    if not 0 < port <= MOST_PORT:
+        raise ValueError(f"no port: {port}")
     sock = socket.socket()
     try:
         sock.setblocking(False)
--- a/plantainyard/multiplexer.py
+++ b/plantainyard/multiplexer.py
@@ -175,7 +175,20 @@
         heapq.heappush(self._deadlines, entry)
 
     def _serve(self, connection: Connection) -> None:
-        """Go on with a connection that is ready."""
+        """Go on with a connection that is ready.
+
+        Notes
+        -----
+        Guards against an instance whose calls all stop: a fault of the program ends the
+        call that met it, and not the thread.
+        """
+        try:
+            self._go_on(connection)
+        except Exception as error:
+            _logger.exception("a call to %s failed", connection.address)
+            self._fail(connection, ErrorKind.LOST, repr(error))
+
+    def _go_on(self, connection: Connection) -> None:
         if not connection.connected:
             self._connect(connection)
         elif connection.unsent:
--- a/plantainyard/tests/test_multiplexer.py
+++ b/plantainyard/tests/test_multiplexer.py
@@ -11,7 +11,7 @@
 import pytest
 from result import Result
 
-from plantainyard.connections import Call, build_request
+from plantainyard.connections import Call, Connection, build_request
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.multiplexer import Multiplexer
 from plantainyard.transport import HttpAnswer
@@ -161,11 +161,34 @@
     assert (error.kind, error.step, error.peer) == (kind, "hold", "r0")
 
 
-@pytest.mark.parametrize("address", ["127.0.0.1:1", "nowhere"])
+@pytest.mark.parametrize(
+    "address",
+    ["127.0.0.1:1", "nowhere", "127.0.0.1:99999", "127.0.0.1:x", "a.host:80", ""],
+)
 def test_a_call_without_a_connection_was_not_sent(address):
-    with open_multiplexer() as multiplexer:
+    # Guards against a runner's entry with a wrong address that ends all calls.
+    with serve(answer_all) as fine, open_multiplexer() as multiplexer:
         error = Caller(multiplexer, address).call().unwrap_err()
-    assert error.kind == ErrorKind.UNREACHABLE
+        assert error.kind == ErrorKind.UNREACHABLE
+        assert Caller(multiplexer, fine).call().is_ok()
+
+
+def test_a_fault_of_the_program_ends_one_call_only(monkeypatch, caplog):
+    # Guards against an instance all of whose calls stop.
+    faults = [ValueError("a fault")]
+    push = Multiplexer._push
+
+    def fail_once(multiplexer: Multiplexer, connection: Connection) -> None:
+        if faults:
+            raise faults.pop()
+        push(multiplexer, connection)
+
+    monkeypatch.setattr(Multiplexer, "_push", fail_once)
+    with serve(answer_all) as address, open_multiplexer() as multiplexer:
+        caller = Caller(multiplexer, address)
+        assert caller.call().unwrap_err().kind == ErrorKind.LOST
+        assert caller.call().is_ok()
+    assert "failed" in caplog.text
 
 
 def test_a_connection_that_its_peer_has_closed_is_not_used_again():
