--- a/plantainyard/connections.py
+++ b/plantainyard/connections.py
@@ -56,8 +56,8 @@
 
     Examples
     --------
-    >>> build_request("POST", "/v1/hold", "10.0.0.1:80", {}, b"{}")[:22]
-    b'POST /v1/hold HTTP/1.1'
+    >>> build_request("POST", "/reports", "10.0.0.1:80", {}, b"{}")[:22]
+    b'POST /reports HTTP/1.1'
     """
     lines = [
         f"{method} {path} HTTP/1.1",
--- a/plantainyard/tests/test_multiplexer.py
+++ b/plantainyard/tests/test_multiplexer.py
@@ -67,7 +67,7 @@
         self.take: Callable[[Any], Any] = self.answers.put
 
     def send(self, timeout_s: float = PATIENCE_S) -> None:
-        data = build_request("POST", "/v1/hold", self.address, {}, b"{}")
+        data = build_request("POST", "/reports", self.address, {}, b"{}")
         self.multiplexer.send(
             Call("hold", "r0", self.address, data, timeout_s, self.take)
         )
