Log each count of waiting jobs with what it was made of

A caller's question for the number of waiting jobs left no line, so that none of these could be told from each other: a job whose first start was assigned and never taken (told as running), a job on its way between two units (in neither count), an owner that counts in an old copy.

The line `counted` gives, by unit, jobs that wait, jobs that are assigned and not known to have started, jobs on their way, and the age of the owner's copy. The dispatcher now says itself when a job has begun (`Begun`): by the answer to a start, by a report that lists a run, or by an end; before, the actor noted only the first of these, for a meter. The answer to callers is as it was.

--- a/plantainyard/batch/__init__.py
+++ b/plantainyard/batch/__init__.py
@@ -13,6 +13,7 @@
 )
 from plantainyard.batch.replica import (
     JobView,
+    Pending,
     Replica,
     apply_record,
     count_pending,
@@ -39,6 +40,7 @@
     "Submission",
     "TaskProgress",
     "apply_record",
+    "Pending",
     "count_pending",
     "decode_progress",
     "decode_submission",
--- a/plantainyard/batch/records.py
+++ b/plantainyard/batch/records.py
@@ -140,7 +140,8 @@
     """
     done = sum(1 << index for index in progress.done)
     tasks = {str(index): list(task) for index, task in progress.tasks.items()}
-    return _dump({"done": f"{done:x}", "tasks": tasks})
+    begun = {"begun": True} if progress.begun else {}
+    return _dump({"done": f"{done:x}", "tasks": tasks, **begun})
 
 
 def decode_progress(value: bytes) -> StepProgress:
@@ -156,7 +157,7 @@
     bits = int(data["done"], 16)
     done = frozenset(n for n in range(bits.bit_length()) if bits >> n & 1)
     tasks = {int(index): TaskProgress(*task) for index, task in data["tasks"].items()}
-    return StepProgress(done, tasks)
+    return StepProgress(done, tasks, bool(data.get("begun")))
 
 
 def _pack_step(step: Step) -> dict[str, Any]:
--- a/plantainyard/batch/replica.py
+++ b/plantainyard/batch/replica.py
@@ -1,7 +1,9 @@
 """A copy of one unit's jobs, made of nothing but the newest stored records."""
 
 import logging
+from collections import Counter
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from plantainyard.batch.records import (
     RecordKind,
@@ -16,10 +18,12 @@
     "HARMS_KEY",
     "OWNER_KEY",
     "JobView",
+    "Pending",
     "Replica",
     "apply_record",
     "count_pending",
     "describe_state",
+    "note_begun",
 ]
 
 OWNER_KEY = "owner"
@@ -47,6 +51,8 @@
         Progress by (occurrence, step).
     moved : int or None
         The unit that the job was handed to.
+    begun : bool
+        A task of it is known to have started.
     """
 
     submission: Submission | None = None
@@ -54,6 +60,22 @@
     ended: str = ""
     steps: dict[tuple[int, int], StepProgress] = field(default_factory=dict)
     moved: int | None = None
+    begun: bool = False
+
+
+class Pending(NamedTuple):
+    """Jobs of a queue in one unit for which no task is known to have started.
+
+    Attributes
+    ----------
+    waiting : int
+        No run of theirs was assigned.
+    assigned : int
+        A run was, and no runner is known to have taken it.
+    """
+
+    waiting: int
+    assigned: int
 
 
 @dataclass(slots=True)
@@ -126,7 +148,9 @@
     elif key.kind == RecordKind.PROGRESS:
         occurrence, step = key.place
         if value:
-            view.steps[occurrence, step] = decode_progress(value)
+            progress = decode_progress(value)
+            view.steps[occurrence, step] = progress
+            view.begun |= progress.begun
         else:
             view.steps.pop((occurrence, step), None)
 
@@ -140,14 +164,22 @@
     return JobState.RUNNING if view.steps else JobState.QUEUED
 
 
-def count_pending(replica: Replica, queue: str) -> int:
-    """Return the number of the queue's accepted jobs for which no task has started."""
-    return sum(
-        1
+def note_begun(replica: Replica, job_id: str) -> None:
+    """Take note that a task of a job has started, ahead of the stored record."""
+    view = replica.jobs.get(job_id)
+    if view is not None:
+        view.begun = True
+
+
+def count_pending(replica: Replica, queue: str) -> Pending:
+    """Count the queue's accepted jobs for which no task has started."""
+    counts = Counter(
+        bool(view.steps)
         for view in list(replica.jobs.values())
         if view.submission is not None
         and view.moved is None
         and not view.submission.piece
         and view.submission.queue == queue
-        and describe_state(view) == JobState.QUEUED
+        and not (view.begun or view.ended or view.cancelled)
     )
+    return Pending(waiting=counts[False], assigned=counts[True])
--- a/plantainyard/batch/values.py
+++ b/plantainyard/batch/values.py
@@ -202,7 +202,10 @@
         Indices of finished tasks.
     tasks : dict of int to TaskProgress
         The tasks that were ordered at least once and aren't done.
+    begun : bool
+        A task of the job is known to have started.
     """
 
     done: frozenset[int]
     tasks: dict[int, TaskProgress]
+    begun: bool = False
--- a/plantainyard/dispatch/__init__.py
+++ b/plantainyard/dispatch/__init__.py
@@ -7,6 +7,7 @@
 from plantainyard.dispatch.dispatcher import Dispatcher, restore_dispatcher, step
 from plantainyard.dispatch.events import (
     Action,
+    Begun,
     Cancelled,
     Commit,
     Committed,
@@ -37,6 +38,7 @@
     "Counts",
     "count_state",
     "Action",
+    "Begun",
     "Cancelled",
     "Commit",
     "Committed",
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -326,4 +326,4 @@
         for t in item.tasks
         if t.phase != Phase.DONE and (t.run or t.unit is not None)
     }
-    return encode_progress(StepProgress(done, tasks))
+    return encode_progress(StepProgress(done, tasks, item.job.begun))
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "Action",
+    "Begun",
     "Cancelled",
     "Commit",
     "Committed",
@@ -194,6 +195,21 @@
     summaries: Sequence[JobSummary] = ()
 
 
+class Begun(NamedTuple):
+    """A task of a job is known to have started, for the first time.
+
+    Attributes
+    ----------
+    job_id : str
+        The job, or the task that was handed over alone.
+    waited_s : float
+        Since this owner took the job in.
+    """
+
+    job_id: str
+    waited_s: float
+
+
 class Forward(NamedTuple):
     """Store records among what another unit takes in, in order, until it is done."""
 
@@ -235,4 +251,4 @@
     wait_s: float
 
 
-Action = Commit | Forward | SendOrder | SendHold
+Action = Begun | Commit | Forward | SendOrder | SendHold
--- a/plantainyard/dispatch/forwarding.py
+++ b/plantainyard/dispatch/forwarding.py
@@ -22,6 +22,7 @@
     "forward_handed",
     "make_forward",
     "note_forwarded",
+    "note_moved",
     "pass_on",
 ]
 
@@ -38,6 +39,12 @@
     return pass_on(piece)
 
 
+def note_moved(state: Dispatcher, submission: Submission, unit: int) -> None:
+    """Take note that another unit has a job from now on."""
+    state.moved[submission.record_id] = unit
+    state.unconfirmed.add(submission.record_id)
+
+
 def forward_handed(state: Dispatcher) -> None:
     """Send the jobs whose handing over is stored to their new units."""
     handed, state.committing_handing = state.committing_handing, {}
@@ -49,9 +56,9 @@
 
 def note_forwarded(state: Dispatcher, keys: Iterable[str]) -> None:
     """Take note that records are stored in other units."""
-    found = map(parse_key, keys)
-    cancels = {key.job_id for key in found if key.kind == RecordKind.CANCEL}
-    state.cancels_out -= cancels
+    found = [parse_key(key) for key in keys]
+    state.cancels_out -= {k.job_id for k in found if k.kind == RecordKind.CANCEL}
+    state.unconfirmed -= {k.job_id for k in found if k.kind == RecordKind.SUBMISSION}
 
 
 def make_forward(submission: Submission, unit: int, cancelled: bool) -> Forward:
--- a/plantainyard/dispatch/handover.py
+++ b/plantainyard/dispatch/handover.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from plantainyard.batch.values import Step
-from plantainyard.dispatch.forwarding import find_piece, pass_on
+from plantainyard.dispatch.forwarding import find_piece, note_moved, pass_on
 from plantainyard.dispatch.load import EMPTY_LOAD, Load
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun
 from plantainyard.dispatch.placing import find_reserved_cpu, takes_work
@@ -160,7 +160,7 @@
         task.unit = unit
         mark_dirty(state, step)
         piece = find_piece(task)
-        state.moved[piece.record_id] = unit
+        note_moved(state, piece, unit)
         state.handing[piece.record_id] = piece
         _move_load(state, step.spec, 1, unit)
 
@@ -221,7 +221,7 @@
 def _hand_over(state: Dispatcher, job: Job, unit: int) -> None:
     submission = job.submission
     del state.jobs[submission.job_id]
-    state.moved[submission.job_id] = unit
+    note_moved(state, submission, unit)
     state.handing[submission.job_id] = pass_on(submission)
     first = submission.steps[0]
     _move_load(state, first, first.size, unit)
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -171,7 +171,7 @@
     steps : dict
         Steps by (occurrence, number); an occurrence is added when it is due.
     begun : bool
-        A runner has taken a start of it.
+        A task of it is known to have started.
     cancelled : bool
         Nothing of it may start any more.
     ended : str
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -131,6 +131,7 @@
         _stop_stray(state, runner, row.task, row.run)
         return False
     task.listed = True
+    runs.note_begun(state, task.step.job, now)
     if row.checkpoint:
         task.checkpoint = row.checkpoint
     if row.percent != task.percent:
--- a/plantainyard/dispatch/restoring.py
+++ b/plantainyard/dispatch/restoring.py
@@ -2,7 +2,12 @@
 
 from plantainyard.batch.replica import JobView, Replica
 from plantainyard.batch.values import StepProgress
-from plantainyard.dispatch.forwarding import find_piece, make_forward, pass_on
+from plantainyard.dispatch.forwarding import (
+    find_piece,
+    make_forward,
+    note_moved,
+    pass_on,
+)
 from plantainyard.dispatch.jobs import (
     add_job,
     cancel_job,
@@ -46,7 +51,7 @@
     """
     if view.submission is None:
         return
-    state.moved[view.submission.job_id] = unit
+    note_moved(state, view.submission, unit)
     state.actions.append(make_forward(pass_on(view.submission), unit, view.cancelled))
 
 
@@ -55,6 +60,7 @@
     assert submission is not None
     add_job(state, submission, now)
     job = state.jobs[submission.record_id]
+    job.begun = view.begun
     accepted = submission.accepted_at_ms / 1000 - state.wall_offset_s
     set_deadlines(job, min(now, accepted))
     for (occurrence, number), progress in view.steps.items():
@@ -91,7 +97,7 @@
     task.phase = Phase.HANDED
     task.unit = unit
     piece = find_piece(task)
-    state.moved[piece.record_id] = unit
+    note_moved(state, piece, unit)
     state.actions.append(make_forward(piece, unit, False))
 
 
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -70,6 +70,8 @@
         How full the other units are; empty where there is only one.
     moved : dict
         Units that jobs were handed to, by job.
+    unconfirmed : set of str
+        Those of them whose records aren't known to be stored there.
     handing, committing_handing : dict
         Submissions of jobs to be handed over once that is stored; those of them that
         the commit on its way carries.
@@ -110,6 +112,7 @@
     lasting_room: int = 0
     loads: dict[int, Load] = field(default_factory=dict)
     moved: dict[str, int] = field(default_factory=dict)
+    unconfirmed: set[str] = field(default_factory=set)
     handing: dict[str, Submission] = field(default_factory=dict)
     committing_handing: dict[str, Submission] = field(default_factory=dict)
     cancelled_handing: set[str] = field(default_factory=set)
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -11,10 +11,11 @@
     make_cancel_key,
     make_submission_key,
 )
-from plantainyard.batch.replica import Replica, apply_record
+from plantainyard.batch.replica import Replica, apply_record, note_begun
 from plantainyard.batch.values import Resources, Step, Submission
 from plantainyard.dispatch import (
     Action,
+    Begun,
     Cancelled,
     Commit,
     Committed,
@@ -138,6 +139,9 @@
             # A report that waits is answered with the next step of time.
             self.held.append(action)
             return []
+        if isinstance(action, Begun):
+            note_begun(self.replica, action.job_id)
+            return []
         assert isinstance(action, SendOrder)
         return self.order(action)
 
--- a/plantainyard/entry/eventlog.py
+++ b/plantainyard/entry/eventlog.py
@@ -36,6 +36,7 @@
         "answered_unknown",
         "cancel_accepted",
         "configuration_in_force",
+        "counted",
         "dependency_lost",
         "dependency_regained",
         "job_ended",
--- a/plantainyard/entry/lookups.py
+++ b/plantainyard/entry/lookups.py
@@ -2,11 +2,17 @@
 
 from result import Err, Ok, Result
 
-from plantainyard.batch.replica import count_pending
 from plantainyard.dispatch.handover import MOST_HOPS
 from plantainyard.entry.copies import UnitCopy, refresh_copy
 from plantainyard.entry.instance import Instance
-from plantainyard.entry.peers import Found, ask_about_job, ask_pending, look_up
+from plantainyard.entry.peers import (
+    Counted,
+    Found,
+    ask_about_job,
+    ask_pending,
+    count_in_copy,
+    look_up,
+)
 
 __all__ = ["count_pending_in", "find_job"]
 
@@ -63,9 +69,9 @@
     return alone and able and refresh_copy(copy)
 
 
-def count_pending_in(instance: Instance, copy: UnitCopy, queue: str) -> int | None:
+def count_pending_in(instance: Instance, copy: UnitCopy, queue: str) -> Counted | None:
     """Return how many jobs of a queue wait in a unit; None where nobody can tell."""
-    count = ask_pending(instance, copy.unit, queue)
-    if count is None and _refresh_cheaply(instance, copy):
-        count = count_pending(copy.replica, queue)
-    return count
+    counted = ask_pending(instance, copy.unit, queue)
+    if counted is None and _refresh_cheaply(instance, copy):
+        counted = count_in_copy(copy, queue)
+    return counted
--- a/plantainyard/entry/peers.py
+++ b/plantainyard/entry/peers.py
@@ -7,7 +7,7 @@
 
 from result import Err
 
-from plantainyard.batch.replica import count_pending, describe_state
+from plantainyard.batch.replica import Pending, count_pending, describe_state
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import Load
 from plantainyard.entry.answers import OK, send_json
@@ -20,6 +20,7 @@
 from plantainyard.transport import build_peer, build_pool, call_json
 
 __all__ = [
+    "Counted",
     "Found",
     "ask_about_job",
     "ask_harms",
@@ -27,6 +28,7 @@
     "ask_owner",
     "ask_pending",
     "build_peer_app",
+    "count_in_copy",
     "look_up",
 ]
 
@@ -54,6 +56,31 @@
     moved: int | None = None
 
 
+class Counted(NamedTuple):
+    """An owner's count of a queue's jobs for which no task has started.
+
+    Attributes
+    ----------
+    pending : Pending
+        As its copy of the unit shows them.
+    moving : int
+        Jobs of all queues that it has handed over, and that aren't known to be stored
+        in their new units.
+    age_s : float
+        Since when its copy may lack submissions.
+    """
+
+    pending: Pending
+    moving: int
+    age_s: float
+
+
+def count_in_copy(copy: UnitCopy, queue: str, moving: int = 0) -> Counted:
+    """Count in a copy of a unit."""
+    age_s = round(read_clock() - copy.intake.synced_at, 3)
+    return Counted(count_pending(copy.replica, queue), moving, age_s)
+
+
 def look_up(copy: UnitCopy, job_id: str) -> Found:
     """Return what a copy says of a job."""
     view = copy.replica.jobs.get(job_id)
@@ -75,13 +102,22 @@
     return Found(body["state"], moved if isinstance(moved, int) else None)
 
 
-def ask_pending(instance: Instance, unit: int, queue: str) -> int | None:
+def ask_pending(instance: Instance, unit: int, queue: str) -> Counted | None:
     """Return how many jobs of a queue wait in a unit, or None if no owner answers."""
-    if unit in instance.owned:
-        return count_pending(instance.copies[unit].replica, queue)
+    owned = instance.owned.get(unit)
+    if owned is not None:
+        moving = len(owned.world.dispatcher.unconfirmed)
+        return count_in_copy(instance.copies[unit], queue, moving)
     path = f"/units/{unit}/pending/{quote(queue)}"
-    body = _ask(instance, unit, "peer.pending", path, "pending", int)
-    return None if body is None else int(body["pending"])
+    body = _ask(instance, unit, "peer.pending", path, "counted", list)
+    if body is None:
+        return None
+    try:
+        pending, moving, age_s = body["counted"]
+        return Counted(Pending(*pending), moving, age_s)
+    except (TypeError, ValueError) as error:
+        instance.log.write("peer_silent", unit=unit, why=repr(error))
+        return None
 
 
 def ask_load(instance: Instance, unit: int) -> Load | None:
@@ -201,7 +237,8 @@
         found = ask_about_job(instance, unit, rest[0])
         return None if found is None else found._asdict()
     if topic == "pending" and rest:
-        return {"pending": ask_pending(instance, unit, "/".join(rest))}
+        counted = ask_pending(instance, unit, "/".join(rest))
+        return None if counted is None else {"counted": list(counted)}
     if topic == "harms":
         return {"harms": ask_harms(instance, unit).decode(errors="replace")}
     if topic == "load":
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -12,11 +12,12 @@
 import pykka
 from result import Err, Ok, Result
 
-from plantainyard.batch.replica import Replica, apply_record
+from plantainyard.batch.replica import Replica, apply_record, note_begun
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import (
     Action,
+    Begun,
     Commit,
     Committed,
     Dispatcher,
@@ -136,25 +137,25 @@
         for action in step(self.dispatcher, message, now):
             self._perform(action)
         if isinstance(message, OrderAnswered):
-            self._note_first_start(message, now)
+            self._log_start(message, now)
 
-    def _note_first_start(self, message: OrderAnswered, now: float) -> None:
+    def _log_start(self, message: OrderAnswered, now: float) -> None:
         job = self.dispatcher.jobs.get(message.task.job_id)
         done = message.result.outcome == OrderOutcome.DONE
         if message.kind != OrderKind.START or job is None or not done:
             return
-        waited_s = now - job.taken_at
         self.world.log.write(
             "run_started",
             job=message.task.job_id,
             task=message.task[1:],
             run=message.run,
             runner=message.life,
-            waited_s=round(waited_s, 3),
+            waited_s=round(now - job.taken_at, 3),
         )
-        if not job.begun:
-            job.begun = True
-            self.world.meters.first_start.observe(waited_s)
+
+    def _note_begun(self, action: Begun) -> None:
+        self.world.meters.first_start.observe(action.waited_s)
+        note_begun(self.world.replica, action.job_id)
 
     def _log_ends(self, message: HoldAnswered) -> None:
         runner = self.dispatcher.runners.get(message.life)
@@ -200,6 +201,8 @@
             self.commits.submit(self._commit, action, self.sequence)
         elif isinstance(action, SendHold):
             self._hold(action)
+        elif isinstance(action, Begun):
+            self._note_begun(action)
         elif isinstance(action, Forward):
             self.forwards.submit(self._forward, action)
         else:
