Count a job as waiting until one of its tasks is known to have started

Callers saw: GET of a queue's count left out jobs that waited, and GET of such a job said "running".

Cause: both answers went by the stored progress of a step, and that is written before a start is sent. It says that a run was assigned, not that a runner has it. A start that reaches a runner that is down, refuses, or carries it out late leaves the job told as running with nothing started; where the start comes to nothing, the task waits for a place again and the job stays out of the count for as long as the fleet is full. The class: an intention that is stored is taken for its effect.

Ruled out: that the progress is written late or lost; the tests have it in the store at the moment of the wrong answer.

Change: a job has begun when a runner has answered a start, a report lists a run, or an end is listed. The owner tells so at once; the store learns of it with the next commit that there is anyway (no call more), so a successor knows it too, and records of before count as not begun until a report says else. A line `job_begun` for each job.

--- a/plantainyard/batch/replica.py
+++ b/plantainyard/batch/replica.py
@@ -77,6 +77,11 @@
     waiting: int
     assigned: int
 
+    @property
+    def total(self) -> int:
+        """Return how many jobs these are; what was assigned may never start."""
+        return self.waiting + self.assigned
+
 
 @dataclass(slots=True)
 class Replica:
@@ -161,7 +166,7 @@
         return view.ended
     if view.cancelled:
         return JobState.CANCELLED
-    return JobState.RUNNING if view.steps else JobState.QUEUED
+    return JobState.RUNNING if view.begun else JobState.QUEUED
 
 
 def note_begun(replica: Replica, job_id: str) -> None:
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -268,6 +268,7 @@
         for life, number in seen.items():
             state.runners[life].stored_seen = number
         return
+    records += _encode_begun(state)
     if state.harms.estimates and now - state.harms_stored_at > HARMS_EVERY_S:
         # With the records of others: a commit of its own would be one more call.
         records.append(Record(HARMS_KEY, encode_harms(state.harms)))
@@ -279,11 +280,21 @@
     state.handing = {}
     state.committing_starts = state.assigned
     state.dirty = {}
+    state.begun = {}
     state.ending = {}
     state.assigned = []
     state.actions.append(Commit(records, summaries))
 
 
+def _encode_begun(state: Dispatcher) -> list[Record]:
+    """Return the records of steps that nothing else has changed since jobs began."""
+    return [
+        Record(_progress_key(item), _encode_step(item))
+        for identity, item in state.begun.items()
+        if identity not in state.dirty and not item.job.ended
+    ]
+
+
 def _summarize(job: Job, now: float) -> JobSummary:
     accepted_at = job.deadline - find_allowed_s(job.submission)
     return JobSummary(
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -131,7 +131,7 @@
         _stop_stray(state, runner, row.task, row.run)
         return False
     task.listed = True
-    runs.note_begun(state, task.step.job, now)
+    runs.note_begun(state, task.step, now)
     if row.checkpoint:
         task.checkpoint = row.checkpoint
     if row.percent != task.percent:
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -3,7 +3,7 @@
 from plantainyard.dispatch import jobs
 from plantainyard.dispatch.events import Begun, OrderAnswered, OrderKind
 from plantainyard.dispatch.leases import note_clock
-from plantainyard.dispatch.model import Job, Phase, Runner, Task
+from plantainyard.dispatch.model import Phase, Runner, StepRun, Task
 from plantainyard.dispatch.orders import release_task, send_pace, send_stop
 from plantainyard.dispatch.pacing import pace_of
 from plantainyard.dispatch.placing import release_room
@@ -16,12 +16,15 @@
 _NOT_DONE = frozenset({OrderOutcome.LATE, OrderOutcome.NO_ROOM, OrderOutcome.REFUSED})
 
 
-def note_begun(state: Dispatcher, job: Job, now: float) -> None:
-    """Take note that a runner has, or had, a run of a job."""
-    if not job.begun:
-        job.begun = True
-        waited_s = round(now - job.taken_at, 3)
-        state.actions.append(Begun(job.submission.record_id, waited_s))
+def note_begun(state: Dispatcher, step: StepRun, now: float) -> None:
+    """Take note that a runner has, or had, a run of a step's job."""
+    job = step.job
+    if job.begun:
+        return
+    job.begun = True
+    state.begun[id(step)] = step
+    waited_s = round(now - job.taken_at, 3)
+    state.actions.append(Begun(job.submission.record_id, waited_s))
 
 
 def take_answer(state: Dispatcher, event: OrderAnswered, now: float) -> None:
@@ -63,7 +66,7 @@
 ) -> None:
     if outcome == OrderOutcome.DONE:
         task.settled_at = now
-        note_begun(state, task.step.job, now)
+        note_begun(state, task.step, now)
         if task.phase == Phase.ORDERED:
             task.phase = Phase.RUNNING
             task.moved_at = now
@@ -109,7 +112,7 @@
     state: Dispatcher, task: Task, runner: Runner, how: str, checkpoint: str, now: float
 ) -> None:
     """Take in the end of a task's newest run."""
-    note_begun(state, task.step.job, now)
+    note_begun(state, task.step, now)
     if checkpoint:
         task.checkpoint = checkpoint
     release_room(runner, task)
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -35,6 +35,9 @@
         Newest life by the runner's id.
     dirty : dict
         Steps whose stored progress is out of date, by their identity.
+    begun : dict
+        Steps to be stored with the next commit that there is, because their jobs have
+        begun; by their identity.
     ending : dict
         Final states that aren't stored yet, by job.
     assigned : list of Task
@@ -92,6 +95,7 @@
     runners: dict[str, Runner] = field(default_factory=dict)
     lives: dict[str, str] = field(default_factory=dict)
     dirty: dict[int, StepRun] = field(default_factory=dict)
+    begun: dict[int, StepRun] = field(default_factory=dict)
     ending: dict[str, str] = field(default_factory=dict)
     assigned: list[Task] = field(default_factory=list)
     commit_out: bool = False
--- a/plantainyard/entry/eventlog.py
+++ b/plantainyard/entry/eventlog.py
@@ -39,6 +39,7 @@
         "counted",
         "dependency_lost",
         "dependency_regained",
+        "job_begun",
         "job_ended",
         "job_handed_over",
         "layout_chosen",
--- a/plantainyard/entry/front.py
+++ b/plantainyard/entry/front.py
@@ -251,7 +251,7 @@
         )
     )
     known = [count for count in counts if count is not None]
-    waiting = sum(count.pending.waiting for count in known)
+    waiting = sum(count.pending.total for count in known)
     instance.log.write("counted", queue=queue.name, pending=waiting, units=counts)
     if len(known) < len(counts):
         return _refuse("the count may be out of date", Reason.STORE)
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -155,6 +155,7 @@
 
     def _note_begun(self, action: Begun) -> None:
         self.world.meters.first_start.observe(action.waited_s)
+        self.world.log.write("job_begun", job=action.job_id, waited_s=action.waited_s)
         note_begun(self.world.replica, action.job_id)
 
     def _log_ends(self, message: HoldAnswered) -> None:
