Count a job on its way between two units once, and send it again only until it is there

Also: a successor sent every job again that its unit had ever handed over, one append after the other, and what was handed over next waited behind them.

Jobs some of whose tasks other units have are told by name too, as a task may have started there only. Records of other versions stay readable: the record of the handing over is as it was.

--- a/plantainyard/batch/records.py
+++ b/plantainyard/batch/records.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "CANCEL",
+    "DELIVERED",
     "RecordKind",
     "StoredKey",
     "decode_progress",
@@ -24,6 +25,7 @@
     "encode_progress",
     "encode_submission",
     "make_cancel_key",
+    "make_delivery_key",
     "make_end_key",
     "make_handover_key",
     "make_progress_key",
@@ -35,6 +37,10 @@
 """Value of the record that a job is to be cancelled."""
 
 
+DELIVERED = b"1"
+"""Value of the record that a job's new unit has it."""
+
+
 class RecordKind:
     """First parts of the keys of records about jobs."""
 
@@ -42,6 +48,7 @@
     CANCEL = "c"
     END = "e"
     HANDOVER = "h"
+    DELIVERY = "d"
     PROGRESS = "p"
 
 
@@ -86,6 +93,11 @@
     return f"{RecordKind.HANDOVER}/{job_id}"
 
 
+def make_delivery_key(job_id: str) -> str:
+    """Return the key of the record that a job's new unit, or a task's, has it."""
+    return f"{RecordKind.DELIVERY}/{job_id}"
+
+
 def make_progress_key(job_id: str, occurrence: int, step: int) -> str:
     """Return the key of the progress of one step of one occurrence."""
     return f"{RecordKind.PROGRESS}/{job_id}/{occurrence}/{step}"
--- a/plantainyard/dispatch/__init__.py
+++ b/plantainyard/dispatch/__init__.py
@@ -28,6 +28,7 @@
     Submitted,
     Tick,
 )
+from plantainyard.dispatch.forwarding import list_arrived
 from plantainyard.dispatch.limits import Limits, choose_lease
 from plantainyard.dispatch.load import EMPTY_LOAD, Load
 from plantainyard.dispatch.state import EMPTY_COUNTS, Counts, count_state
@@ -62,6 +63,7 @@
     "Submitted",
     "Tick",
     "choose_lease",
+    "list_arrived",
     "restore_dispatcher",
     "step",
 ]
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -30,9 +30,11 @@
     Tick,
 )
 from plantainyard.dispatch.forwarding import (
+    forget_arrived,
     forward_cancel,
     forward_handed,
     note_forwarded,
+    take_delivered,
 )
 from plantainyard.dispatch.handover import (
     measure_lasting_room,
@@ -147,6 +149,7 @@
         _plan_moves(state, now)
         _measure_times(state, now)
         _forget_harms(state, now)
+        forget_arrived(state, now)
     state.plan_due |= _changes_plan(state, event)
     state.changed |= _find_changed(event)
     state.search_all |= isinstance(event, Tick)
@@ -233,7 +236,7 @@
         case Cancelled(job_id):
             cancel_job(state, job_id, now)
         case Forwarded(keys):
-            note_forwarded(state, keys)
+            note_forwarded(state, keys, now)
             end_cancelled(state)
         case LoadsTold(loads):
             state.loads = dict(loads)
@@ -263,6 +266,7 @@
         for job_id, submission in state.handing.items()
         if not submission.piece
     ]
+    records += take_delivered(state, now)
     seen = {life: r.seen for life, r in state.runners.items() if r.seen > r.stored_seen}
     if not records:
         for life, number in seen.items():
--- a/plantainyard/dispatch/jobs.py
+++ b/plantainyard/dispatch/jobs.py
@@ -2,7 +2,11 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import JobState, Submission
-from plantainyard.dispatch.forwarding import find_piece, forward_cancel
+from plantainyard.dispatch.forwarding import (
+    find_piece,
+    forward_cancel,
+    note_arrived,
+)
 from plantainyard.dispatch.model import Job, Phase, StepRun, Task
 from plantainyard.dispatch.orders import release_task, send_stop
 from plantainyard.dispatch.queue import find_chains_ms, set_deadlines
@@ -28,6 +32,7 @@
     job = Job(submission, 0.0, chains_ms, now)
     set_deadlines(job, now)
     state.jobs[job_id] = job
+    note_arrived(state, submission, now)
     if submission.piece:
         _open_piece(job)
     elif not submission.times:
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -75,6 +75,11 @@
         Units that jobs were handed to, by job.
     unconfirmed : set of str
         Those of them whose records aren't known to be stored there.
+    delivered : dict
+        When those of them that their new units are to be given time to read were stored
+        there.
+    arrived : dict
+        When jobs were handed to this unit, by job; the last seconds only.
     handing, committing_handing : dict
         Submissions of jobs to be handed over once that is stored; those of them that
         the commit on its way carries.
@@ -117,6 +122,8 @@
     loads: dict[int, Load] = field(default_factory=dict)
     moved: dict[str, int] = field(default_factory=dict)
     unconfirmed: set[str] = field(default_factory=set)
+    delivered: dict[str, float] = field(default_factory=dict)
+    arrived: dict[str, float] = field(default_factory=dict)
     handing: dict[str, Submission] = field(default_factory=dict)
     committing_handing: dict[str, Submission] = field(default_factory=dict)
     cancelled_handing: set[str] = field(default_factory=set)
