Let an interrupted task go to any unit with room, also one that is no emptier

Callers saw: a service with two instances kept apart has one for good. Its unit has one runner left, other units have room, and all units are equally full.

Cause: a unit had to be emptier by more than nothing, while the constant's own words were that any unit with room will do. An interrupted task now goes wherever there is a gap for it; one that never ran still needs an emptier unit, since in its own it takes a gap only once that was free for two seconds, and would be passed on before.

Seen to fail before: E assert [] == [5]

--- a/plantainyard/dispatch/handover.py
+++ b/plantainyard/dispatch/handover.py
@@ -6,6 +6,7 @@
 is more room. It goes once: a job that is passed on and on would run nowhere.
 """
 
+import math
 from collections.abc import Iterable
 
 from plantainyard.batch.values import Step
@@ -43,7 +44,10 @@
 here, it would wait for a long-running job to end."""
 
 LEAST_GAP = 0.0
-"""The same for a long-running task that was interrupted: any unit with room will do."""
+"""The same for a long-running task that never ran."""
+
+ANY_GAP = -math.inf
+"""The same for one that was interrupted: any unit with room will do."""
 
 MOST_TASK_HOPS = 6
 """Units that a single task is passed on to; each has told of room, which may be taken
@@ -153,7 +157,8 @@
         if not waits or now - task.waiting_since < TASK_WAIT_S:
             continue
         need = find_reserved_cpu(step.spec)
-        unit = _find_room(state, step.spec, need, LEAST_GAP)
+        least = ANY_GAP if task.run else LEAST_GAP
+        unit = _find_room(state, step.spec, need, least)
         if unit is None:
             return
         task.phase = Phase.HANDED
--- a/plantainyard/dispatch/tests/test_handover.py
+++ b/plantainyard/dispatch/tests/test_handover.py
@@ -229,6 +229,21 @@
     assert len(world.at_work("a")) == 1
 
 
+def test_an_interrupted_task_goes_to_a_unit_that_is_as_full_as_its_own():
+    # Guards against a service that stays interrupted because all units are alike: its
+    # own runners have others of its tasks, which must be kept apart.
+    world = World(runners=2)
+    for runner in world.runners.values():
+        runner.durations = {"a": 0.0}
+    world.submit("a", make_step(2, cpu=20_000, long_running=True, max_per_runner=1))
+    world.run(2.0)
+    world.lose("r0")
+    world.run(LEASE_LAPSES_S)
+    world.tell(LoadsTold({5: world.state.load._replace(waiting=0.5)}))
+    world.run(1.0)
+    assert [unit for unit, _ in list_forwarded(world)] == [5]
+
+
 def test_a_successor_sends_an_interrupted_task_again():
     world = make_interrupted_world(losing_forwards=True)
     (forward,) = world.waiting_forwards
