Let the state machine of units ask for the count of waiting jobs at every step

It submits short jobs, makes room, and cuts off runners and mends them, besides what it did. At each step all units together tell at least the jobs that no runner has begun, and at the end exactly those. Seen to fail with a count that leaves out what is assigned, and with one that leaves out what is on its way.

--- a/plantainyard/dispatch/tests/test_fleet.py
+++ b/plantainyard/dispatch/tests/test_fleet.py
@@ -1,5 +1,7 @@
 """Several units that hand work to each other, under faults between any two steps."""
 
+import itertools
+
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -8,9 +10,17 @@
     rule,
 )
 
+from plantainyard.batch.pending import add_up, count_pending
 from plantainyard.batch.records import RecordKind, parse_key
 from plantainyard.batch.replica import apply_record
-from plantainyard.dispatch import Cancelled, Event, Forward, Forwarded, LoadsTold
+from plantainyard.dispatch import (
+    Cancelled,
+    Event,
+    Forward,
+    Forwarded,
+    LoadsTold,
+    list_arrived,
+)
 from plantainyard.dispatch.tests.world import World, make_step
 from plantainyard.platform.store import Record
 
@@ -18,6 +28,7 @@
 TASKS = 2
 TASK_CPU = 20_000
 REST_CPU = 40_000
+SHORT_S = 0.3
 SETTLE_S = 20.0
 LOADS_EVERY_TICKS = 10
 
@@ -55,10 +66,13 @@
         self.worlds: list[UnitWorld] = []
         self.worlds += [UnitWorld(self, unit) for unit in range(UNITS)]
         self.cancelled: set[str] = set()
+        self.submitted: list[str] = []
         self.ticks = 0
+        # Also those that are lost later.
+        self.fleet_runners = [list(world.runners.values()) for world in self.worlds]
         for unit, world in enumerate(self.worlds):
             for runner in world.runners.values():
-                runner.durations = {"": 0.0}
+                runner.durations = {"new": SHORT_S, "": 0.0}
             apart = {"long_running": True, "max_per_runner": 1}
             world.submit(f"job{unit}", make_step(TASKS, cpu=TASK_CPU, **apart))
             world.submit(f"rest{unit}", make_step(TASKS, cpu=REST_CPU, **apart))
@@ -95,6 +109,22 @@
         self.cancelled.add(f"job{unit}")
         self.worlds[unit].cancel(f"job{unit}")
 
+    @rule(unit=st.integers(0, UNITS - 1))
+    def submit(self, unit: int) -> None:
+        self.submitted.append(f"new{len(self.submitted)}")
+        step = make_step(1, cpu=TASK_CPU)
+        self.worlds[unit].submit(self.submitted[-1], step)
+
+    @rule(unit=st.integers(0, UNITS - 1))
+    def make_room(self, unit: int) -> None:
+        self.worlds[unit].cancel(f"rest{unit}")
+
+    @rule(unit=st.integers(0, UNITS - 1))
+    def cut_runners_or_mend(self, unit: int) -> None:
+        """Let the runners of a unit answer nothing, or answer again."""
+        world = self.worlds[unit]
+        world.cut ^= set(world.runners)
+
     @rule(ticks=st.sampled_from([1, 5, 20, 60]))
     def pass_time(self, ticks: int) -> None:
         self.pass_ticks(ticks)
@@ -122,15 +152,30 @@
     def check(self) -> None:
         names = self.list_at_work()
         assert len(names) == len(set(names)), f"twice: {sorted(names)}"
+        assert self.count_waiting() >= len(self.list_waiting())
+
+    def list_waiting(self) -> list[str]:
+        """Return the submitted jobs that no runner has ever begun."""
+        lives = itertools.chain.from_iterable(self.fleet_runners)
+        started = {start[1] for runner in lives for start in runner.started}
+        return [job for job in self.submitted if f"{job}.0.0.0" not in started]
+
+    def count_waiting(self) -> int:
+        told = [count_pending(world.replica, "q") for world in self.worlds]
+        recent = [list_arrived(world.state) for world in self.worlds]
+        rows = zip(told, recent, strict=True)
+        return add_up(t._replace(arrived=t.arrived | new) for t, new in rows)
 
     def teardown(self) -> None:
         """Heal everything: what was cancelled is gone, the rest is at work."""
         for unit, world in enumerate(self.worlds):
             world.store_down = world.losing_forwards = False
+            world.cut -= set(world.runners)
             world.cancel(f"rest{unit}")
         self.pass_ticks(round(SETTLE_S * 10))
         at_work = self.list_at_work()
         assert not [name for name in at_work if name.startswith("rest")]
+        assert self.count_waiting() == len(self.list_waiting())
         for job in (f"job{unit}" for unit in range(UNITS)):
             found = [name for name in at_work if name.startswith(job)]
             assert len(found) == (0 if job in self.cancelled else TASKS), job
