Let no owner count waiting jobs that hasn't read the store for three seconds

Callers could see a count without all that was accepted since the unit's owner lost the store: the owner keeps its units for up to 12 s and goes on answering other instances, which are in touch.

The caller is told to come back instead (503). Asking the store at that moment was weighed: it would hold the few threads of the peers' port, by whose answers an owner is known to be alive.

--- a/plantainyard/entry/peers.py
+++ b/plantainyard/entry/peers.py
@@ -39,6 +39,11 @@
 ASK_OWNER_S = 0.3
 """The same for the question whether it is there, of which three in a row count."""
 
+COUNT_AGE_S = 3.0
+"""Age of what an owner has read from which it doesn't count any more. A read that waits
+a second and finds nothing proves what was so when it began, so an owner that follows
+well is up to two seconds behind its proofs."""
+
 _pool = build_pool(pools=64, connections_per_peer=4)
 
 
@@ -100,10 +105,18 @@
 
 
 def ask_pending(instance: Instance, unit: int, queue: str) -> Counted | None:
-    """Return what a unit's owner says of a queue's waiting jobs, or None."""
+    """Return what a unit's owner says of a queue's waiting jobs, or None.
+
+    Notes
+    -----
+    Guards against a count that leaves out all that was accepted since the owner lost
+    the store: it goes on answering other instances, which have lost nothing.
+    """
     owned = instance.owned.get(unit)
     if owned is not None:
         counted = count_in_copy(instance.copies[unit], queue)
+        if counted.age_s > COUNT_AGE_S:
+            return None
         arrived = counted.pending.arrived | list_arrived(owned.world.dispatcher)
         return counted._replace(pending=counted.pending._replace(arrived=arrived))
     path = f"/units/{unit}/pending/{quote(queue)}"
--- a/plantainyard/entry/tests/test_units.py
+++ b/plantainyard/entry/tests/test_units.py
@@ -9,6 +9,7 @@
 from prometheus_client import generate_latest
 from result import Ok
 
+from plantainyard.clock import read_clock
 from plantainyard.entry import peers
 from plantainyard.entry.copies import refresh_copy
 from plantainyard.entry.eventlog import EventLog
@@ -20,7 +21,13 @@
     propose_units,
     settle_layout,
 )
-from plantainyard.entry.peers import Found, ask_about_job, build_peer_app, look_up
+from plantainyard.entry.peers import (
+    COUNT_AGE_S,
+    Found,
+    ask_about_job,
+    build_peer_app,
+    look_up,
+)
 from plantainyard.entry.tests.site import (
     BODY,
     JOB,
@@ -146,6 +153,23 @@
     assert f"c/{JOB}" in store.newest(INTAKE, 1 - home)
 
 
+def test_an_owner_that_has_lost_the_store_does_not_count():
+    # Guards against a count without all that was accepted since the owner was cut off.
+    store = StoreState()
+    with run_instance(store, units=2) as instance:
+        own_units(instance, 5, 0, 1)
+        assert call(instance, "GET", "/jobs/") == (200, {"pending": 0})
+        assert ask_peer(instance, "/units/0/pending/q")["age_s"] < COUNT_AGE_S
+        store.faults.down = True
+        intake = instance.copies[0].intake
+        wait_until(lambda: read_clock() - intake.synced_at > COUNT_AGE_S)
+        assert set(instance.owned) == {0, 1}
+        assert ask_peer(instance, "/units/0/pending/q") == {}
+        assert call(instance, "GET", "/jobs/")[0] == 503
+        store.faults.down = False
+        wait_until(lambda: call(instance, "GET", "/jobs/")[0] == 200)
+
+
 def is_completed(instance: Instance, job: str) -> bool:
     return look_up(instance.copy_of(job), job).state == "completed"
 
