Tell a job as running when other units have some of its tasks

Left by the count of jobs until they begin: a long-running job none of whose tasks found room in its own unit was told as queued for good, while one of them was at work elsewhere. Its own unit can't know; the other one gets only tasks that it has room for. Seen to fail before: assert 'queued' == 'running'.

--- a/plantainyard/batch/pending.py
+++ b/plantainyard/batch/pending.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from plantainyard.batch.replica import JobView, Replica
+from plantainyard.batch.replica import Replica, is_divided
 
 __all__ = ["Pending", "add_up", "count_pending"]
 
@@ -94,9 +94,3 @@
         divided=frozenset(j for j, v, _ in here if is_divided(v)),
         begun=frozenset(s.job_id for _, v, s in views if s.piece and v.begun),
     )
-
-
-def is_divided(view: JobView) -> bool:
-    """Return whether other units have some tasks of a job."""
-    tasks = (task for step in view.steps.values() for task in step.tasks.values())
-    return any(task.unit is not None for task in tasks)
--- a/plantainyard/batch/replica.py
+++ b/plantainyard/batch/replica.py
@@ -19,6 +19,7 @@
     "Replica",
     "apply_record",
     "describe_state",
+    "is_divided",
     "note_begun",
 ]
 
@@ -142,12 +143,25 @@
 
 
 def describe_state(view: JobView) -> str:
-    """Return the name of the state that a caller is told of an accepted job."""
+    """Return the name of the state that a caller is told of an accepted job.
+
+    Notes
+    -----
+    Of a job some of whose tasks other units have, only those know whether one has
+    started; they get tasks for which they have room, so it is told as running.
+    """
     if view.ended:
         return view.ended
     if view.cancelled:
         return JobState.CANCELLED
-    return JobState.RUNNING if view.begun else JobState.QUEUED
+    begun = view.begun or is_divided(view)
+    return JobState.RUNNING if begun else JobState.QUEUED
+
+
+def is_divided(view: JobView) -> bool:
+    """Return whether other units have some tasks of a job."""
+    tasks = (task for step in view.steps.values() for task in step.tasks.values())
+    return any(task.unit is not None for task in tasks)
 
 
 def note_begun(replica: Replica, job_id: str) -> None:
--- a/plantainyard/dispatch/tests/test_pending.py
+++ b/plantainyard/dispatch/tests/test_pending.py
@@ -131,6 +131,7 @@
     old.tell(LoadsTold({5: ROOMY}))
     old.run(1.0)
     assert tell_pending(old).divided == {"a"}
+    assert describe(old, "a") == "running"
     assert add_up(map(tell_pending, (old, new))) == 1
     new.take(old.forwarded[0].records[0])
     new.run(1.0)
