Send the jobs that a commit hands over in one call for each unit

Callers saw no fault.

Change: what one commit hands over to one unit goes in one call, in parts of 500 kB (the store takes 2 MB a call; a larger one would be refused for good).

test_handover.py: two tests counted calls and now count the jobs in them, which is what they are about; the bounds stay.

--- a/plantainyard/dispatch/forwarding.py
+++ b/plantainyard/dispatch/forwarding.py
@@ -1,6 +1,6 @@
 """What is sent to other units: jobs, single tasks, and requests to cancel them."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from plantainyard.batch.records import (
     CANCEL,
@@ -32,6 +32,10 @@
     "take_delivered",
 ]
 
+PART_BYTES = 500_000
+"""Values sent to another unit in one call; the store takes four times as much, and a
+single one of them may be half of it."""
+
 READ_S = 0.5
 """Time in which a unit's owner reads what was stored for it; a read that waits takes
 30 ms between regions."""
@@ -62,10 +66,27 @@
 def forward_handed(state: Dispatcher) -> None:
     """Send the jobs whose handing over is stored to their new units."""
     handed, state.committing_handing = state.committing_handing, {}
+    cancelled = state.cancelled_handing & handed.keys()
+    state.cancelled_handing -= cancelled
+    records: dict[int, list[Record]] = {}
     for job_id, submission in handed.items():
-        cancelled = job_id in state.cancelled_handing
-        state.cancelled_handing.discard(job_id)
-        state.actions.append(make_forward(submission, state.moved[job_id], cancelled))
+        found = make_records(submission, job_id in cancelled)
+        records.setdefault(state.moved[job_id], []).extend(found)
+    for unit, rows in records.items():
+        state.actions += [Forward(unit, part) for part in _split(rows)]
+
+
+def _split(records: list[Record]) -> Iterator[list[Record]]:
+    """Yield records in order in parts that one call to the store takes."""
+    part: list[Record] = []
+    size = 0
+    for record in records:
+        if part and size + len(record.value) > PART_BYTES:
+            yield part
+            part, size = [], 0
+        part.append(record)
+        size += len(record.value)
+    yield part
 
 
 def note_forwarded(state: Dispatcher, keys: Iterable[str], now: float) -> None:
@@ -109,11 +130,16 @@
 
 def make_forward(submission: Submission, unit: int, cancelled: bool) -> Forward:
     """Return what sends a submission to a unit; a repeat of it does no harm there."""
+    return Forward(unit, make_records(submission, cancelled))
+
+
+def make_records(submission: Submission, cancelled: bool) -> list[Record]:
+    """Return what a submission's new unit is to store."""
     job_id = submission.record_id
     records = [Record(make_submission_key(job_id), encode_submission(submission))]
     if cancelled:
         records.append(Record(make_cancel_key(job_id), CANCEL))
-    return Forward(unit, records)
+    return records
 
 
 def forward_cancel(state: Dispatcher, job_id: str) -> None:
--- a/plantainyard/dispatch/tests/test_handover.py
+++ b/plantainyard/dispatch/tests/test_handover.py
@@ -32,6 +32,10 @@
     return [(f.unit, [record.key for record in f.records]) for f in world.forwarded]
 
 
+def list_keys(world: World) -> list[str]:
+    return [key for _, keys in list_forwarded(world) for key in keys]
+
+
 def test_a_job_that_waits_goes_where_there_is_room():
     # A unit's processors are all in use. Its jobs would wait for long while the
     # neighbour's runners are free; but what ends soon may leave room for them first.
@@ -91,7 +95,33 @@
     for number in range(10):
         world.submit(f"a{number}", make_step(8, cpu=4000))
     world.run(1.0)
-    assert 4 <= len(world.forwarded) <= 7
+    assert 4 <= len(list_keys(world)) <= 7
+
+
+def test_jobs_that_are_handed_over_together_are_sent_in_few_calls():
+    # Guards against a burst that is sent on one append after the other.
+    world = make_full_world()
+    world.store_down = True
+    for number in range(5):
+        world.submit(f"a{number}", make_step(cpu=4000))
+    world.store_down = False
+    world.run(0.3)
+    together = [[f"j/a{number}" for number in range(1, 5)]]
+    assert [keys for _, keys in list_forwarded(world)][-1:] == together
+
+
+def test_a_burst_of_large_jobs_fits_into_the_calls_that_the_store_takes():
+    # Guards against a call that the store refuses for its size, and that is repeated
+    # for good.
+    world = make_full_world()
+    world.store_down = True
+    for number in range(9):
+        world.submit(f"a{number}", make_step(cpu=4000, image="x" * 200_000))
+    world.store_down = False
+    world.run(0.3)
+    sizes = [sum(len(r.value) for r in f.records) for f in world.forwarded]
+    assert max(sizes) < 700_000
+    assert list_keys(world) == [f"j/a{number}" for number in range(9)]
 
 
 def test_a_job_that_has_begun_stays():
@@ -367,4 +397,4 @@
     world.tell(LoadsTold({5: ROOMY}))
     world.submit("a", make_step(5, cpu=1_500, long_running=True), hops=1)
     world.run(1.0)
-    assert len(world.forwarded) == 5
+    assert len(set(list_keys(world))) == 5
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -257,7 +257,8 @@
             answer = world.store.append(append, SLOW_APPEND_TIMEOUT_S)
             if isinstance(answer, Ok):
                 keys = [record.key for record in action.records]
-                world.log.write("job_handed_over", key=keys[0], unit=action.unit)
+                for key in keys:
+                    world.log.write("job_handed_over", key=key, unit=action.unit)
                 self._tell(Forwarded(keys))
                 return
             why = answer.err_value.detail
