--- a/plantainyard/dispatch/tests/test_pending.py
+++ b/plantainyard/dispatch/tests/test_pending.py
@@ -3,6 +3,7 @@
 from plantainyard.batch.pending import Pending, add_up, count_pending
 from plantainyard.batch.replica import describe_state
 from plantainyard.dispatch import LoadsTold, list_arrived
+from plantainyard.dispatch.handover import MOST_HOPS
 from plantainyard.dispatch.tests.test_handover import ROOMY, make_full_world
 from plantainyard.dispatch.tests.world import World, make_step
 
@@ -118,21 +119,39 @@
     assert add_up(map(tell_pending, (old, new))) == 0
 
 
+def divide_job() -> World:
+    """Return a unit that has handed the two tasks of a job on, one by one."""
+    world = make_full_world()
+    world.tell(LoadsTold({}))
+    step = make_step(2, cpu=4000, long_running=True)
+    world.submit("a", step, hops=MOST_HOPS)
+    world.run(1.0)
+    world.tell(LoadsTold({5: ROOMY}))
+    world.run(1.0)
+    return world
+
+
+def test_a_job_whose_tasks_wait_in_other_units_counts_as_waiting():
+    # Guards against a job that no unit counts for as long as the fleet is full: its own
+    # unit has handed its tasks on, and none has started anywhere.
+    old, new = divide_job(), World(runners=1)
+    new.cut.add("r0")
+    assert add_up(map(tell_pending, (old, new))) == 1
+    for record in old.forwarded[0].records:
+        new.take(record)
+    for _ in range(30):
+        for world in (old, new):
+            world.run(0.1)
+        assert add_up(map(tell_pending, (old, new))) == 1
+
+
 def test_a_job_whose_only_tasks_at_work_are_in_another_unit_has_begun():
     # Guards against a job that counts as waiting for good: no task found room in its
     # own unit, and one found it elsewhere.
-    old, new = make_full_world(), World(runners=1)
+    old, new = divide_job(), World(runners=1)
     new.runners["r0"].durations = {"a": 0.0}
-    old.tell(LoadsTold({}))
-    old.submit("a", make_step(2, cpu=4000, long_running=True))
-    old.run(1.0)
-    assert add_up(map(tell_pending, (old, new))) == 1
-    old.state.jobs["a"].submission = old.state.jobs["a"].submission._replace(hops=1)
-    old.tell(LoadsTold({5: ROOMY}))
-    old.run(1.0)
-    assert tell_pending(old).divided == {"a"}
     assert describe(old, "a") == "running"
-    assert add_up(map(tell_pending, (old, new))) == 1
     new.take(old.forwarded[0].records[0])
     new.run(1.0)
+    assert tell_pending(old).divided == {"a"}
     assert add_up(map(tell_pending, (old, new))) == 0
