Let a unit without runners hand over more than one job at a time

Callers saw: jobs that wait for a second and more, and for minutes in a burst, in a unit that has lost all its runners, beside units that are nearly empty.

Cause: what is handed over is added to the new unit's load as a part of this unit's processors, since loads don't tell sizes. Without a runner that takes work these are zero, and the part was a job's thousandths of a core divided by one: the new unit seemed to be 2000 times full until its load was told anew.

Ruled out: that loads come late (each second, as meant), and that the new units were full (load 0.2 and less).

Change: a unit is taken to be at least as large as the gap that it tells of, and a unit without runners, which counts as full, isn't made emptier by what leaves it. A unit with runners of its own and at least that gap does as before.

test_handover.py, seen to fail before: E assert 1 == 10 (ten jobs of one core beside a gap of sixty) E assert 2 <= 1 (wide jobs: some go, not all of them)

--- a/plantainyard/dispatch/handover.py
+++ b/plantainyard/dispatch/handover.py
@@ -233,11 +233,22 @@
 
 
 def _move_load(state: Dispatcher, step: Step, tasks: int, unit: int) -> None:
-    """Count waiting tasks in their new unit and not here, until both are measured."""
-    usable = [r for r in state.runners.values() if takes_work(r)]
-    share = tasks * step.resources.cpu / max(1, _sum_cpu(usable))
-    state.loads[unit] = _add_waiting(state.loads[unit], share, step.backfill)
-    state.load = _add_waiting(state.load, -share, step.backfill)
+    """Count waiting tasks in their new unit and not here, until both are measured.
+
+    Notes
+    -----
+    Guards against a unit that has lost all its runners and whose jobs go one at a time:
+    units are taken to be of the size of this one, and measured by nothing, any other
+    seemed to be full with one job more. A unit is at least as large as the gap that
+    it tells of.
+    """
+    size = _sum_cpu(r for r in state.runners.values() if takes_work(r))
+    moved = tasks * step.resources.cpu
+    there = state.loads[unit]
+    share = moved / max(1, size, there.gap)
+    state.loads[unit] = _add_waiting(there, share, step.backfill)
+    if size:
+        state.load = _add_waiting(state.load, -moved / size, step.backfill)
 
 
 def _add_waiting(load: Load, share: float, backfill: bool) -> Load:
--- a/plantainyard/dispatch/tests/test_handover.py
+++ b/plantainyard/dispatch/tests/test_handover.py
@@ -124,6 +124,32 @@
     assert list_keys(world) == [f"j/a{number}" for number in range(9)]
 
 
+def test_a_unit_that_has_lost_all_runners_hands_over_all_that_fits_elsewhere():
+    # Guards against jobs that wait for minutes beside a unit that is nearly empty: of a
+    # unit without runners one job went with each of the neighbour's words.
+    world = World(runners=1)
+    world.lose("r0")
+    world.run(LEASE_LAPSES_S)
+    world.tell(LoadsTold({5: ROOMY}))
+    for number in range(10):
+        world.submit(f"a{number}", make_step(cpu=1000))
+    world.run(1.0)
+    assert len(world.forwarded) == 10
+
+
+def test_a_unit_that_has_lost_all_runners_does_not_flood_another():
+    # Guards against wide jobs that all wait in the unit that they were handed to, and
+    # can't be handed on.
+    world = World(runners=1)
+    world.lose("r0")
+    world.run(LEASE_LAPSES_S)
+    world.tell(LoadsTold({5: ROOMY}))
+    for number in range(100):
+        world.submit(f"a{number}", make_step(8, cpu=4000))
+    world.run(1.0)
+    assert 2 <= len(world.forwarded) <= 10
+
+
 def test_a_job_that_has_begun_stays():
     # One task of a job runs, the other waits for room. Handed over now, both would be
     # started anew elsewhere, and one run twice at the same time.
