Check the number of waiting jobs in the soak

A thread asks any instance for it every 0.1 to 0.5 s until all is done, from a random source of its own, so that the jobs of a seed stay as they were. An answer under half of the jobs that were accepted over 5 s before the question, that nobody tries to cancel and none of whose tasks a runner had started when the answer was there breaks a promise; 503 is fine. The soak's other checks make no exception for faults, so this one makes none. `counted` in the outcome says how many answers could have been too small.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,17 +1,19 @@
 """Callers: they submit, repeat where no answer came, cancel, and ask."""
 
 import json
+import math
 import random
 import threading
-from typing import Any
+from typing import Any, NamedTuple
 
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from plantainyard.clock import read_clock
 from soak.site import Site
 from standins.platform.samples import HOST, PREFIX, make_body, make_step_body
 
-__all__ = ["Callers", "Ticket", "TicketState"]
+__all__ = ["Callers", "Count", "Ticket", "TicketState"]
 
 TIMEOUT_S = 3.0
 """Time that a caller waits for an answer."""
@@ -20,6 +22,10 @@
 CANCELLED_PART = 0.15
 LASTING_PART = 0.1
 REFUSED = (429, 503)
+COUNT_EVERY_S = (0.1, 0.5)
+"""Shortest and longest time between two questions for the number of waiting jobs."""
+UNTOLD = -1
+"""Taken for the number where an answer has none; it is always too small."""
 
 
 class TicketState:
@@ -45,6 +51,8 @@
         The request to cancel it was answered with success.
     wants_cancel : bool
         Its caller tries to cancel it.
+    accepted_at : float
+        When its caller was told that it is accepted.
     """
 
     def __init__(self, source: random.Random) -> None:
@@ -59,15 +67,41 @@
         self.wants_cancel = lasting or source.random() < CANCELLED_PART
         self.state = TicketState.UNKNOWN
         self.cancelled = False
+        self.accepted_at = math.inf
+
+
+class Count(NamedTuple):
+    """An answer to the question for the number of waiting jobs.
+
+    Attributes
+    ----------
+    asked_at, answered_at : float
+        When the question was sent, and when its answer was there.
+    pending : int
+        The number.
+    """
+
+    asked_at: float
+    answered_at: float
+    pending: int
 
 
 class Callers:
-    """Callers of a site, each on a thread of its own; `tickets` is what they know."""
+    """Callers of a site, each on a thread of its own.
+
+    Attributes
+    ----------
+    tickets : list of Ticket
+        What they know of their jobs.
+    counts : list of Count
+        What they were told of the number of waiting jobs.
+    """
 
     def __init__(self, site: Site, seed: int) -> None:
         self.site = site
         self.seed = seed
         self.tickets: list[Ticket] = []
+        self.counts: list[Count] = []
         self.pool = urllib3.PoolManager(retries=False, maxsize=8)
 
     def run(self, number: int, stopping: threading.Event) -> None:
@@ -81,11 +115,27 @@
                 stopping.wait(source.uniform(0.0, 2.0))
                 self.cancel(ticket, source)
 
+    def ask_counts(self, stopping: threading.Event) -> None:
+        """Ask for the number of waiting jobs until `stopping` is set.
+
+        Notes
+        -----
+        It draws from a source of its own: the jobs of a seed don't depend on it.
+        """
+        source = random.Random(f"{self.seed}/counts")
+        while not stopping.wait(source.uniform(*COUNT_EVERY_S)):
+            asked_at = read_clock()
+            status, body = self.call("GET", "", source)
+            if status == 200:
+                pending = body.get("pending", UNTOLD)
+                self.counts.append(Count(asked_at, read_clock(), pending))
+
     def _submit(self, ticket: Ticket, source: random.Random) -> None:
         refused = 0
         for tries in range(1, TRIES + 1):
             status, _ = self.call("POST", ticket.job_id, source, ticket.body)
             if status == 200:
+                ticket.accepted_at = read_clock()
                 ticket.state = TicketState.ACCEPTED
                 return
             refused += status in REFUSED
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,14 +1,16 @@
 """The promises that a soak checks, from what callers and runners see."""
 
+import math
 import random
 import threading
 from collections import Counter
+from collections.abc import Iterable, Mapping
 
 from plantainyard.clock import read_clock
-from soak.callers import Callers, Ticket, TicketState
+from soak.callers import Callers, Count, Ticket, TicketState
 from soak.site import Site
 
-__all__ = ["Watch", "check_jobs"]
+__all__ = ["Watch", "check_counts", "check_jobs", "list_waiting"]
 
 LOOK_EVERY_S = 0.05
 """Time between looks at what runs."""
@@ -17,6 +19,10 @@
 """Longest wait for everything to be done once all faults are healed: the longest lease
 is ten seconds, and all that is left may wait for it twice."""
 
+SEEN_S = 5.0
+"""Age from which an accepted job that waits must be in the count: a count may be two
+seconds old, and a caller waits three for an answer."""
+
 
 class Watch:
     """Looks at all runners all the time; `broken` says what it found.
@@ -112,3 +118,55 @@
     if status == 200 and body.get("state") in expected:
         return ""
     return f"status {status}, {body}"
+
+
+def check_counts(site: Site, callers: Callers) -> tuple[int, list[str]]:
+    """Return how many counts could be too small, and which were.
+
+    Notes
+    -----
+    As with the other checks, faults excuse nothing: an instance that may not know all
+    that waits is to refuse the question.
+    """
+    begun = _find_begins(site)
+    told = [(c, list_waiting(callers.tickets, begun, c)) for c in callers.counts]
+    wrong = [
+        f"{count.pending} jobs are said to wait at {count.asked_at:.3f}; "
+        f"{len(waiting)} have for {SEEN_S} s: {waiting[:5]}"
+        for count, waiting in told
+        if 2 * count.pending < len(waiting)
+    ]
+    return sum(bool(waiting) for _, waiting in told), wrong
+
+
+def _find_begins(site: Site) -> dict[str, float]:
+    """Return when the first task of each job that has begun started."""
+    begun: dict[str, float] = {}
+    for runner in site.runners:
+        for at, task, _ in runner.started:
+            job_id = task.partition(".")[0]
+            begun[job_id] = min(at, begun.get(job_id, math.inf))
+    return begun
+
+
+def list_waiting(
+    tickets: Iterable[Ticket], begun: Mapping[str, float], count: Count
+) -> list[str]:
+    """Return the jobs that a count must not leave out.
+
+    Parameters
+    ----------
+    tickets : iterable of Ticket
+        What callers know; jobs that they try to cancel don't count.
+    begun : mapping
+        When the first task of a job started, by job.
+    count : Count
+        The answer.
+    """
+    return [
+        ticket.job_id
+        for ticket in tickets
+        if ticket.accepted_at < count.asked_at - SEEN_S
+        and not ticket.wants_cancel
+        and begun.get(ticket.job_id, math.inf) > count.answered_at
+    ]
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,7 +12,7 @@
 
 from plantainyard.clock import read_clock
 from soak.callers import Callers, TicketState
-from soak.checks import Watch, check_jobs
+from soak.checks import Watch, check_counts, check_jobs
 from soak.faults import heal_all, inject_faults
 from soak.plan import make_plan
 from soak.site import Shape, Site, open_site
@@ -35,12 +35,16 @@
         Promises that were broken; empty where all were kept.
     accepted, rejected, unknown : int
         Jobs by what their callers were told.
+    counted : int
+        Questions for the number of waiting jobs that were answered while some had
+        waited for so long that the answer must not leave them out.
     """
 
     broken: list[str]
     accepted: int
     rejected: int
     unknown: int
+    counted: int
 
 
 def run_soak(
@@ -78,8 +82,11 @@
     ]
     work.append((inject_faults, (site, plan, began, closing)))
     threads = [threading.Thread(target=run, args=rest) for run, rest in work]
-    looking = threading.Thread(target=watch.run, args=(done,))
-    for thread in (*threads, looking):
+    lookers = [
+        threading.Thread(target=look, args=(done,))
+        for look in (watch.run, callers.ask_counts)
+    ]
+    for thread in (*threads, *lookers):
         thread.start()
     closing.wait(seconds)
     closing.set()
@@ -88,13 +95,16 @@
     heal_all(site)
     broken = check_jobs(site, callers)
     done.set()
-    looking.join()
+    for thread in lookers:
+        thread.join()
+    counted, miscounts = check_counts(site, callers)
     counts = [ticket.state for ticket in callers.tickets]
     return Outcome(
-        watch.broken + broken,
+        watch.broken + broken + miscounts,
         counts.count(TicketState.ACCEPTED),
         counts.count(TicketState.REJECTED),
         counts.count(TicketState.UNKNOWN),
+        counted,
     )
 
 
