Let the first answer to a stop count, so that reports can prove a run gone

Callers saw: an accepted job that never ends. A runner has started anew, its task is told as running, and nothing happens to it any more.

Cause: a run that may have reached the new life is stopped there first. A stop is sent again every 0.4 s until the run's end is known, and each answer put the time of proof (`settled_at`) to now. A report proves that a run is gone if it was asked for later; where nothing else ends at the runner reports wait for a second, so that none ever was.

Ruled out: lost answers and calls (no line of either, every call has a deadline), a commit that stays out (`commit_out` is false in the dump), tasks that wait for room.

Change: the first answer to a stop settles where the run is; repeats change nothing.

Tests: World can answer orders a step later and let reports wait as asked (`slow`); the state machine of test_faults.py is played a second time with that.

--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -56,8 +56,15 @@
 
 
 def _take_stop_answer(task: Task, outcome: str, now: float) -> None:
-    if outcome == OrderOutcome.DONE:
-        # The run either ends, which is listed, or will be refused when it comes.
+    """Take in that a run either ends, which is listed, or is refused when it comes.
+
+    Notes
+    -----
+    Guards against a task that is stopped for good: a stop is repeated until the run's
+    end is known, and reports wait longer than repeats. Were the last answer to count,
+    each report would have been asked for before it, and none would prove anything.
+    """
+    if outcome == OrderOutcome.DONE and task.settled_at is None:
         task.settled_at = now
 
 
--- a/plantainyard/dispatch/tests/test_faults.py
+++ b/plantainyard/dispatch/tests/test_faults.py
@@ -117,11 +117,22 @@
                 assert ended == "completed", job
 
 
-TestFaults = Faults.TestCase
-TestFaults.settings = settings(
+class SlowFaults(Faults):
+    """The same where answers take time, and reports wait for ends."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world.slow = True
+
+
+SETTINGS = settings(
     max_examples=60,
     stateful_step_count=25,
     deadline=None,
     derandomize=True,
     suppress_health_check=list(HealthCheck),
 )
+TestFaults = Faults.TestCase
+TestFaults.settings = SETTINGS
+TestSlowFaults = SlowFaults.TestCase
+TestSlowFaults.settings = SETTINGS
--- a/plantainyard/dispatch/tests/test_takeovers.py
+++ b/plantainyard/dispatch/tests/test_takeovers.py
@@ -288,3 +288,18 @@
     job = world.state.jobs["a"]
     assert job.deadline == pytest.approx(world.now - 30.0 + 2.0, abs=1.0)
     assert job.useless_at == pytest.approx(world.now - 30.0 + 6.0, abs=1.0)
+
+
+def test_a_task_whose_runner_starts_anew_goes_on_where_reports_wait():
+    # Guards against a job that never ends: its runner began a new life just after the
+    # start, nothing else ended there, and each repeat of the stop put off the proof
+    # that the run is gone until after the report that was on its way.
+    world = World(runners=1)
+    world.slow = True
+    world.run(2.0)
+    world.submit("a", make_step(2))
+    world.run(0.1)
+    world.runners["r0"].restart(world.now)
+    world.announce()
+    world.run(6.0)
+    assert world.ended("a") == "completed"
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -66,7 +66,9 @@
         self.store_down = False
         self.renewing = True
         self.waiting_commit: Commit | None = None
-        self.held: list[SendHold] = []
+        self.held: list[tuple[float, SendHold]] = []
+        self.slow = False
+        self.answers: list[OrderAnswered] = []
         self.forwarded: list[Forward] = []
         self.waiting_forwards: list[Forward] = []
         self.losing_forwards = False
@@ -80,6 +82,7 @@
         self.waiting_commit = None
         self.waiting_forwards = []
         self.held = []
+        self.answers = []
         self.state = restore_dispatcher(
             self.replica, self.limits, self.now, self.now * 1000, self.now
         )
@@ -137,7 +140,7 @@
             return self.forward(action)
         if isinstance(action, SendHold):
             # A report that waits is answered with the next step of time.
-            self.held.append(action)
+            self.held.append((self.now, action))
             return []
         if isinstance(action, Begun):
             note_begun(self.replica, action.job_id)
@@ -168,9 +171,13 @@
                 self.lose_answers -= 1
                 result = lost
         life = action.entry.life
-        return [
-            OrderAnswered(action.kind, action.task, action.run, life, result, self.now)
-        ]
+        answer = OrderAnswered(
+            action.kind, action.task, action.run, life, result, self.now
+        )
+        if self.slow:
+            self.answers.append(answer)
+            return []
+        return [answer]
 
     def call(self, action: SendOrder, fence: int) -> OrderResult:
         runner = self.runners[action.entry.runner]
@@ -189,6 +196,9 @@
             self.now += TICK_S
             for runner in self.runners.values():
                 runner.advance(self.now)
+            answers, self.answers = self.answers, []
+            for answer in answers:
+                self.tell(answer)
             self.answer_holds()
             if self.waiting_commit is not None and not self.store_down:
                 waiting, self.waiting_commit = self.waiting_commit, None
@@ -205,17 +215,28 @@
 
     def answer_holds(self) -> None:
         held, self.held = self.held, []
-        for action in held:
-            self.tell(self.hold(action))
+        for sent_at, action in held:
+            if self.slow and self.is_waiting(sent_at, action):
+                self.held.append((sent_at, action))
+            else:
+                at = sent_at if self.slow else self.now - 0.01
+                self.tell(self.hold(action, at))
+
+    def is_waiting(self, sent_at: float, action: SendHold) -> bool:
+        """Return whether a runner waits for something to report, as it was asked to."""
+        runner = self.runners.get(action.entry.runner)
+        if runner is None or action.entry.runner in self.cut or runner.ends:
+            return False
+        return self.now < sent_at + action.wait_s
 
-    def hold(self, action: SendHold) -> HoldAnswered | HoldFailed:
+    def hold(self, action: SendHold, sent_at: float) -> HoldAnswered | HoldFailed:
         life, name = action.entry.life, action.entry.runner
         if name in self.cut:
-            return HoldFailed(life, self.now - 0.01, "no answer")
+            return HoldFailed(life, sent_at, "no answer")
         found = hold_runner(self.runners[name], action, self.fence, self.now)
         if isinstance(found, Err):
-            return HoldFailed(life, self.now - 0.01, found.err_value.detail)
-        return HoldAnswered(life, found.ok_value, self.now - 0.01)
+            return HoldFailed(life, sent_at, found.err_value.detail)
+        return HoldAnswered(life, found.ok_value, sent_at)
 
     def starts(self, job_id: str) -> list[tuple[float, str, int]]:
         """Return every run of a job that began anywhere, in order."""
