Let a new life answer the stop of a run before its report counts

Callers may have seen: one task at work twice, after its runner has started anew.

Cause: the answer of the old life (`settled_at`) went on counting for the new one, where a report that was asked for after it proves nothing about what is still on its way.

Ruled out: that the fence refuses the late copy; it has the same fence.

Change: what the old life has settled is forgotten when its run is stopped at the new one.

test_takeovers.py, seen to fail before: assert 1 == 2 (at_work is ['a.0.0.0', 'a.0.0.0'])

--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -71,7 +71,8 @@
     doesn't tell them apart. Only a run whose one start was sent by this owner, and that
     a report of the old life has listed, certainly ended with it. Any other that was
     sent is stopped at the new life before the task may start elsewhere; a copy of its
-    start that comes later still is refused there.
+    start that comes later still is refused there. What the old life has answered says
+    nothing of the new one: only a report after the answer to that stop counts.
     """
     for task in list(old.tasks.values()):
         ended = task.listed and task.starts_sent == 1
@@ -79,6 +80,7 @@
             runs.free_task(state, task)
             continue
         release_room(old, task)
+        task.settled_at = None
         task.life = new.life
         take_room(new, task)
         orders.send_stop(state, task, now)
--- a/plantainyard/dispatch/tests/test_takeovers.py
+++ b/plantainyard/dispatch/tests/test_takeovers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from plantainyard.dispatch import choose_lease
+from plantainyard.dispatch import OrderKind, Tick, choose_lease
 from plantainyard.dispatch.tests.world import World, make_step
 
 
@@ -303,3 +303,27 @@
     world.announce()
     world.run(6.0)
     assert world.ended("a") == "completed"
+
+
+def test_a_new_life_must_answer_the_stop_before_its_report_counts():
+    # Guards against two runs of one task: the second copy of its start was answered by
+    # the old life, the first is still on its way, and so is the stop at the new life.
+    # A report of the new life shows no run, and the first copy would be carried out.
+    world = World(runners=2)
+    world.run(1.0)
+    for runner in world.runners.values():
+        runner.durations = {"a": 5.0}
+    world.delay_orders = 1
+    world.submit("a", make_step())
+    world.now += 0.5
+    world.tell(Tick())
+    (home,) = [r for r in world.runners.values() if r.started]
+    home.restart(world.now)
+    world.delayed_kind, world.delay_orders = OrderKind.STOP, 1
+    world.announce()
+    world.run(0.2)
+    world.deliver_late()
+    for _ in range(80):
+        assert len(set(world.at_work("a"))) == len(world.at_work("a"))
+        world.run(0.1)
+    assert world.ended("a") == "completed"
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -50,7 +50,9 @@
     """Runners, a store of records, and one dispatcher after the other.
 
     Calls are answered at once unless they are dropped (`cut`), lost after the effect
-    (`lose_answers`) or kept back (`delay_orders`, then `deliver_late`).
+    (`lose_answers`) or kept back (`delay_orders` of `delayed_kind`, then
+    `deliver_late`). Reports come with the next step of time. With `slow` calls answers
+    to orders do too, and reports wait for an end as long as they were asked to.
     """
 
     def __init__(self, runners: int = 3, **limits: float) -> None:
@@ -62,6 +64,7 @@
         self.cut: set[str] = set()
         self.lose_answers = 0
         self.delay_orders = 0
+        self.delayed_kind = OrderKind.START
         self.late: list[tuple[SendOrder, int]] = []
         self.store_down = False
         self.renewing = True
@@ -162,7 +165,7 @@
         name = action.entry.runner
         lost = OrderResult(OrderOutcome.UNKNOWN)
         result = lost
-        if action.kind == OrderKind.START and self.delay_orders > 0:
+        if action.kind == self.delayed_kind and self.delay_orders > 0:
             self.delay_orders -= 1
             self.late.append((action, self.fence))
         elif name not in self.cut:
