Tell a new life that answers for the old one of no ends of the old one

Callers may have seen: a task that is done twice, after its runner has started anew.

A start reaches the new life and is done there before the new entry is read (which takes as long as the store is down); each report that is asked for meanwhile tells `lastSeen` of the old life, and the new one, which numbers its ends from one, forgets them.

Cause: only the entry in the store changed what is asked of the runner; that an answer names another life (`born`) was noted as silence.

Ruled out: that the run is listed later (a forgotten end isn't), and that the stop at the new life tells of it (it is refused alike for a run that ended and one that never came).

Change: from the first answer of another life on no end counts as seen, also by a commit that was on its way. The one report that finds the new life out can still do harm.

test_takeovers.py, seen to fail before: assert 2 == 1 (starts of a.0.0.0, runs 1 and 2)

--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -316,7 +316,8 @@
     for life, number in state.committing_seen.items():
         if life in state.runners:
             runner = state.runners[life]
-            runner.stored_seen = max(runner.stored_seen, number)
+            # Less was seen than is stored where a new life has answered meanwhile.
+            runner.stored_seen = max(runner.stored_seen, min(number, runner.seen))
     for job_id in state.committing_ends:
         state.jobs.pop(job_id, None)
     forward_handed(state)
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -162,7 +162,15 @@
 
 
 def _take_other_life(state: Dispatcher, runner: Runner, now: float) -> None:
-    # The entry of the new life comes through the store and buries this one.
+    """Wait for the entry of a new life that has answered in the place of the old one.
+
+    Notes
+    -----
+    It comes through the store and buries the old life. Until then the new one is asked
+    for nothing but to go on: its ends are numbered anew, and told of those of the old
+    life it would forget as many of its own, which nobody has taken in.
+    """
+    runner.seen = runner.stored_seen = 0
     runner.answering = False
     runner.hold_at = now + state.limits.hold_retry_s
 
--- a/plantainyard/dispatch/tests/test_takeovers.py
+++ b/plantainyard/dispatch/tests/test_takeovers.py
@@ -327,3 +327,22 @@
         assert len(set(world.at_work("a"))) == len(world.at_work("a"))
         world.run(0.1)
     assert world.ended("a") == "completed"
+
+
+def test_ends_at_a_new_life_that_nobody_has_read_of_are_not_forgotten():
+    # Guards against a task that is done twice: its start came to a new life whose entry
+    # isn't read yet, it was done there, and reports meant for the old life told the
+    # runner to forget as many ends as the old life had listed.
+    world = World(runners=1)
+    world.submit("old", make_step(5))
+    world.run(3.0)
+    world.delay_orders = 1
+    world.submit("a", make_step())
+    world.runners["r0"].restart(world.now)
+    world.run(0.1)
+    world.deliver_late()
+    world.run(2.0)
+    world.announce()
+    world.run(3.0)
+    assert len(world.starts("a")) == 1
+    assert world.ended("a") == "completed"
