Let a job on its way count until its new unit knows of it or tells no counts

- The old unit stopped telling a job half a second after it was stored in the new one, whose owner counts up to three seconds after its last word from the store: with one lost answer neither told it.
It is told for 5 s now (READ_S), over the age of a copy that counts (3.5 s, from 3.0: one lost read of two seconds made the count refused everywhere) and the time of a question.
- A step that was stored while a caller was told its state or count raised an error.
- A note that a job has begun could be lost under a record that was being applied.

The record of what has arrived waits for another commit (200 appends less for 200 jobs that an idle unit hands over); the owner itself knows at once (`Delivered`). Names are told by queue.

Tests: World begins a new owner from stored records only, where it kept what the owner before had in memory. The state machine of units has rules that hand whole jobs and single tasks to units whose runners answer nothing, and checks each job by itself.

--- a/plantainyard/batch/pending.py
+++ b/plantainyard/batch/pending.py
@@ -77,9 +77,9 @@
     views = [
         (job_id, view, view.submission)
         for job_id, view in list(replica.jobs.items())
-        if view.submission is not None
+        if not (view.ended or view.cancelled)
+        and view.submission is not None
         and view.submission.queue == queue
-        and not (view.ended or view.cancelled)
     ]
     open_ = [(j, v, s) for j, v, s in views if not (v.begun or s.piece)]
     here = [(j, v, s) for j, v, s in open_ if v.moved is None]
--- a/plantainyard/batch/replica.py
+++ b/plantainyard/batch/replica.py
@@ -1,6 +1,7 @@
 """A copy of one unit's jobs, made of nothing but the newest stored records."""
 
 import logging
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from plantainyard.batch.records import (
@@ -21,6 +22,7 @@
     "describe_state",
     "is_divided",
     "note_begun",
+    "note_delivered",
 ]
 
 OWNER_KEY = "owner"
@@ -137,7 +139,8 @@
         if value:
             progress = decode_progress(value)
             view.steps[occurrence, step] = progress
-            view.begun |= progress.begun
+            if progress.begun:
+                view.begun = True
         else:
             view.steps.pop((occurrence, step), None)
 
@@ -159,11 +162,18 @@
 
 
 def is_divided(view: JobView) -> bool:
-    """Return whether other units have some tasks of a job."""
-    tasks = (task for step in view.steps.values() for task in step.tasks.values())
+    """Return whether other units have some tasks of a job; any thread may ask."""
+    steps = list(view.steps.values())
+    tasks = (task for step in steps for task in step.tasks.values())
     return any(task.unit is not None for task in tasks)
 
 
+def note_delivered(replica: Replica, job_ids: Iterable[str]) -> None:
+    """Take note that the new units of jobs know of them, ahead of the record."""
+    for job_id in job_ids:
+        replica.jobs.setdefault(job_id, JobView()).delivered = True
+
+
 def note_begun(replica: Replica, job_id: str) -> None:
     """Take note that a task of a job has started, ahead of the stored record."""
     view = replica.jobs.get(job_id)
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -34,7 +34,8 @@
     forward_cancel,
     forward_handed,
     note_forwarded,
-    take_delivered,
+    settle_delivered,
+    take_settled,
 )
 from plantainyard.dispatch.handover import (
     measure_lasting_room,
@@ -149,6 +150,7 @@
         _plan_moves(state, now)
         _measure_times(state, now)
         _forget_harms(state, now)
+        settle_delivered(state, now)
         forget_arrived(state, now)
     state.plan_due |= _changes_plan(state, event)
     state.changed |= _find_changed(event)
@@ -266,13 +268,13 @@
         for job_id, submission in state.handing.items()
         if not submission.piece
     ]
-    records += take_delivered(state, now)
     seen = {life: r.seen for life, r in state.runners.items() if r.seen > r.stored_seen}
     if not records:
         for life, number in seen.items():
             state.runners[life].stored_seen = number
         return
     records += _encode_begun(state)
+    records += take_settled(state)
     if state.harms.estimates and now - state.harms_stored_at > HARMS_EVERY_S:
         # With the records of others: a commit of its own would be one more call.
         records.append(Record(HARMS_KEY, encode_harms(state.harms)))
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -15,6 +15,7 @@
     "Begun",
     "Cancelled",
     "Commit",
+    "Delivered",
     "Committed",
     "EntryChanged",
     "Event",
@@ -210,6 +211,12 @@
     waited_s: float
 
 
+class Delivered(NamedTuple):
+    """Jobs that were handed over are known in their new units."""
+
+    job_ids: Sequence[str]
+
+
 class Forward(NamedTuple):
     """Store records among what another unit takes in, in order, until it is done."""
 
@@ -251,4 +258,4 @@
     wait_s: float
 
 
-Action = Begun | Commit | Forward | SendOrder | SendHold
+Action = Begun | Commit | Delivered | Forward | SendOrder | SendHold
--- a/plantainyard/dispatch/forwarding.py
+++ b/plantainyard/dispatch/forwarding.py
@@ -13,9 +13,9 @@
     parse_key,
 )
 from plantainyard.batch.values import Submission
-from plantainyard.dispatch.events import Forward
+from plantainyard.dispatch.events import Delivered, Forward
 from plantainyard.dispatch.model import Task
-from plantainyard.dispatch.state import Dispatcher
+from plantainyard.dispatch.state import Arrival, Dispatcher
 from plantainyard.platform.store import Record
 
 __all__ = [
@@ -29,20 +29,21 @@
     "note_forwarded",
     "note_moved",
     "pass_on",
-    "take_delivered",
+    "settle_delivered",
+    "take_settled",
 ]
 
 PART_BYTES = 500_000
 """Values sent to another unit in one call; the store takes four times as much, and a
 single one of them may be half of it."""
 
-READ_S = 0.5
-"""Time in which a unit's owner reads what was stored for it; a read that waits takes
-30 ms between regions."""
+READ_S = 5.0
+"""Time after which a unit's owner knows what was stored for it, or tells no counts: it
+counts up to 3.5 s after its last word from the store, and is asked within a second."""
 
-ARRIVED_S = 2.0
+ARRIVED_S = 8.0
 """Time for which an owner tells that a job has arrived: over what its old unit goes on
-telling it for, and that one's commit."""
+telling it for."""
 
 
 def pass_on(submission: Submission) -> Submission:
@@ -98,34 +99,50 @@
     state.unconfirmed -= stored
 
 
-def take_delivered(state: Dispatcher, now: float) -> list[Record]:
-    """Return the records of jobs that their new units have had the time to read.
+def settle_delivered(state: Dispatcher, now: float) -> None:
+    """Take note of the jobs whose new units have had the time to read of them.
 
     Notes
     -----
     Guards against a successor that sends every job again that was ever handed over,
-    one after the other, before those that nobody has yet.
+    one after the other, before those that nobody has yet. The records wait for a commit
+    that there is anyway.
     """
     due = [job for job, at in state.delivered.items() if now - at >= READ_S]
+    if due:
+        state.settled += due
+        state.actions.append(Delivered(due))
     for job_id in due:
         del state.delivered[job_id]
-    return [Record(make_delivery_key(job_id), DELIVERED) for job_id in due]
+
+
+def take_settled(state: Dispatcher) -> list[Record]:
+    """Return the records of jobs that their new units know of."""
+    settled, state.settled = state.settled, []
+    return [Record(make_delivery_key(job_id), DELIVERED) for job_id in settled]
 
 
 def note_arrived(state: Dispatcher, submission: Submission, now: float) -> None:
     """Take note that a whole job was handed to this unit."""
     if submission.hops and not submission.piece:
-        state.arrived[submission.job_id] = now
+        state.arrived[submission.job_id] = Arrival(submission.queue, now)
+
 
+def list_arrived(state: Dispatcher, queue: str) -> frozenset[str]:
+    """Return the jobs of a queue that were handed to this unit in the last seconds.
 
-def list_arrived(state: Dispatcher) -> frozenset[str]:
-    """Return the jobs that were handed to this unit in the last seconds."""
-    return frozenset(list(state.arrived))
+    Notes
+    -----
+    Any thread may ask.
+    """
+    arrived = list(state.arrived.items())
+    return frozenset(job_id for job_id, came in arrived if came.queue == queue)
 
 
 def forget_arrived(state: Dispatcher, now: float) -> None:
     """Forget the jobs that were handed to this unit longer ago."""
-    state.arrived = {j: at for j, at in state.arrived.items() if now - at < ARRIVED_S}
+    kept = {j: came for j, came in state.arrived.items() if now - came.at < ARRIVED_S}
+    state.arrived = kept
 
 
 def make_forward(submission: Submission, unit: int, cancelled: bool) -> Forward:
--- a/plantainyard/dispatch/restoring.py
+++ b/plantainyard/dispatch/restoring.py
@@ -35,8 +35,9 @@
     predecessor's orders that are still on their way are refused by then: the report
     was asked for with a higher fencing token.
     """
-    delivered = {job_id for job_id, view in replica.jobs.items() if view.delivered}
-    for job_id, view in list(replica.jobs.items()):
+    views = list(replica.jobs.items())
+    delivered = {job_id for job_id, view in views if view.delivered}
+    for job_id, view in views:
         if view.ended:
             state.ended[job_id] = now
         elif view.moved is not None:
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -11,7 +11,29 @@
 from plantainyard.dispatch.load import EMPTY_LOAD, Load
 from plantainyard.dispatch.model import Job, Runner, StepRun, Task
 
-__all__ = ["EMPTY_COUNTS", "Counts", "Dispatcher", "count_state", "mark_dirty"]
+__all__ = [
+    "EMPTY_COUNTS",
+    "Arrival",
+    "Counts",
+    "Dispatcher",
+    "count_state",
+    "mark_dirty",
+]
+
+
+class Arrival(NamedTuple):
+    """A job that was handed to a unit.
+
+    Attributes
+    ----------
+    queue : str
+        The job's.
+    at : float
+        When it was taken in.
+    """
+
+    queue: str
+    at: float
 
 
 @dataclass(slots=True, eq=False)
@@ -78,8 +100,10 @@
     delivered : dict
         When those of them that their new units are to be given time to read were stored
         there.
-    arrived : dict
-        When jobs were handed to this unit, by job; the last seconds only.
+    settled : list of str
+        Those that have had it, and whose record of that goes with the next commit.
+    arrived : dict of str to Arrival
+        The jobs that were handed to this unit in the last seconds.
     handing, committing_handing : dict
         Submissions of jobs to be handed over once that is stored; those of them that
         the commit on its way carries.
@@ -123,7 +147,8 @@
     moved: dict[str, int] = field(default_factory=dict)
     unconfirmed: set[str] = field(default_factory=set)
     delivered: dict[str, float] = field(default_factory=dict)
-    arrived: dict[str, float] = field(default_factory=dict)
+    settled: list[str] = field(default_factory=list)
+    arrived: dict[str, Arrival] = field(default_factory=dict)
     handing: dict[str, Submission] = field(default_factory=dict)
     committing_handing: dict[str, Submission] = field(default_factory=dict)
     cancelled_handing: set[str] = field(default_factory=set)
--- a/plantainyard/dispatch/tests/test_fleet.py
+++ b/plantainyard/dispatch/tests/test_fleet.py
@@ -1,6 +1,7 @@
 """Several units that hand work to each other, under faults between any two steps."""
 
 import itertools
+from typing import Any
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -12,7 +13,6 @@
 
 from plantainyard.batch.pending import add_up, count_pending
 from plantainyard.batch.records import RecordKind, parse_key
-from plantainyard.batch.replica import apply_record
 from plantainyard.dispatch import (
     Cancelled,
     Event,
@@ -21,6 +21,8 @@
     LoadsTold,
     list_arrived,
 )
+from plantainyard.dispatch.handover import MOST_HOPS
+from plantainyard.dispatch.tests.test_handover import ROOMY
 from plantainyard.dispatch.tests.world import World, make_step
 from plantainyard.platform.store import Record
 
@@ -50,7 +52,7 @@
         """Read a record that another unit's owner has stored."""
         key = parse_key(record.key)
         if key.kind == RecordKind.CANCEL:
-            apply_record(self.replica, record.key, record.value)
+            self.store(record.key, record.value)
             self.tell(Cancelled(key.job_id))
             return
         self.take(record)
@@ -109,11 +111,48 @@
         self.cancelled.add(f"job{unit}")
         self.worlds[unit].cancel(f"job{unit}")
 
+    def submit(self, unit: int, **more: Any) -> None:
+        """Submit a job to a queue of its own, so that its count tells of it alone."""
+        job = f"new{len(self.submitted)}"
+        self.submitted.append(job)
+        hops = more.pop("hops", 0)
+        step = make_step(1, cpu=TASK_CPU, **more)
+        self.worlds[unit].submit(job, step, queue=job, hops=hops)
+
     @rule(unit=st.integers(0, UNITS - 1))
-    def submit(self, unit: int) -> None:
-        self.submitted.append(f"new{len(self.submitted)}")
-        step = make_step(1, cpu=TASK_CPU)
-        self.worlds[unit].submit(self.submitted[-1], step)
+    def submit_short(self, unit: int) -> None:
+        self.submit(unit)
+
+    @rule(
+        unit=st.integers(0, UNITS - 1),
+        step=st.integers(1, UNITS - 1),
+        cut=st.booleans(),
+        divided=st.booleans(),
+        ticks=st.integers(1, 12),
+    )
+    def submit_and_hand_over(
+        self, unit: int, step: int, cut: bool, divided: bool, ticks: int
+    ) -> None:
+        """Let another unit tell of room, where runners may answer nothing."""
+        other = (unit + step) % UNITS
+        if cut:
+            self.worlds[other].cut |= set(self.worlds[other].runners)
+        if divided:
+            # A job that came from elsewhere can't go on as a whole, and its tasks can.
+            self.submit(unit, long_running=True, hops=MOST_HOPS)
+        else:
+            self.submit(unit)
+        self.worlds[unit].tell(LoadsTold({other: ROOMY}))
+        self.pass_ticks(ticks)
+
+    @rule(unit=st.integers(0, UNITS - 1), ticks=st.integers(1, 8))
+    def submit_where_nobody_answers(self, unit: int, ticks: int) -> None:
+        world = self.worlds[unit]
+        world.cancel(f"rest{unit}")
+        self.pass_ticks(10)
+        world.cut |= set(world.runners)
+        self.submit(unit)
+        self.pass_ticks(ticks)
 
     @rule(unit=st.integers(0, UNITS - 1))
     def make_room(self, unit: int) -> None:
@@ -152,7 +191,8 @@
     def check(self) -> None:
         names = self.list_at_work()
         assert len(names) == len(set(names)), f"twice: {sorted(names)}"
-        assert self.count_waiting() >= len(self.list_waiting())
+        for job in self.list_waiting():
+            assert self.count(job) >= 1, f"{job} is in no count"
 
     def list_waiting(self) -> list[str]:
         """Return the submitted jobs that no runner has ever begun."""
@@ -160,9 +200,9 @@
         started = {start[1] for runner in lives for start in runner.started}
         return [job for job in self.submitted if f"{job}.0.0.0" not in started]
 
-    def count_waiting(self) -> int:
-        told = [count_pending(world.replica, "q") for world in self.worlds]
-        recent = [list_arrived(world.state) for world in self.worlds]
+    def count(self, queue: str) -> int:
+        told = [count_pending(world.replica, queue) for world in self.worlds]
+        recent = [list_arrived(world.state, queue) for world in self.worlds]
         rows = zip(told, recent, strict=True)
         return add_up(t._replace(arrived=t.arrived | new) for t, new in rows)
 
@@ -175,7 +215,8 @@
         self.pass_ticks(round(SETTLE_S * 10))
         at_work = self.list_at_work()
         assert not [name for name in at_work if name.startswith("rest")]
-        assert self.count_waiting() == len(self.list_waiting())
+        counted = [job for job in self.submitted for _ in range(self.count(job))]
+        assert counted == self.list_waiting()
         for job in (f"job{unit}" for unit in range(UNITS)):
             found = [name for name in at_work if name.startswith(job)]
             assert len(found) == (0 if job in self.cancelled else TASKS), job
--- a/plantainyard/dispatch/tests/test_pending.py
+++ b/plantainyard/dispatch/tests/test_pending.py
@@ -1,11 +1,24 @@
 """What is told of jobs for which no task has started, with faults on the way."""
 
+from types import SimpleNamespace
+from typing import Any
+from unittest.mock import Mock
+
+import pytest
+
 from plantainyard.batch.pending import Pending, add_up, count_pending
 from plantainyard.batch.replica import describe_state
+from plantainyard.batch.values import StepProgress, TaskProgress
+from plantainyard.clock import read_clock
 from plantainyard.dispatch import LoadsTold, list_arrived
+from plantainyard.dispatch.forwarding import READ_S
 from plantainyard.dispatch.handover import MOST_HOPS
 from plantainyard.dispatch.tests.test_handover import ROOMY, make_full_world
 from plantainyard.dispatch.tests.world import World, make_step
+from plantainyard.entry import peers
+from plantainyard.entry.copies import UnitCopy
+from plantainyard.entry.instance import Owned
+from plantainyard.entry.peers import COUNT_AGE_S, Counted
 
 LEASE_LAPSES_S = 7.0
 
@@ -82,7 +95,7 @@
 def tell_pending(world: World) -> Pending:
     """Return what the unit's owner tells other instances."""
     pending = count_pending(world.replica, "q")
-    return pending._replace(arrived=pending.arrived | list_arrived(world.state))
+    return pending._replace(arrived=pending.arrived | list_arrived(world.state, "q"))
 
 
 def test_a_job_on_its_way_to_another_unit_counts_once():
@@ -99,11 +112,12 @@
     old.run(0.1)
     assert add_up([tell_pending(old), new_first]) == 1
     new.take(forward.records[0])
-    for _ in range(30):
+    began_at = old.now
+    while tell_pending(old).moving:
+        assert old.now < began_at + READ_S + 1.0
         for world in (old, new):
             world.run(0.1)
         assert add_up(map(tell_pending, (old, new))) == 1
-    assert tell_pending(old).moving == frozenset()
     new.cut.clear()
     new.run(1.0)
     assert add_up(map(tell_pending, (old, new))) == 0
@@ -155,3 +169,67 @@
     new.run(1.0)
     assert tell_pending(old).divided == {"a"}
     assert add_up(map(tell_pending, (old, new))) == 0
+
+
+def test_a_job_counts_until_its_new_unit_has_read_of_it_or_tells_nothing():
+    # Guards against a job that neither unit counts: the new owner's answer from the
+    # store was lost, and it counts in a copy that is some seconds old.
+    old = make_full_world()
+    old.submit("a", make_step(cpu=4000))
+    old.run(0.2)
+    assert old.forwarded
+    until = old.now + COUNT_AGE_S + 1.0
+    while old.now < until:
+        assert tell_pending(old).moving == {"a"}
+        old.run(0.1)
+
+
+def test_a_job_that_comes_while_its_owner_counts_is_told_by_both_units(monkeypatch):
+    # Guards against a job that is told as arrived by an owner that hasn't counted it.
+    old, new = make_full_world(), World(runners=1)
+    new.cut.add("r0")
+    old.submit("a", make_step(cpu=4000))
+    old.run(0.2)
+    (record,) = old.forwarded[0].records
+    count = peers.count_in_copy
+
+    def count_late(copy: UnitCopy, queue: str) -> Counted:
+        counted = count(copy, queue)
+        new.take(record)
+        return counted
+
+    monkeypatch.setattr(peers, "count_in_copy", count_late)
+    told = ask_owner_to_count(new)
+    assert add_up([tell_pending(old), told]) == 1
+
+
+def ask_owner_to_count(world: World) -> Pending:
+    tail = SimpleNamespace(synced_at=read_clock())
+    copy = SimpleNamespace(replica=world.replica, intake=tail)
+    owned = Owned(Mock(dispatcher=world.state), Mock())
+    instance: Any = SimpleNamespace(owned={0: owned}, copies=[copy])
+    counted = peers.ask_pending(instance, 0, "q")
+    assert counted is not None
+    return counted.pending
+
+
+@pytest.mark.parametrize(
+    "tell", [count_pending, lambda r, _: describe_state(r.jobs["a"])]
+)
+def test_a_step_that_is_stored_while_a_caller_is_told_breaks_nothing(tell):
+    # Guards against an answer that fails since the commit's thread adds a step
+    # meanwhile.
+    world = World(runners=1)
+    world.cut.add("r0")
+    world.submit("a", *(make_step() for _ in range(3)))
+    view = world.replica.jobs["a"]
+    progress = StepProgress(frozenset(), {0: TaskProgress(1, "r0@0")})
+
+    class Growing(dict[int, TaskProgress]):
+        def values(self):
+            view.steps[0, len(view.steps)] = progress
+            return super().values()
+
+    view.steps[0, 0] = StepProgress(frozenset(), Growing({0: TaskProgress(1, "r0@0")}))
+    tell(world.replica, "q")
+    assert len(view.steps) > 1
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -11,7 +11,12 @@
     make_cancel_key,
     make_submission_key,
 )
-from plantainyard.batch.replica import Replica, apply_record, note_begun
+from plantainyard.batch.replica import (
+    Replica,
+    apply_record,
+    note_begun,
+    note_delivered,
+)
 from plantainyard.batch.values import Resources, Step, Submission
 from plantainyard.dispatch import (
     Action,
@@ -19,6 +24,7 @@
     Cancelled,
     Commit,
     Committed,
+    Delivered,
     EntryChanged,
     Event,
     Forward,
@@ -59,6 +65,7 @@
         self.now = 100.0
         self.limits = Limits(**limits)
         self.runners = {f"r{n}": RunnerState(f"r{n}") for n in range(runners)}
+        self.stored: dict[str, bytes] = {}
         self.replica = Replica()
         self.submissions: dict[str, Submission] = {}
         self.cut: set[str] = set()
@@ -86,22 +93,30 @@
         self.waiting_forwards = []
         self.held = []
         self.answers = []
+        self.replica = Replica()
+        for key, value in self.stored.items():
+            apply_record(self.replica, key, value)
         self.state = restore_dispatcher(
             self.replica, self.limits, self.now, self.now * 1000, self.now
         )
         self.announce()
         self.run(TICK_S)
 
+    def store(self, key: str, value: bytes) -> None:
+        """Let a record be stored, and read at once."""
+        self.stored[key] = value
+        apply_record(self.replica, key, value)
+
     def announce(self) -> None:
         for name, runner in self.runners.items():
             entry = decode_entry(name, json.dumps(runner.entry(self.now)).encode())
             self.tell(EntryChanged(name, entry))
 
-    def submit(self, job_id: str, *steps: Step, **more: Any) -> None:
-        submission = Submission(job_id, "q", SERVICE, "spec", steps, **more)
+    def submit(self, job_id: str, *steps: Step, queue: str = "q", **more: Any) -> None:
+        submission = Submission(job_id, queue, SERVICE, "spec", steps, **more)
         self.submissions[job_id] = submission
         key = make_submission_key(job_id)
-        apply_record(self.replica, key, encode_submission(submission))
+        self.store(key, encode_submission(submission))
         self.tell(Submitted(submission))
 
     def tell_again(self, job_id: str) -> None:
@@ -110,7 +125,7 @@
 
     def take(self, record: Record) -> None:
         """Read a record that another unit's owner has stored."""
-        apply_record(self.replica, record.key, record.value)
+        self.store(record.key, record.value)
         self.tell(Submitted(decode_submission(record.value)))
 
     def lose(self, name: str) -> None:
@@ -120,7 +135,7 @@
         self.tell(EntryChanged(name, None))
 
     def cancel(self, job_id: str) -> None:
-        apply_record(self.replica, make_cancel_key(job_id), b"1")
+        self.store(make_cancel_key(job_id), b"1")
         self.tell(Cancelled(job_id))
 
     def tell(self, event: Event) -> None:
@@ -148,6 +163,9 @@
         if isinstance(action, Begun):
             note_begun(self.replica, action.job_id)
             return []
+        if isinstance(action, Delivered):
+            note_delivered(self.replica, action.job_ids)
+            return []
         assert isinstance(action, SendOrder)
         return self.order(action)
 
@@ -157,7 +175,7 @@
 
     def commit(self, action: Commit) -> list[Event]:
         for record in action.records:
-            apply_record(self.replica, record.key, record.value)
+            self.store(record.key, record.value)
         self.summaries += action.summaries
         return [Committed()]
 
--- a/plantainyard/entry/peers.py
+++ b/plantainyard/entry/peers.py
@@ -39,10 +39,10 @@
 ASK_OWNER_S = 0.3
 """The same for the question whether it is there, of which three in a row count."""
 
-COUNT_AGE_S = 3.0
+COUNT_AGE_S = 3.5
 """Age of what an owner has read from which it doesn't count any more. A read that waits
 a second and finds nothing proves what was so when it began, so an owner that follows
-well is up to two seconds behind its proofs."""
+well is up to two seconds behind its proofs, and more after a lost answer."""
 
 _pool = build_pool(pools=64, connections_per_peer=4)
 
@@ -114,10 +114,12 @@
     """
     owned = instance.owned.get(unit)
     if owned is not None:
+        # First: what arrives meanwhile may be told twice, and never by nobody.
+        arrived = list_arrived(owned.world.dispatcher, queue)
         counted = count_in_copy(instance.copies[unit], queue)
         if counted.age_s > COUNT_AGE_S:
             return None
-        arrived = counted.pending.arrived | list_arrived(owned.world.dispatcher)
+        arrived |= counted.pending.arrived
         return counted._replace(pending=counted.pending._replace(arrived=arrived))
     path = f"/units/{unit}/pending/{quote(queue)}"
     body = _ask(instance, unit, "peer.pending", path, "pending", dict)
@@ -140,6 +142,7 @@
     told: dict[str, Any] = {
         name: frozenset(value) if isinstance(value, list) else value
         for name, value in body["pending"].items()
+        if name in Pending._fields
     }
     return Counted(Pending(**told), float(body["age_s"]))
 
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -12,7 +12,12 @@
 import pykka
 from result import Err, Ok, Result
 
-from plantainyard.batch.replica import Replica, apply_record, note_begun
+from plantainyard.batch.replica import (
+    Replica,
+    apply_record,
+    note_begun,
+    note_delivered,
+)
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import (
@@ -20,6 +25,7 @@
     Begun,
     Commit,
     Committed,
+    Delivered,
     Dispatcher,
     Forward,
     Forwarded,
@@ -204,6 +210,8 @@
             self._hold(action)
         elif isinstance(action, Begun):
             self._note_begun(action)
+        elif isinstance(action, Delivered):
+            note_delivered(self.world.replica, action.job_ids)
         elif isinstance(action, Forward):
             self.forwards.submit(self._forward, action)
         else:
