Read at once after a read that failed

One lost answer of the store kept a follower's proof of what it has read old for three to four seconds: the lost read takes two, and the next one waits for a second again. The first read after a failure doesn't wait now.

--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -209,11 +209,14 @@
     note : callable
         Called after each reading, also after one that failed.
     """
+    failed = False
     while not stopping.is_set():
         wait_s, pause_s = choose_wait()
         if pause_s and stopping.wait(pause_s):
             return
-        found = poll_tail(tail, wait_s)
+        # What was missed is known at once, not after another wait.
+        found = poll_tail(tail, 0.0 if failed else wait_s)
         note()
-        if isinstance(found, Err):
+        failed = isinstance(found, Err)
+        if failed:
             stopping.wait(RETRY_S)
