Take no late answer of an ended ownership into the copy of a unit

Callers may have seen: a finished task told, and begun again, as unfinished. Cause: an append that was on its way when an instance gave a unit up is answered when it owns the unit again, under a later epoch; its records went into the copy, which both ownerships share, over newer ones. They are left out now: the reading at a takeover takes them in their order. Seen to fail before: E assert frozenset() == {0}

--- a/plantainyard/entry/tests/test_owning.py
+++ b/plantainyard/entry/tests/test_owning.py
@@ -1,16 +1,20 @@
 """Taking, keeping and losing the ownership of units."""
 
+import io
 import threading
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 from unittest.mock import Mock
 
 from result import Ok
 
-from plantainyard.batch.records import encode_progress
+from plantainyard.batch.records import encode_progress, make_progress_key
+from plantainyard.batch.replica import Replica, apply_record
 from plantainyard.batch.values import StepProgress, TaskProgress
-from plantainyard.dispatch import Cancelled, Submitted
+from plantainyard.dispatch import Cancelled, Commit, Submitted
 from plantainyard.entry.copies import refresh_copy
+from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.instance import Owned
 from plantainyard.entry.ownership import Ownership, follow_ownership, name_member
 from plantainyard.entry.owning import Owners
@@ -27,8 +31,9 @@
     wait_until,
 )
 from plantainyard.entry.topics import INTAKE, PROGRESS
+from plantainyard.entry.unit import UnitActor, UnitWorld
 from plantainyard.platform.runners import Held, OrderOutcome, OrderResult
-from plantainyard.platform.store import Append, Record, build_store_calls
+from plantainyard.platform.store import Append, Appended, Record, build_store_calls
 from standins.platform import RunnerState, StoreState
 
 
@@ -174,3 +179,25 @@
         instance.owned[0] = Owned(Mock(), actor)
         tell_jobs(instance, instance.copies[0])
     assert [sent.args[0] for sent in actor.tell.call_args_list] == [Cancelled(JOB)]
+
+
+def test_a_late_answer_to_an_ended_ownership_changes_no_copy():
+    # Guards against a finished task that is told as unfinished, and begun again: the
+    # instance owns the unit anew when an append of its ownership before is answered.
+    replica, key = Replica(), make_progress_key(JOB, 0, 0)
+    old = encode_progress(StepProgress(frozenset(), {0: TaskProgress(1, "r0@1")}))
+    new = encode_progress(StepProgress(frozenset({0}), {}))
+
+    def answer_late(append, timeout_s):
+        world.stopping.set()
+        apply_record(replica, key, new)
+        return Ok(Appended(True, False, 1))
+
+    apply_record(replica, f"j/{JOB}", b"")
+    store: Any = SimpleNamespace(append=answer_late)
+    log = EventLog("edge-1", io.StringIO())
+    world = UnitWorld(0, 5, store, Mock(), replica, log, Mock(), Mock())
+    actor: Any = SimpleNamespace(world=world, actor_ref=Mock(), _note_end=Mock())
+    apply_record(replica, key, old)
+    UnitActor._commit(actor, Commit([Record(key, old)]), 1)
+    assert replica.jobs[JOB].steps[0, 0].done == {0}
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -218,11 +218,18 @@
             self._order(action)
 
     def _commit(self, action: Commit, sequence: int) -> None:
+        """Store records and take them into the copy, which later ownerships share.
+
+        Notes
+        -----
+        Guards against old progress over new: an answer may come when this ownership is
+        over and the instance owns the unit again, under a later one.
+        """
         world = self.world
         append = Append(
             PROGRESS, world.unit, action.records, PRODUCER, world.epoch, sequence
         )
-        if append_until_known(world, append):
+        if append_until_known(world, append) and not world.stopping.is_set():
             for record in action.records:
                 apply_record(world.replica, record.key, record.value)
             for summary in action.summaries:
