Give a unit up whose takeover has failed by a fault of the program

Callers may have seen: a unit without an owner for good, its jobs neither told nor run. Cause: the thread of the takeover ended, and its claim stayed, so that neither this instance nor another claimed the unit. The fault is logged as `unit_failed`, and the claim given up. Seen to fail before: E AssertionError: not within the test's patience

--- a/plantainyard/entry/owning.py
+++ b/plantainyard/entry/owning.py
@@ -1,6 +1,7 @@
 """Claiming units, keeping them, and giving them up."""
 
 import threading
+import traceback
 from concurrent.futures import ThreadPoolExecutor
 
 import pykka
@@ -116,7 +117,7 @@
         instance.claims[unit] = Claim(epoch, read_clock())
         instance.log.write("owner_named", unit=unit, epoch=epoch, why=why)
         arguments = (instance.copies[unit], epoch)
-        threading.Thread(target=self._own, args=arguments, daemon=True).start()
+        threading.Thread(target=self._own_or_fail, args=arguments, daemon=True).start()
 
     def confirm(self) -> None:
         """Take in what the layout says of this instance's units.
@@ -168,6 +169,21 @@
             self.give_up(copy.unit)
         self._asking.shutdown(wait=False, cancel_futures=True)
 
+    def _own_or_fail(self, copy: UnitCopy, epoch: int) -> None:
+        """Own a unit, and give it up after a fault of the program.
+
+        Notes
+        -----
+        Guards against a unit that nobody can own: the thread has ended, and its claim
+        keeps this instance from claiming the unit anew and others from finding it gone.
+        """
+        try:
+            self._own(copy, epoch)
+        except Exception as error:
+            why = traceback.format_exception(error)[-3:]
+            self.instance.log.write("unit_failed", unit=copy.unit, why=why)
+            self._depose(copy.unit, epoch)
+
     def _own(self, copy: UnitCopy, epoch: int) -> None:
         """Own a unit until a successor says otherwise."""
         unit, instance = copy.unit, self.instance
--- a/plantainyard/entry/tests/test_owning.py
+++ b/plantainyard/entry/tests/test_owning.py
@@ -3,6 +3,7 @@
 import io
 import threading
 from collections.abc import Callable
+from itertools import count
 from types import SimpleNamespace
 from typing import Any
 from unittest.mock import Mock
@@ -13,6 +14,7 @@
 from plantainyard.batch.replica import Replica, apply_record
 from plantainyard.batch.values import StepProgress, TaskProgress
 from plantainyard.dispatch import Cancelled, Commit, Submitted
+from plantainyard.entry import owning
 from plantainyard.entry.copies import refresh_copy
 from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.instance import Owned
@@ -181,6 +183,34 @@
     assert [sent.args[0] for sent in actor.tell.call_args_list] == [Cancelled(JOB)]
 
 
+def test_a_unit_whose_takeover_fails_once_gets_an_owner(monkeypatch):
+    # Guards against a unit without an owner for good: a fault ended its takeover, and
+    # the claim stayed.
+    failures = [RuntimeError("dictionary changed size during iteration")]
+    restore = owning.restore_unit
+
+    def fail_once(*arguments):
+        if failures:
+            raise failures.pop()
+        return restore(*arguments)
+
+    monkeypatch.setattr(owning, "restore_unit", fail_once)
+    with run_instance(StoreState()) as instance:
+        owners, epochs = Owners(instance), count(5)
+        epoch = next(epochs)
+
+        def is_owned():
+            nonlocal epoch
+            if instance.deposed.is_set():
+                instance.deposed.clear()
+                epoch = next(epochs)
+            owners.take(Ownership(epoch, frozenset({0})))
+            return bool(instance.owned)
+
+        wait_until(is_owned)
+    assert not failures
+
+
 def test_a_late_answer_to_an_ended_ownership_changes_no_copy():
     # Guards against a finished task that is told as unfinished, and begun again: the
     # instance owns the unit anew when an append of its ownership before is answered.
