Measure what an instance costs that owns nothing, and count an owner's wake-ups

`python -m bench idle` runs the whole program several times beside a stand-in store and a stand-in owner, as reserves or (--strong) as members of the group, and tells processor time until ready, processor time and wake-ups a second, and calls by step. `bench owner` also tells wake-ups now.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from bench.dispatch.experiment import run_dispatch
+from bench.idle import run_idle
 from bench.owner import run_owner
 from bench.placement import run_command as run_placement
 from bench.proofs import run_proofs
@@ -15,6 +16,7 @@
 
 COMMANDS: dict[str, Callable[[list[str]], int]] = {
     "dispatch": run_dispatch,
+    "idle": run_idle,
     "owner": run_owner,
     "proofs": run_proofs,
     "placement": run_placement,
--- a/bench/owner.py
+++ b/bench/owner.py
@@ -9,6 +9,7 @@
 import io
 import json
 import multiprocessing
+import resource
 import sys
 import threading
 import time
@@ -56,12 +57,15 @@
     ----------
     processor_s, elapsed_s : float
         Processor time of the owner's process, and the time that it took.
+    wake_ups : int
+        Times that a thread waited and went on.
     looks, starts, commits : int
         Calls in that time.
     """
 
     processor_s: float
     elapsed_s: float
+    wake_ups: int
     looks: int
     starts: int
     commits: int
@@ -151,12 +155,17 @@
 def _measure(instance: Instance, seconds: float) -> Figures:
     steps = ("runner.hold", "runner.run-start", "store.append")
     before = [_count_calls(instance, step) for step in steps]
+    wake_ups = _count_wake_ups()
     processor, began = time.process_time(), read_clock()
     time.sleep(seconds)
     processor = time.process_time() - processor
     elapsed = read_clock() - began
     calls = [_count_calls(instance, s) - n for s, n in zip(steps, before, strict=True)]
-    return Figures(processor, elapsed, *calls)
+    return Figures(processor, elapsed, _count_wake_ups() - wake_ups, *calls)
+
+
+def _count_wake_ups() -> int:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_nvcsw
 
 
 def _describe(figures: Figures) -> list[tuple[str, str]]:
@@ -164,6 +173,7 @@
     calls = figures.looks + figures.starts
     return [
         ("share of a core", f"{figures.processor_s * per_s:.3f}"),
+        ("wake-ups a second", f"{figures.wake_ups * per_s:.0f}"),
         ("looks a second", f"{figures.looks * per_s:.0f}"),
         ("starts a second", f"{figures.starts * per_s:.0f}"),
         ("appends a second", f"{figures.commits * per_s:.0f}"),
