Give a unit's actor an inbox that takes one lock

Change: `queue.SimpleQueue` in place of pykka's `queue.Queue`, which is in Python and takes and wakes several locks for each event.

--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -1,6 +1,7 @@
 """The owner of a unit: an actor around the dispatcher, and what it asks for."""
 
 import contextlib
+import queue
 import threading
 import traceback as tb
 from collections.abc import Callable, Iterator
@@ -125,6 +126,17 @@
 
     use_daemon_thread = True
 
+    @staticmethod
+    def _create_actor_inbox() -> Any:
+        """Return the actor's inbox; see `pykka.Actor`.
+
+        Notes
+        -----
+        The library's own is a bounded queue in Python, of which each event takes and
+        wakes several locks; this one takes one, in C, and nothing here bounds it.
+        """
+        return queue.SimpleQueue()
+
     def __init__(self, world: UnitWorld, dispatcher: Dispatcher) -> None:
         super().__init__()
         self.world = world
