Let a server's loop sleep until something happens

Hypothesis: an instance that owns nothing is mostly woken by its own four servers, twice a second each, to look for idle connections.

Answers, new connections and the stop wake the loop by themselves, so no timing that a guarantee leans on becomes longer.

Test: an idle server isn't woken for 2.2 s and stops at once. Seen to fail before: E assert [5] == [1]

--- a/plantainyard/serving.py
+++ b/plantainyard/serving.py
@@ -11,7 +11,10 @@
 
 from plantainyard.clock import read_clock
 
-__all__ = ["serve_app"]
+__all__ = ["LOOP_NAME", "serve_app"]
+
+LOOP_NAME = "http-loop"
+"""Name of the thread that reads and writes for a server."""
 
 IDLE_TIMEOUT_S = 30
 """Time after which a connection without requests is closed."""
@@ -23,8 +26,9 @@
 """Bodies up to this many limits are read whole, so that the application can say that
 one is too long."""
 
-LOOP_S = 0.5
-"""Longest sleep of the server's loop; whatever happens on a socket wakes it."""
+LOOP_S = 5.0
+"""Longest sleep of the server's loop; whatever happens on a socket wakes it, and so do
+finished answers and the stop. What is left for it is to close idle connections."""
 
 FLUSH_S = 5.0
 """Longest time for answers that are being written at the end."""
@@ -85,8 +89,9 @@
         ident=None,
     )
     stopping = threading.Event()
+    arguments = (server, sockets, stopping, flush_s)
     thread = threading.Thread(
-        target=_run_loop, args=(server, sockets, stopping, flush_s), daemon=True
+        target=_run_loop, args=arguments, daemon=True, name=LOOP_NAME
     )
     thread.start()
     try:
--- a/plantainyard/tests/test_serving.py
+++ b/plantainyard/tests/test_serving.py
@@ -1,7 +1,9 @@
 import socket
 import threading
+import time
+from pathlib import Path
 
-from plantainyard.serving import serve_app
+from plantainyard.serving import LOOP_NAME, serve_app
 
 BODY = b"x" * 8_000_000
 
@@ -35,3 +37,27 @@
 def read_all(caller, received):
     while chunk := caller.recv(65_536):
         received += chunk
+
+
+def test_a_server_that_nobody_calls_sleeps_and_stops_at_once():
+    """An instance that owns nothing isn't woken by its servers, and goes when told to.
+
+    Of a hundred instances eighty have nothing to do. Their four servers woke up twice a
+    second each, which was half of what these instances did; an instance that stops must
+    not wait for the end of such a sleep.
+    """
+    with serve_app(lambda *_: [], "127.0.0.1:0", 1, 10, 100):
+        loops = [thread for thread in threading.enumerate() if thread.name == LOOP_NAME]
+        assert loops
+        time.sleep(0.2)
+        before = [count_wake_ups(thread) for thread in loops]
+        time.sleep(2.2)
+        assert [count_wake_ups(thread) for thread in loops] == before
+        asked_at = time.monotonic()
+    assert time.monotonic() - asked_at < 2.0
+
+
+def count_wake_ups(thread: threading.Thread) -> int:
+    status = Path(f"/proc/self/task/{thread.native_id}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("voluntary"))
+    return int(line.split()[1])
