Give a wide job that ends to the unit that has room for its width, before it begins

Two of six units are held to 0.97 and 0.96 by long-running tasks from the start and have no room for a task of 2.8 cores, while unit 0 has room for 59 at 0 to 4 s and 32 at 4 to 8 s. A wide job began in the one gap that is left, and what has begun can't leave; `gap` tells what is free at a moment only.

Ruled out: runners that lie about their health (14 failed runs of the class in the logged lines), memory (0.76 of a unit at most), slow starts (173 s ordered in all).

Change: a unit tells for how many tasks of a size long-running ones leave room (`slots`), and what counted jobs that end ask for (`ending`). A counted job that can't be at work at its full width beside that goes at once to the least crowded unit, if that one has under 0.7 of its own crowding. Older rules follow as before. Owners of the landing before read five figures of a load, so the new ones are told beside them.

With the new rule taken out two of the five new tests fail: [] == [(5, ['j/a'])] and [] == [3, 3, 3, 5, 5, 5]; the others guard against moving too much.

--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
 from plantainyard.batch.replica import HARMS_KEY, Replica
 from plantainyard.batch.values import StepProgress, TaskProgress
 from plantainyard.dispatch import orders, reports, runs
+from plantainyard.dispatch.crowding import count_slots, measure_ending
 from plantainyard.dispatch.events import (
     Action,
     Cancelled,
@@ -192,7 +193,9 @@
 
 def _measure_load(state: Dispatcher, now: float) -> None:
     if now - state.load_at >= LOAD_EVERY_S:
-        state.load = measure_load(state)
+        state.load = measure_load(state)._replace(
+            slots=count_slots(state, now), ending=measure_ending(state, now)
+        )
         state.lasting_room = measure_lasting_room(state)
         state.load_at = now
 
--- a/plantainyard/dispatch/handover.py
+++ b/plantainyard/dispatch/handover.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 
 from plantainyard.batch.values import Step
+from plantainyard.dispatch.crowding import find_roomier_unit, move_ending
 from plantainyard.dispatch.forwarding import find_piece, note_moved, pass_on
 from plantainyard.dispatch.load import EMPTY_LOAD, Load
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun
@@ -185,6 +186,10 @@
     needed = max(find_reserved_cpu(step) for step in submission.steps)
     if any(step.long_running for step in submission.steps):
         return _find_room(state, step, needed, LASTING_GAP)
+    if not any(step.requires for step in submission.steps):
+        roomier = find_roomier_unit(state, job)
+        if roomier is not None:
+            return roomier
     if needed > state.lasting_room:
         return _find_room(state, step, needed, MISFIT_GAP)
     if now - job.taken_at < WAIT_S:
@@ -230,6 +235,7 @@
     state.handing[submission.job_id] = pass_on(submission)
     first = submission.steps[0]
     _move_load(state, first, first.size, unit)
+    move_ending(state, job, unit)
 
 
 def _move_load(state: Dispatcher, step: Step, tasks: int, unit: int) -> None:
--- a/plantainyard/dispatch/load.py
+++ b/plantainyard/dispatch/load.py
@@ -1,8 +1,16 @@
 """How full a unit is, as its owner tells the owners of others."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
-__all__ = ["EMPTY_LOAD", "Load"]
+__all__ = ["EMPTY_LOAD", "SLOT_SIZES", "Load"]
+
+SLOT_SIZES = (
+    *(500, 1_000, 1_500, 2_000, 2_500, 3_000, 3_500, 4_000),
+    *(5_000, 6_000, 8_000, 10_000, 12_000, 16_000),
+)
+"""Sizes of tasks for which room is counted, in thousandths of a core; larger ones are
+judged by gaps."""
 
 
 class Load(NamedTuple):
@@ -19,6 +27,12 @@
     gap : int
         Processor time that isn't reserved at the runner where most of it is free, in
         thousandths of a core.
+    slots : sequence of int
+        By `SLOT_SIZES`, the tasks of that size that could be at work at a time beside
+        the long-running ones; empty where that isn't known.
+    ending : int
+        Thousandths of a core that counted jobs that end, and are of use, hold or wait
+        for.
     """
 
     reserved: float
@@ -26,6 +40,8 @@
     waiting: float
     waiting_backfill: float
     gap: int
+    slots: Sequence[int] = ()
+    ending: int = 0
 
 
 EMPTY_LOAD = Load(1.0, 1.0, 1.0, 1.0, 0)
--- a/plantainyard/dispatch/tests/test_handover.py
+++ b/plantainyard/dispatch/tests/test_handover.py
@@ -418,7 +418,7 @@
     for job_id in ("a", "b"):
         world.submit(job_id, make_step(cpu=4_000, long_running=True), hops=1)
     world.run(1.5)
-    assert len(world.forwarded) == 1
+    assert len(list_keys(world)) == 1
 
 
 def test_interrupted_tasks_of_one_job_wait_at_the_same_time():
@@ -429,3 +429,67 @@
     world.submit("a", make_step(5, cpu=1_500, long_running=True), hops=1)
     world.run(1.0)
     assert len(set(list_keys(world))) == 5
+
+
+CROWDED_BUT_ROOMY = FULL._replace(slots=(60,) * 14, ending=30_000, gap=2_000)
+
+
+def make_nearly_full_world() -> World:
+    """Return a unit of which long-running tasks leave a gap on one of two runners."""
+    world = World(runners=2)
+    world.runners["r0"].durations = world.runners["r1"].durations = {"full": 0.0}
+    world.submit("full", make_step(cpu=64_000, long_running=True))
+    world.submit("most", make_step(cpu=60_000, long_running=True))
+    world.run(4.0)
+    return world
+
+
+def test_a_wide_job_does_not_begin_in_the_one_gap_of_its_unit():
+    # Long-running tasks leave a gap for one task. A job of twelve began in it, could
+    # not leave any more, and did one task after the other for the rest of the day. The
+    # neighbour's runners are all in use at this moment, by tasks that end in a second.
+    world = make_nearly_full_world()
+    world.tell(LoadsTold({3: FULL, 5: CROWDED_BUT_ROOMY}))
+    world.submit("a", make_step(12, cpu=3000))
+    assert list_forwarded(world) == [(5, ["j/a"])]
+    assert world.starts("a") == []
+
+
+def test_a_job_that_its_unit_has_room_for_stays():
+    world = make_nearly_full_world()
+    world.tell(LoadsTold({5: CROWDED_BUT_ROOMY}))
+    world.submit("a", make_step(2, cpu=2000))
+    world.run(0.2)
+    assert world.forwarded == []
+    assert len(world.starts("a")) == 2
+
+
+def test_a_job_stays_where_the_others_are_as_crowded():
+    # Loads are told once a second. Moved for little, jobs come where others came.
+    world = make_nearly_full_world()
+    crowded = CROWDED_BUT_ROOMY._replace(slots=(1,) * 14, ending=0)
+    world.tell(LoadsTold({3: crowded, 5: FULL._replace(slots=(0,) * 14)}))
+    world.submit("a", make_step(2, cpu=3500))
+    world.run(0.2)
+    assert world.forwarded == []
+    assert len(world.starts("a")) == 1
+
+
+def test_a_word_that_counts_other_sizes_draws_no_jobs():
+    # While a release is rolled out owners of two versions tell each other their loads.
+    world = make_nearly_full_world()
+    world.tell(LoadsTold({3: CROWDED_BUT_ROOMY._replace(slots=(60,) * 3), 5: FULL}))
+    world.submit("a", make_step(12, cpu=3000))
+    world.run(0.2)
+    assert world.forwarded == []
+
+
+def test_wide_jobs_are_spread_between_two_words_of_the_other_units():
+    world = make_nearly_full_world()
+    empty = CROWDED_BUT_ROOMY._replace(ending=0)
+    world.tell(LoadsTold({3: empty, 5: empty}))
+    for number in range(6):
+        world.submit(f"a{number}", make_step(12, cpu=3000))
+    world.run(0.2)
+    units = [unit for unit, keys in list_forwarded(world) for _ in keys]
+    assert sorted(units) == [3, 3, 3, 5, 5, 5]
--- a/plantainyard/entry/peers.py
+++ b/plantainyard/entry/peers.py
@@ -156,7 +156,7 @@
     if body is None:
         return None
     try:
-        return Load(*body["load"])
+        return Load(*body["load"], **body.get("room", {}))
     except TypeError as error:
         instance.log.write("peer_silent", unit=unit, why=repr(error))
         return None
@@ -248,6 +248,14 @@
     return serve
 
 
+def _pack_load(load: Load) -> dict[str, Any]:
+    """Return a load as told; instances of before know the first five figures only."""
+    figures = [load.reserved, load.backfill, load.waiting]
+    figures += [load.waiting_backfill, load.gap]
+    room = {"slots": list(load.slots), "ending": load.ending}
+    return {"load": figures, "room": room}
+
+
 def _answer(instance: Instance, path: str) -> dict[str, Any] | None:
     """Return the answer to a call about a unit that this instance owns."""
     parts = path.strip("/").split("/")
@@ -270,5 +278,5 @@
         return {"harms": ask_harms(instance, unit).decode(errors="replace")}
     if topic == "load":
         load = ask_load(instance, unit)
-        return None if load is None else {"load": list(load)}
+        return None if load is None else _pack_load(load)
     return None
