--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -49,6 +49,13 @@
     assert run_soak(500, seconds=8.0, shape=Shape(reserves=2, units=3)).broken == []
 
 
+def test_a_job_handed_to_an_owner_without_the_store_is_not_left_out_of_a_count():
+    # One waiting job was told as none for 0.4 s: the owner that it was handed to was
+    # cut off from the store, and answered with a count of four seconds ago.
+    outcome = run_soak(5110, seconds=12.0, shape=Shape(runners=2, units=3))
+    assert outcome.broken == []
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_promises_hold_under_faults(seed):
     # Instances are killed, stopped and paused, cut from the store and from runners;
