List a lease that outlives its runner's restart, with its failing tests

A renewal of the lease is in flight when its runner restarts, and the new incarnation answers it. The lease's end is a time on the old clock, far ahead of the new one, so that the runner grants its longest lease, 10 s, for everything that starts there. The owner counts what it grants to the new incarnation, 5 s here, and a successor 5.5 s after the first answer; when the runner then falls silent, the task is started elsewhere while it still runs.

--- /dev/null
+++ b/plantainyard/dispatch/tests/test_restarted_runners.py
@@ -0,0 +1,72 @@
+"""Tests of leases at runners that start again under their id, in virtual time."""
+
+from plantainyard.dispatch.tests.test_takeovers import start_long_running
+from plantainyard.dispatch.tests.world import World
+
+OLD_AGE_S = 3.0
+"""Time for which the first incarnation runs the task, so that its clock is ahead."""
+
+LONGEST_LEASE_S = 10.0
+
+
+def restart_beside_a_renewal(world: World) -> str:
+    """Let a new incarnation answer a renewal that was sent to the one before it.
+
+    Returns
+    -------
+    str
+        The runner, at which the task runs again.
+    """
+    world.unreachable.add("r1")
+    home = start_long_running(world)
+    world.run(OLD_AGE_S)
+    world.runners[home].restart(world.now)
+    world.run(0.1)
+    world.publish_entries()
+    while not world.list_running("a"):
+        world.run(0.1)
+    return home
+
+
+def exchange_reachable_runner(world: World, home: str) -> None:
+    world.unreachable = {home}
+
+
+def assert_runs_once_until_it_moves(world: World, home: str) -> None:
+    """Let the first run lapse; the task must then run at the other runner alone."""
+    for _ in range(round(1.5 * LONGEST_LEASE_S * 10)):
+        world.run(0.1)
+        assert len(world.list_running("a")) <= 1
+    assert world.runners[home].ends[-1][3] == "lapsed"
+    assert len(world.list_running("a")) == 1
+
+
+def test_a_renewal_that_a_new_incarnation_answers_is_counted_as_its_longest_lease():
+    # Guards against two runs of one task: a renewal sent before a runner restarted
+    # carries a time of the old clock, far ahead of the new one.
+    world = World(runners=2)
+    home = restart_beside_a_renewal(world)
+    exchange_reachable_runner(world, home)
+    assert_runs_once_until_it_moves(world, home)
+
+
+def test_a_successor_counts_the_longest_lease_of_a_new_incarnation():
+    # Guards against two runs of one task: the same renewal, and a change of owner
+    # without a report before the runner is lost.
+    world = World(runners=2)
+    home = restart_beside_a_renewal(world)
+    world.change_owner()
+    world.run(0.3)
+    exchange_reachable_runner(world, home)
+    assert_runs_once_until_it_moves(world, home)
+
+
+def test_a_report_counts_the_longest_lease_of_a_new_incarnation():
+    # Guards against two runs of one task: the same renewal, and a predecessor that
+    # reports only what it granted to the new incarnation.
+    world = World(runners=2)
+    home = restart_beside_a_renewal(world)
+    world.replace_owner()
+    world.run(0.3)
+    exchange_reachable_runner(world, home)
+    assert_runs_once_until_it_moves(world, home)
