Raise the fencing token with each incarnation of a runner

Callers saw a job that stays running without work: a task whose start was not answered before its runner restarted stays stopping for good when the new incarnation answers reports but no orders, beside idle runners.

Cause: a call names the runner's id alone, and a new incarnation has seen no token, so that it carries out what was meant for the one before. Only an answered stop excluded that.

Change: an owner that sees a runner start again calls it with a token one higher, once that token is stored; the first report then shows what is there, and every call to the earlier incarnation is refused from then on. A successor begins above the stored token, which equals its epoch except after such restarts. An owner's own refused call to an earlier incarnation doesn't release its unit.

Without the check of the token in `_apply_fence`, and with the epoch as the successor's token, the two new tests of test_ownership_manager.py fail.

--- a/plantainyard/batch/replica.py
+++ b/plantainyard/batch/replica.py
@@ -14,12 +14,14 @@
 from plantainyard.batch.values import JobState, StepProgress, Submission
 
 __all__ = [
+    "FENCE_KEY",
     "INTERFERENCE_KEY",
     "OWNER_KEY",
     "JobView",
     "Replica",
     "apply_record",
     "describe_state",
+    "encode_fence",
     "is_divided",
     "mark_job_started",
     "mark_jobs_delivered",
@@ -31,6 +33,9 @@
 INTERFERENCE_KEY = "harms"
 """Key of the interference estimates that the owners of a unit have learned."""
 
+FENCE_KEY = "fence"
+"""Key of the highest fencing token that the owners of a unit have used."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -75,10 +80,14 @@
         Jobs by id.
     interference : bytes
         Encoded interference estimates that the owners of the unit have learned.
+    fence : int
+        Highest fencing token beyond its epoch that an owner of the unit has used; 0 if
+        there is none.
     """
 
     jobs: dict[str, JobView] = field(default_factory=dict)
     interference: bytes = b""
+    fence: int = 0
 
 
 def apply_record(replica: Replica, key: str, value: bytes) -> str:
@@ -89,8 +98,8 @@
     replica : Replica
         Modified in place.
     key : str
-        One of the keys of `plantainyard.batch.records`, `OWNER_KEY` or
-        `INTERFERENCE_KEY`.
+        One of the keys of `plantainyard.batch.records`, `OWNER_KEY`,
+        `INTERFERENCE_KEY` or `FENCE_KEY`.
     value : bytes
         Value of the record; empty if the key was deleted.
 
@@ -110,6 +119,9 @@
         replica.interference = value
         return ""
     try:
+        if key == FENCE_KEY:
+            replica.fence = max(replica.fence, int(value))
+            return ""
         parsed = parse_key(key)
         _apply_to_job(replica, parsed, value)
     except (ValueError, TypeError, KeyError, AttributeError) as error:
@@ -118,6 +130,11 @@
     return parsed.job_id
 
 
+def encode_fence(fence: int) -> bytes:
+    """Return the value of the record of the highest fencing token in use."""
+    return str(fence).encode()
+
+
 def _apply_to_job(replica: Replica, key: StoredKey, value: bytes) -> None:
     if key.kind == RecordKind.SUBMISSION and not value:
         replica.jobs.pop(key.job_id, None)
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -8,7 +8,12 @@
     make_handover_key,
     make_progress_key,
 )
-from plantainyard.batch.replica import INTERFERENCE_KEY, Replica
+from plantainyard.batch.replica import (
+    FENCE_KEY,
+    INTERFERENCE_KEY,
+    Replica,
+    encode_fence,
+)
 from plantainyard.batch.values import StepProgress, TaskProgress
 from plantainyard.dispatch import orders, reports, runs
 from plantainyard.dispatch.balancing import count_slots, measure_finite_demand
@@ -99,7 +104,12 @@
 
 
 def restore_dispatcher(
-    replica: Replica, limits: Limits, now: float, wall_ms: float, fenced_at: float
+    replica: Replica,
+    limits: Limits,
+    now: float,
+    wall_ms: float,
+    fenced_at: float,
+    fence: int = 1,
 ) -> Dispatcher:
     """Return a dispatcher that continues from the stored records.
 
@@ -115,8 +125,11 @@
         Unix milliseconds at `now`, for due times of schedules and ages of jobs.
     fenced_at : float
         When the owner sent its first record; that of a successor is sent later.
+    fence : int
+        Fencing token, positive and above all that predecessors have used.
     """
     state = Dispatcher(limits=limits, wall_offset_s=wall_ms / 1000 - now)
+    state.fence = state.stored_fence = fence
     state.took_over_at = now
     state.renewed_at = fenced_at
     restore_jobs(state, replica, now)
@@ -292,6 +305,7 @@
         for incarnation, r in state.runners.items()
         if r.last_end > r.last_stored_end
     }
+    records += _encode_fence(state)
     if not records:
         for incarnation, number in last_ends.items():
             state.runners[incarnation].last_stored_end = number
@@ -320,6 +334,14 @@
     state.actions.append(Commit(records, summaries))
 
 
+def _encode_fence(state: Dispatcher) -> list[Record]:
+    """Return the record of the highest fencing token if it isn't stored yet."""
+    state.committing_fence = state.wanted_fence
+    if state.wanted_fence <= state.stored_fence:
+        return []
+    return [Record(FENCE_KEY, encode_fence(state.wanted_fence))]
+
+
 def _encode_started(state: Dispatcher) -> list[Record]:
     """Return the records of steps that only the start of their jobs has changed."""
     return [
@@ -343,6 +365,7 @@
 
 def _apply_commit(state: Dispatcher, now: float) -> None:
     state.commit_pending = False
+    state.stored_fence = max(state.stored_fence, state.committing_fence)
     for incarnation, number in state.committing_last_ends.items():
         if incarnation in state.runners:
             runner = state.runners[incarnation]
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -302,6 +302,8 @@
         Incarnation of the runner that the order is addressed to.
     task, run : TaskKey, int
         The task and the number of its run.
+    fence : int
+        Fencing token of the order.
     spec, lease_until_ms, checkpoint, percent
         See `plantainyard.platform.Order`.
     """
@@ -310,6 +312,7 @@
     entry: RunnerEntry
     task: TaskKey
     run: int
+    fence: int = 0
     spec: str = ""
     lease_until_ms: int = 0
     checkpoint: str = ""
@@ -323,6 +326,7 @@
     last_seen: int
     lease_until_ms: int
     wait_s: float
+    fence: int = 0
 
 
 Action = (
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -217,6 +217,8 @@
         None for an incarnation that is known only from a predecessor's records.
     registered : bool
         Whether its entry is in the store.
+    fence : int
+        Fencing token of its calls, above that of all calls to earlier incarnations.
     tasks : dict
         Tasks whose run is or may be at the runner, including those being stopped.
     reserved_cpu, reserved_memory, reserved_gpu : int
@@ -278,6 +280,7 @@
     incarnation: str
     entry: RunnerEntry | None
     registered: bool = True
+    fence: int = 0
     tasks: dict[TaskKey, Task] = field(default_factory=dict)
     reserved_cpu: int = 0
     reserved_memory: int = 0
--- a/plantainyard/dispatch/orders.py
+++ b/plantainyard/dispatch/orders.py
@@ -12,7 +12,7 @@
     update_headroom,
 )
 from plantainyard.dispatch.placing import release_resources
-from plantainyard.dispatch.state import Dispatcher, record_given_up
+from plantainyard.dispatch.state import Dispatcher, get_fence, record_given_up
 
 __all__ = [
     "pace_backfill",
@@ -72,7 +72,10 @@
         task.slowed_at = now
     task.previous_pace = max(0, task.pace)
     task.pace = percent
-    order = SendOrder(OrderKind.PACE, runner.entry, task.key, task.run, percent=percent)
+    fence = get_fence(state, runner)
+    order = SendOrder(
+        OrderKind.PACE, runner.entry, task.key, task.run, fence, percent=percent
+    )
     state.actions.append(order)
 
 
@@ -116,6 +119,7 @@
         runner.entry,
         task.key,
         task.run,
+        get_fence(state, runner),
         spec=task.step.job.submission.spec if is_start else "",
         lease_until_ms=task.start_until_ms if is_start else 0,
         checkpoint=task.checkpoint if is_start else "",
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -13,6 +13,7 @@
 from plantainyard.dispatch.interference import learn_from_sample
 from plantainyard.dispatch.leases import (
     end_inheritance,
+    get_lease_end,
     grant_lease,
     has_lease_expired,
     has_start_expired,
@@ -22,7 +23,7 @@
 from plantainyard.dispatch.pacing import has_backfill_tasks, has_serving_tasks
 from plantainyard.dispatch.placing import release_resources, reserve_resources
 from plantainyard.dispatch.samples import read_sample
-from plantainyard.dispatch.state import Dispatcher, record_given_up
+from plantainyard.dispatch.state import Dispatcher, get_fence, record_given_up
 from plantainyard.platform.entries import RunnerEntry
 from plantainyard.platform.runners import ReportedRun, RunnerReport
 
@@ -57,6 +58,8 @@
     if runner is None:
         runner = Runner(entry.incarnation, entry)
         state.runners[entry.incarnation] = runner
+    if not runner.fence:
+        runner.fence = state.fence
     runner.entry = entry
     runner.registered = True
     if entry.draining and not runner.leaves_at:
@@ -82,9 +85,9 @@
     and its answer doesn't distinguish them. A run has certainly ended with the old
     incarnation only if this owner sent its start exactly once and a report of the old
     incarnation has listed the run. Any other run that was sent is stopped at the new
-    incarnation before the task may start elsewhere; a copy of its start that arrives
-    later is refused there. Answers of the old incarnation prove nothing about the new
-    one: only a report requested after the answer to that stop counts.
+    incarnation. Calls to the new incarnation carry a higher fencing token, so that its
+    first report shows whether such a run is there; a copy of the start that arrives
+    later is refused.
     """
     for task in list(old.tasks.values()):
         has_ended = task.seen_in_report and task.starts_sent == 1
@@ -93,15 +96,15 @@
             runs.requeue_task(state, task)
             continue
         release_resources(old, task)
-        task.resolved_at = None
+        task.resolved_at = now
         task.start_until_ms = 0
         task.incarnation = new.incarnation
         reserve_resources(new, task)
         orders.send_stop(state, task, now)
-    # An answer of the new incarnation must not reduce what it inherits: a late order of
-    # a predecessor carries a time of the old incarnation's clock.
-    old_bound = max(old.lease_bound, old.inherited_bound)
-    new.lease_bound = max(new.lease_bound, old_bound)
+    new.lease_bound = max(new.lease_bound, get_lease_end(old))
+    if old.entry is not None:
+        new.fence = max(new.fence, old.fence + 1)
+        state.wanted_fence = max(state.wanted_fence, new.fence)
     del state.runners[old.incarnation]
 
 
@@ -178,7 +181,8 @@
 ) -> None:
     """Stop a run that is no longer wanted: its job has ended or it was abandoned."""
     assert runner.entry is not None
-    state.actions.append(SendOrder(OrderKind.STOP, runner.entry, key, run))
+    fence = get_fence(state, runner)
+    state.actions.append(SendOrder(OrderKind.STOP, runner.entry, key, run, fence))
 
 
 def _requeue_missing(
@@ -258,6 +262,8 @@
         has_left = not runner.registered and not runner.tasks
         if runner.report_pending or runner.entry is None or has_left:
             continue
+        if runner.fence > state.stored_fence:
+            continue
         if not runner.has_reported or not runner.responsive or not runner.tasks:
             if now >= runner.next_report_at:
                 _request_report(state, runner, now, 0.0, renew=False)
@@ -282,7 +288,13 @@
     runner.report_pending = True
     until_ms = grant_lease(runner, state.limits, state.renewed_at, now) if renew else 0
     state.actions.append(
-        RequestReport(runner.entry, runner.last_stored_end, until_ms, wait_s)
+        RequestReport(
+            runner.entry,
+            runner.last_stored_end,
+            until_ms,
+            wait_s,
+            get_fence(state, runner),
+        )
     )
 
 
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -20,6 +20,7 @@
     "HeldRuns",
     "count_held_runs",
     "count_state",
+    "get_fence",
     "mark_dirty",
     "record_given_up",
 ]
@@ -83,6 +84,12 @@
         Whether the next search considers all runners for all waiting tasks.
     actions : list of Action
         Actions requested so far by the current call of `step`.
+    fence : int
+        Fencing token of the ownership; incarnations that replaced others get higher
+        ones.
+    wanted_fence, committing_fence, stored_fence : int
+        Highest token that is needed, the one in the commit that is being stored, and
+        the one that is stored, so that a successor begins above it.
     took_over_at : float
         When this owner took over.
     renewed_at : float
@@ -141,6 +148,10 @@
     changed_runners: set[str] = field(default_factory=set)
     search_all: bool = True
     actions: list[Action] = field(default_factory=list)
+    fence: int = 0
+    wanted_fence: int = 0
+    committing_fence: int = 0
+    stored_fence: int = 0
     took_over_at: float = 0.0
     renewed_at: float = 0.0
     interference: InterferenceModel = field(default_factory=InterferenceModel)
@@ -168,6 +179,17 @@
     state.dirty_steps[id(step)] = step
 
 
+def get_fence(state: Dispatcher, runner: Runner) -> int:
+    """Return the fencing token of the calls to a runner.
+
+    Notes
+    -----
+    Guards against a successor whose calls are refused: only tokens that are stored are
+    used, and a successor begins above them.
+    """
+    return min(runner.fence, state.stored_fence)
+
+
 def record_given_up(state: Dispatcher, task: Task, why: str) -> None:
     """Record that a task's run is about to be given up; see `GiveUpReason`."""
     given_up = RunGivenUp(task.key, task.run, task.incarnation, why)
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -13,8 +13,10 @@
     make_submission_key,
 )
 from plantainyard.batch.replica import (
+    FENCE_KEY,
     Replica,
     apply_record,
+    encode_fence,
     mark_job_started,
     mark_jobs_delivered,
 )
@@ -69,6 +71,9 @@
     A change of owner may cut the owner off instead of ending it: it goes on without the
     store, as another world with the same runners (`former_owners`), until its successor
     reaches it.
+
+    Calls carry the fencing tokens that the dispatcher chose, from the number of its
+    owner on.
     """
 
     def __init__(self, runners: int = 3, **limits: float) -> None:
@@ -95,7 +100,7 @@
         self.losing_forwards = False
         self.summaries: list[JobSummary] = []
         self.given_up: list[RunGivenUp] = []
-        self.fence = 0
+        self.owners = 0
         self.former_owners: list[World] = []
         self.change_owner()
 
@@ -125,14 +130,14 @@
         Only the last owner before the current one is asked which leases remain.
         """
         self.former_owners.remove(former)
-        if former.fence == self.fence - 1:
+        if former.owners == self.owners - 1:
             ends = list_lease_ends(former.state.runners.values())
             remaining_s = {k: max(0.0, v - self.now) for k, v in ends.items()}
             self.send_event(LeasesReported(remaining_s))
 
     def change_owner(self) -> None:
         """Let a new owner take over from the stored records; the old one has ended."""
-        self.fence += 1
+        self.owners += 1
         self.pending_commit = None
         self.pending_forwards = []
         self.pending_reports = []
@@ -140,8 +145,11 @@
         self.replica = Replica()
         for key, value in self.stored.items():
             apply_record(self.replica, key, value)
+        fence = max(self.owners, self.replica.fence + 1)
+        if fence > self.owners:
+            self.store(FENCE_KEY, encode_fence(fence))
         self.state = restore_dispatcher(
-            self.replica, self.limits, self.now, self.now * 1000, self.now
+            self.replica, self.limits, self.now, self.now * 1000, self.now, fence
         )
         self.publish_entries()
         self.run(TICK_S)
@@ -233,12 +241,12 @@
         lost = OrderResult(OrderOutcome.UNKNOWN)
         result = lost
         if name in self.losing_orders:
-            self.delayed_orders.append((action, self.fence))
+            self.delayed_orders.append((action, action.fence))
         elif action.kind == self.delayed_kind and self.orders_to_delay > 0:
             self.orders_to_delay -= 1
-            self.delayed_orders.append((action, self.fence))
+            self.delayed_orders.append((action, action.fence))
         elif self.is_reachable(name):
-            result = self.deliver_order(action, self.fence)
+            result = self.deliver_order(action)
             if self.answers_to_lose > 0:
                 self.answers_to_lose -= 1
                 result = lost
@@ -254,15 +262,14 @@
     def is_reachable(self, name: str) -> bool:
         return name in self.runners and name not in self.unreachable
 
-    def deliver_order(self, action: SendOrder, fence: int) -> OrderResult:
-        runner = self.runners[action.entry.runner]
-        return order_runner(runner, action, fence, self.now)
+    def deliver_order(self, action: SendOrder) -> OrderResult:
+        return order_runner(self.runners[action.entry.runner], action, self.now)
 
     def deliver_delayed(self) -> None:
         """Deliver the orders that were kept back, with their old fencing tokens."""
-        for action, fence in self.delayed_orders:
+        for action, _ in self.delayed_orders:
             if action.entry.runner in self.runners:
-                self.deliver_order(action, fence)
+                self.deliver_order(action)
         self.delayed_orders = []
 
     def run(self, seconds: float) -> None:
@@ -313,7 +320,7 @@
         incarnation, name = action.entry.incarnation, action.entry.runner
         if not self.is_reachable(name):
             return ReportFailed(incarnation, sent_at, "no answer")
-        found = request_report(self.runners[name], action, self.fence, self.now)
+        found = request_report(self.runners[name], action, self.now)
         if isinstance(found, Err):
             return ReportFailed(incarnation, sent_at, found.err_value.detail)
         return ReportReceived(incarnation, found.ok_value, sent_at)
--- a/plantainyard/entry/eventlog.py
+++ b/plantainyard/entry/eventlog.py
@@ -74,6 +74,7 @@
         "counted",
         "dependency_lost",
         "dependency_regained",
+        "fence_raised",
         "job_begun",
         "job_ended",
         "job_handed_over",
--- a/plantainyard/entry/ownership_manager.py
+++ b/plantainyard/entry/ownership_manager.py
@@ -35,6 +35,7 @@
 from plantainyard.entry.readers import PartitionReader, poll_reader
 from plantainyard.entry.reserves import is_strong
 from plantainyard.entry.takeover import (
+    choose_fence,
     fence_predecessors,
     follow_intake,
     make_entry_handler,
@@ -244,7 +245,10 @@
                 return
             if not self._catch_up(copy, epoch):
                 return
-            context.dispatcher = restore_unit(instance, copy, fenced_at)
+            fence = choose_fence(context)
+            if fence is None:
+                return
+            context.dispatcher = restore_unit(instance, copy, fenced_at, fence)
             with run_unit_actor(context, context.dispatcher) as actor:
                 self._serve(copy, owner, OwnedUnit(context, actor), began_at)
 
--- a/plantainyard/entry/takeover.py
+++ b/plantainyard/entry/takeover.py
@@ -6,7 +6,7 @@
 
 import pykka
 
-from plantainyard.batch.replica import OWNER_KEY
+from plantainyard.batch.replica import FENCE_KEY, OWNER_KEY, encode_fence
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import (
     CancelRequested,
@@ -33,6 +33,7 @@
 releases the unit within a second of reading that it has a successor."""
 
 __all__ = [
+    "choose_fence",
     "fence_predecessors",
     "follow_intake",
     "make_entry_handler",
@@ -66,7 +67,38 @@
     return append_until_answered(context, append)
 
 
-def restore_unit(instance: Instance, copy: UnitCopy, fenced_at: float) -> Dispatcher:
+def choose_fence(context: UnitContext) -> int | None:
+    """Return a fencing token above all that earlier owners have used at runners.
+
+    Returns
+    -------
+    int or None
+        The epoch, unless an earlier owner has used a higher token; then one more than
+        that, once it is stored. None if a successor has fenced this ownership.
+    """
+    if context.replica.fence < context.epoch:
+        return context.epoch
+    fence = context.replica.fence + 1
+    context.sequence += 1
+    append = Append(
+        PROGRESS,
+        context.unit,
+        [Record(FENCE_KEY, encode_fence(fence))],
+        PRODUCER,
+        context.epoch,
+        context.sequence,
+    )
+    if not append_until_answered(context, append):
+        return None
+    context.log.write(
+        "fence_raised", unit=context.unit, epoch=context.epoch, fence=fence
+    )
+    return fence
+
+
+def restore_unit(
+    instance: Instance, copy: UnitCopy, fenced_at: float, fence: int
+) -> Dispatcher:
     """Return a dispatcher that continues from a unit's stored records."""
     settings = instance.settings
     limits = Limits(
@@ -77,7 +109,7 @@
     )
     now = read_clock()
     return restore_dispatcher(
-        copy.replica, limits, now, read_wall_clock_ms(), fenced_at
+        copy.replica, limits, now, read_wall_clock_ms(), fenced_at, fence
     )
 
 
--- a/plantainyard/entry/tests/test_ownership_manager.py
+++ b/plantainyard/entry/tests/test_ownership_manager.py
@@ -11,9 +11,21 @@
 from result import Ok
 
 from plantainyard.batch.records import encode_progress, make_progress_key
-from plantainyard.batch.replica import Replica, apply_record
+from plantainyard.batch.replica import (
+    FENCE_KEY,
+    Replica,
+    apply_record,
+    encode_fence,
+)
+from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import StepProgress, TaskProgress
-from plantainyard.dispatch import CancelRequested, Commit, JobSubmitted
+from plantainyard.dispatch import (
+    CancelRequested,
+    Commit,
+    JobSubmitted,
+    OrderKind,
+    SendOrder,
+)
 from plantainyard.entry import ownership_manager
 from plantainyard.entry.copies import refresh_copy
 from plantainyard.entry.eventlog import EventLog
@@ -116,6 +128,46 @@
         assert not instance.claims
 
 
+def test_a_new_owner_begins_above_the_tokens_of_its_predecessors():
+    # Guards against a unit that nobody can serve: a predecessor has raised its fencing
+    # token at a runner that started again, and the runner refuses its successor.
+    store, runner = StoreState(), RunnerState("r0", {JOB: 0.0})
+    store.put(PROGRESS, FENCE_KEY, encode_fence(9))
+    runner.fence = 9
+    with run_instance(store, runner) as instance:
+        own_units(instance, 5, 0)
+        assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 200
+        wait_until(lambda: runner.running)
+        assert runner.fence == 10
+        assert instance.claims[0].epoch == 5
+        assert store.newest(PROGRESS)[FENCE_KEY] == encode_fence(10)
+
+
+def test_an_owner_keeps_its_unit_when_a_runner_refuses_an_earlier_token_of_its_own():
+    # Guards against a unit that changes its owner because a runner has started again: a
+    # call to the earlier incarnation arrives after the higher token of the later one.
+    with run_instance(StoreState(), RunnerState("r0")) as instance:
+        step_down = Mock()
+        context = UnitContext(
+            0,
+            5,
+            instance.store,
+            instance.runners,
+            Replica(),
+            instance.log,
+            step_down,
+            instance.meters,
+        )
+        actor = UnitActor(context, context.dispatcher)
+        entry = Mock(runner="r0", incarnation="r0@1")
+        refused = OrderResult(OrderOutcome.FENCED)
+        context.fences["r0"] = 6
+        for fence, expected in ((5, 0), (6, 1)):
+            order = SendOrder(OrderKind.STOP, entry, TaskKey(JOB, 0, 0, 0), 1, fence)
+            actor._handle_result(order, refused, 0.0)
+            assert step_down.call_count == expected
+
+
 def answer_later(take: Callable[[Any], None], answer: Any) -> None:
     """Deliver an answer after a tenth of a second, as a runner does."""
     threading.Timer(0.1, take, (answer,)).start()
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -48,7 +48,6 @@
 from plantainyard.entry.meters import Meters
 from plantainyard.entry.topics import INTAKE, PRODUCER, PROGRESS
 from plantainyard.errors import CallError, ErrorKind
-from plantainyard.platform.entries import RunnerEntry
 from plantainyard.platform.runners import (
     Order,
     OrderOutcome,
@@ -102,6 +101,10 @@
         Called when a successor has fenced this ownership, or after a failure.
     meters : Meters
         Metrics for latencies and counts.
+    sequence : int
+        Sequence number of the last append to the unit's progress.
+    fences : dict
+        Fencing token of the last call to each runner, by the runner's id.
     dispatcher : Dispatcher
         The unit's state, read for gauges.
     stopping : Event
@@ -118,6 +121,8 @@
     log: EventLog
     step_down: Callable[[], None]
     meters: Meters
+    sequence: int = 0
+    fences: dict[str, int] = field(default_factory=dict)
     dispatcher: Dispatcher = field(default_factory=lambda: Dispatcher(Limits()))
     stopping: threading.Event = field(default_factory=threading.Event)
     on_released: Callable[[dict[str, float]], None] = lambda _: None
@@ -152,7 +157,6 @@
         super().__init__()
         self.context = context
         self.dispatcher = dispatcher
-        self.sequence = 0
         self.commit_pool = ThreadPoolExecutor(1, "commit")
         self.forward_pool = ThreadPoolExecutor(1, "forward")
         self.held_runs_logged_at: float | None = None
@@ -262,8 +266,8 @@
 
     def _perform(self, action: Action) -> None:
         if isinstance(action, Commit):
-            self.sequence += 1
-            self.commit_pool.submit(self._commit, action, self.sequence)
+            self.context.sequence += 1
+            self.commit_pool.submit(self._commit, action, self.context.sequence)
         elif isinstance(action, RequestReport):
             self._request_report(action)
         elif isinstance(action, JobStarted):
@@ -342,39 +346,42 @@
 
     def _request_report(self, action: RequestReport) -> None:
         sent_at = read_clock()
-        entry = action.entry
-        order = _build_report_order(
-            entry, self.context.epoch, lease=action.lease_until_ms
-        )
+        self.context.fences[action.entry.runner] = action.fence
+        order = _build_report_order(action)
 
         def on_answer(answer: Result[RunnerReport, CallError]) -> None:
-            self._send_event(self._interpret_report(entry.incarnation, answer, sent_at))
+            self._send_event(self._interpret_report(action, answer, sent_at))
 
         self.context.runners.renew_lease(
             order, action.last_seen, action.wait_s, REPORT_TIMEOUT_S, on_answer
         )
 
     def _interpret_report(
-        self, incarnation: str, answer: Result[RunnerReport, CallError], sent_at: float
+        self,
+        action: RequestReport,
+        answer: Result[RunnerReport, CallError],
+        sent_at: float,
     ) -> ReportReceived | ReportFailed:
+        incarnation = action.entry.incarnation
         if isinstance(answer, Ok):
             return ReportReceived(incarnation, answer.ok_value, sent_at)
         error = answer.err_value
         if error.kind == ErrorKind.CONFLICT:
-            self.context.step_down()
+            self._apply_fence(action.entry.runner, action.fence)
         self.context.log.write("runner_silent", runner=incarnation, why=error.detail)
         other_incarnation = error.kind == ErrorKind.OTHER_INCARNATION
         return ReportFailed(incarnation, sent_at, error.detail, other_incarnation)
 
     def _send_order(self, action: SendOrder) -> None:
         sent_at = read_clock()
+        self.context.fences[action.entry.runner] = action.fence
         order = Order(
             runner=action.entry.runner,
             started_at_ms=action.entry.started_at_ms,
             address=action.entry.address,
             task=action.task,
             run=action.run,
-            fence=self.context.epoch,
+            fence=action.fence,
             spec=action.spec,
             lease_until_ms=action.lease_until_ms,
             checkpoint=action.checkpoint,
@@ -396,7 +403,7 @@
         self, action: SendOrder, result: OrderResult, sent_at: float
     ) -> None:
         if result.outcome == OrderOutcome.FENCED:
-            self.context.step_down()
+            self._apply_fence(action.entry.runner, action.fence)
         if result.outcome != OrderOutcome.DONE:
             self.context.log.write(
                 "order_failed",
@@ -415,22 +422,33 @@
             )
         )
 
+    def _apply_fence(self, runner: str, fence: int) -> None:
+        """Release the unit if a runner has refused its highest fencing token.
+
+        Notes
+        -----
+        Guards against a unit that is released because of this owner's own calls: a call
+        to an earlier incarnation of the runner carries a lower token.
+        """
+        if fence >= self.context.fences[runner]:
+            self.context.step_down()
+
     def _send_event(self, event: Any) -> None:
         with contextlib.suppress(pykka.ActorDeadError):
             self.actor_ref.tell(event)
 
 
-def _build_report_order(entry: RunnerEntry, epoch: int, lease: int) -> Order:
+def _build_report_order(action: RequestReport) -> Order:
     """Return an order without a task, because a report covers the whole runner."""
     no_task = TaskKey("", 0, 0, 0)
     return Order(
-        entry.runner,
-        entry.started_at_ms,
-        entry.address,
+        action.entry.runner,
+        action.entry.started_at_ms,
+        action.entry.address,
         no_task,
         0,
-        epoch,
-        lease_until_ms=lease,
+        action.fence,
+        lease_until_ms=action.lease_until_ms,
     )
 
 
--- a/standins/platform/samples.py
+++ b/standins/platform/samples.py
@@ -124,16 +124,14 @@
 """Invalid submissions, and the status with which each must be rejected."""
 
 
-def order_runner(
-    runner: RunnerState, order: SendOrder, fence: int, now: float
-) -> OrderResult:
+def order_runner(runner: RunnerState, order: SendOrder, now: float) -> OrderResult:
     """Carry out an order at a stand-in runner and return the decoded result."""
     body = {
         "task": format_task(order.task),
         "run": order.run,
         "spec": order.spec,
         "untilMs": order.lease_until_ms,
-        "fence": fence,
+        "fence": order.fence,
         "checkpoint": order.checkpoint,
         "percent": order.percent,
     }
@@ -141,11 +139,11 @@
 
 
 def request_report(
-    runner: RunnerState, request: RequestReport, fence: int, now: float
+    runner: RunnerState, request: RequestReport, now: float
 ) -> Result[RunnerReport, CallError]:
     """Request a stand-in runner's report and return it decoded."""
     body = {
-        "fence": fence,
+        "fence": request.fence,
         "lastSeen": request.last_seen,
         "untilMs": request.lease_until_ms,
     }
