Count the longest lease at a runner that has started again

Callers would see two runs of one task: a renewal is in flight when its runner restarts, and the new incarnation answers it. Its time is of the old clock; where that is ahead of the new one, the runner grants its longest lease, 10 s, for everything that starts there. The owner counted only what it granted itself, and a successor 5.5 s from the first answer, and each started the task elsewhere when the runner fell silent.

Change: the first answer to a call with the raised token ends what earlier calls can grant, so that the bound at a new incarnation is at least the longest lease from that answer. Which incarnations that holds for is stored beside the token, so that a successor counts the same from its own first answer, whether its predecessor reports its leases or was killed.

--- a/plantainyard/batch/replica.py
+++ b/plantainyard/batch/replica.py
@@ -1,8 +1,10 @@
 """An in-memory replica of the jobs of a unit, built from the newest stored records."""
 
+import json
 import logging
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from plantainyard.batch.records import (
     RecordKind,
@@ -14,14 +16,15 @@
 from plantainyard.batch.values import JobState, StepProgress, Submission
 
 __all__ = [
-    "FENCE_KEY",
+    "FENCES_KEY",
     "INTERFERENCE_KEY",
     "OWNER_KEY",
+    "Fences",
     "JobView",
     "Replica",
     "apply_record",
     "describe_state",
-    "encode_fence",
+    "encode_fences",
     "is_divided",
     "mark_job_started",
     "mark_jobs_delivered",
@@ -33,8 +36,8 @@
 INTERFERENCE_KEY = "harms"
 """Key of the interference estimates that the owners of a unit have learned."""
 
-FENCE_KEY = "fence"
-"""Key of the highest fencing token that the owners of a unit have used."""
+FENCES_KEY = "fences"
+"""Key of the fencing tokens that the owners of a unit have used at runners."""
 
 _logger = logging.getLogger(__name__)
 
@@ -70,6 +73,22 @@
     started: bool = False
 
 
+class Fences(NamedTuple):
+    """The fencing tokens that the owners of a unit have used at runners.
+
+    Attributes
+    ----------
+    highest : int
+        Highest token beyond its epoch that an owner has used; 0 if there is none.
+    restarts : frozenset of str
+        Runner incarnations that replaced others, and may still have a lease that was
+        granted by a call to an earlier incarnation.
+    """
+
+    highest: int = 0
+    restarts: frozenset[str] = frozenset()
+
+
 @dataclass(slots=True)
 class Replica:
     """The state of one unit according to the store.
@@ -80,14 +99,13 @@
         Jobs by id.
     interference : bytes
         Encoded interference estimates that the owners of the unit have learned.
-    fence : int
-        Highest fencing token beyond its epoch that an owner of the unit has used; 0 if
-        there is none.
+    fences : Fences
+        Fencing tokens that the owners of the unit have used at runners.
     """
 
     jobs: dict[str, JobView] = field(default_factory=dict)
     interference: bytes = b""
-    fence: int = 0
+    fences: Fences = Fences()
 
 
 def apply_record(replica: Replica, key: str, value: bytes) -> str:
@@ -99,7 +117,7 @@
         Modified in place.
     key : str
         One of the keys of `plantainyard.batch.records`, `OWNER_KEY`,
-        `INTERFERENCE_KEY` or `FENCE_KEY`.
+        `INTERFERENCE_KEY` or `FENCES_KEY`.
     value : bytes
         Value of the record; empty if the key was deleted.
 
@@ -119,8 +137,8 @@
         replica.interference = value
         return ""
     try:
-        if key == FENCE_KEY:
-            replica.fence = max(replica.fence, int(value))
+        if key == FENCES_KEY:
+            replica.fences = decode_fences(value)
             return ""
         parsed = parse_key(key)
         _apply_to_job(replica, parsed, value)
@@ -130,9 +148,23 @@
     return parsed.job_id
 
 
-def encode_fence(fence: int) -> bytes:
-    """Return the value of the record of the highest fencing token in use."""
-    return str(fence).encode()
+def encode_fences(fences: Fences) -> bytes:
+    """Return the stored form of fencing tokens; see `decode_fences`."""
+    data = {"highest": fences.highest, "restarts": sorted(fences.restarts)}
+    return json.dumps(data, separators=(",", ":")).encode()
+
+
+def decode_fences(value: bytes) -> Fences:
+    """Return the fencing tokens from their stored form; see `encode_fences`.
+
+    Examples
+    --------
+    >>> fences = Fences(7, frozenset({"r0@5"}))
+    >>> decode_fences(encode_fences(fences)) == fences
+    True
+    """
+    data = json.loads(value)
+    return Fences(int(data["highest"]), frozenset(map(str, data["restarts"])))
 
 
 def _apply_to_job(replica: Replica, key: StoredKey, value: bytes) -> None:
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -9,10 +9,11 @@
     make_progress_key,
 )
 from plantainyard.batch.replica import (
-    FENCE_KEY,
+    FENCES_KEY,
     INTERFERENCE_KEY,
+    Fences,
     Replica,
-    encode_fence,
+    encode_fences,
 )
 from plantainyard.batch.values import StepProgress, TaskProgress
 from plantainyard.dispatch import orders, reports, runs
@@ -129,7 +130,8 @@
         Fencing token, positive and above all that predecessors have used.
     """
     state = Dispatcher(limits=limits, wall_offset_s=wall_ms / 1000 - now)
-    state.fence = state.stored_fence = fence
+    state.fence = state.wanted_fence = state.stored_fence = fence
+    state.inherited_restarts = state.stored_restarts = replica.fences.restarts
     state.took_over_at = now
     state.renewed_at = fenced_at
     restore_jobs(state, replica, now)
@@ -305,7 +307,7 @@
         for incarnation, r in state.runners.items()
         if r.last_end > r.last_stored_end
     }
-    records += _encode_fence(state)
+    records += _encode_fences(state, bool(records), now)
     if not records:
         for incarnation, number in last_ends.items():
             state.runners[incarnation].last_stored_end = number
@@ -334,12 +336,36 @@
     state.actions.append(Commit(records, summaries))
 
 
-def _encode_fence(state: Dispatcher) -> list[Record]:
-    """Return the record of the highest fencing token if it isn't stored yet."""
+def _encode_fences(state: Dispatcher, has_others: bool, now: float) -> list[Record]:
+    """Return the record of the fencing tokens if it has changed.
+
+    Notes
+    -----
+    A higher token is stored at once, all else only together with other records. The
+    cost is a pass over the runners.
+    """
+    if state.wanted_fence <= state.stored_fence and not has_others:
+        return []
     state.committing_fence = state.wanted_fence
-    if state.wanted_fence <= state.stored_fence:
+    state.committing_restarts = _list_restarts(state, now)
+    fences = Fences(state.committing_fence, state.committing_restarts)
+    if fences == (state.stored_fence, state.stored_restarts):
         return []
-    return [Record(FENCE_KEY, encode_fence(state.wanted_fence))]
+    return [Record(FENCES_KEY, encode_fences(fences))]
+
+
+def _list_restarts(state: Dispatcher, now: float) -> frozenset[str]:
+    """Return the incarnations that may have leases granted by earlier calls.
+
+    Notes
+    -----
+    An inherited one whose entry hasn't been read is kept for as long as any lease.
+    """
+    runners = state.runners
+    current = {k for k, runner in runners.items() if runner.earlier_calls_end > now}
+    if now - state.took_over_at < state.limits.longest_lease_s:
+        current |= {k for k in state.inherited_restarts if k not in runners}
+    return frozenset(current)
 
 
 def _encode_started(state: Dispatcher) -> list[Record]:
@@ -366,6 +392,7 @@
 def _apply_commit(state: Dispatcher, now: float) -> None:
     state.commit_pending = False
     state.stored_fence = max(state.stored_fence, state.committing_fence)
+    state.stored_restarts = state.committing_restarts
     for incarnation, number in state.committing_last_ends.items():
         if incarnation in state.runners:
             runner = state.runners[incarnation]
--- a/plantainyard/dispatch/leases.py
+++ b/plantainyard/dispatch/leases.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "can_start_arrive",
+    "count_earlier_calls",
     "end_inheritance",
     "get_lease_end",
     "grant_lease",
@@ -104,8 +105,37 @@
     Any of them may go on granting leases until the longest lease after its last
     renewal, which precedes this owner's claim.
     """
+    runner.inherited_bound = _find_end_of_longest_lease(limits, now)
+
+
+def _find_end_of_longest_lease(limits: Limits, now: float) -> float:
+    """Return when the longest lease that a runner grants at `now` has surely ended."""
     max_lease_s = limits.longest_lease_s * (1 + limits.clock_drift)
-    runner.inherited_bound = now + max_lease_s + limits.lease_slack_s
+    return now + max_lease_s + limits.lease_slack_s
+
+
+def count_earlier_calls(runner: Runner, limits: Limits, now: float) -> None:
+    """Count the leases that calls to earlier incarnations may have granted a runner.
+
+    Parameters
+    ----------
+    runner : Runner
+        An incarnation that has answered a call whose fencing token is above that of all
+        calls to earlier incarnations.
+    limits : Limits
+        Provides the longest lease that a runner grants.
+    now : float
+        When the answer came.
+
+    Notes
+    -----
+    Guards against two runs of one task: a renewal that was sent to an earlier
+    incarnation carries a time on its clock. The clock of the new incarnation began
+    anew, so that it grants its longest lease for everything that runs there. After
+    `now` it refuses such calls.
+    """
+    runner.earlier_calls_end = _find_end_of_longest_lease(limits, now)
+    runner.lease_bound = max(runner.lease_bound, runner.earlier_calls_end)
 
 
 def end_inheritance(runner: Runner, limits: Limits, now: float) -> None:
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -219,6 +219,9 @@
         Whether its entry is in the store.
     fence : int
         Fencing token of its calls, above that of all calls to earlier incarnations.
+    earlier_calls_end : float
+        When every lease has ended that a call to an earlier incarnation may have
+        granted it; infinite until that is known, and zero if there is no such call.
     tasks : dict
         Tasks whose run is or may be at the runner, including those being stopped.
     reserved_cpu, reserved_memory, reserved_gpu : int
@@ -281,6 +284,7 @@
     entry: RunnerEntry | None
     registered: bool = True
     fence: int = 0
+    earlier_calls_end: float = 0.0
     tasks: dict[TaskKey, Task] = field(default_factory=dict)
     reserved_cpu: int = 0
     reserved_memory: int = 0
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -1,5 +1,7 @@
 """Handling of runners' entries and reports: presence, active runs and ended runs."""
 
+import math
+
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.dispatch import orders, runs
 from plantainyard.dispatch.events import (
@@ -12,6 +14,7 @@
 )
 from plantainyard.dispatch.interference import learn_from_sample
 from plantainyard.dispatch.leases import (
+    count_earlier_calls,
     end_inheritance,
     get_lease_end,
     grant_lease,
@@ -23,7 +26,12 @@
 from plantainyard.dispatch.pacing import has_backfill_tasks, has_serving_tasks
 from plantainyard.dispatch.placing import release_resources, reserve_resources
 from plantainyard.dispatch.samples import read_sample
-from plantainyard.dispatch.state import Dispatcher, get_fence, record_given_up
+from plantainyard.dispatch.state import (
+    Dispatcher,
+    get_fence,
+    inherit_restart,
+    record_given_up,
+)
 from plantainyard.platform.entries import RunnerEntry
 from plantainyard.platform.runners import ReportedRun, RunnerReport
 
@@ -60,6 +68,7 @@
         state.runners[entry.incarnation] = runner
     if not runner.fence:
         runner.fence = state.fence
+        inherit_restart(state, runner)
     runner.entry = entry
     runner.registered = True
     if entry.draining and not runner.leaves_at:
@@ -102,6 +111,7 @@
         reserve_resources(new, task)
         orders.send_stop(state, task, now)
     new.lease_bound = max(new.lease_bound, get_lease_end(old))
+    new.earlier_calls_end = math.inf
     if old.entry is not None:
         new.fence = max(new.fence, old.fence + 1)
         state.wanted_fence = max(state.wanted_fence, new.fence)
@@ -123,6 +133,8 @@
         return
     record_clock(runner, report.clock_ms, now)
     end_inheritance(runner, state.limits, now)
+    if runner.earlier_calls_end == math.inf:
+        count_earlier_calls(runner, state.limits, now)
     runner.responsive = True
     runner.missed_reports = 0
     runner.next_report_at = now + state.limits.idle_report_interval_s
--- a/plantainyard/dispatch/restoring.py
+++ b/plantainyard/dispatch/restoring.py
@@ -21,7 +21,7 @@
 from plantainyard.dispatch.model import Phase, Runner, StepRun, Task
 from plantainyard.dispatch.placing import reserve_resources
 from plantainyard.dispatch.queue import set_deadlines
-from plantainyard.dispatch.state import Dispatcher
+from plantainyard.dispatch.state import Dispatcher, inherit_restart
 
 __all__ = ["restore_jobs"]
 
@@ -133,6 +133,7 @@
     if runner is None:
         runner = Runner(incarnation, None)
         inherit_lease(runner, state.limits, now)
+        inherit_restart(state, runner)
         state.runners[incarnation] = runner
         state.newest_incarnations[incarnation.partition("@")[0]] = incarnation
     reserve_resources(runner, task)
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -1,5 +1,6 @@
 """Complete state of a dispatcher."""
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -21,6 +22,7 @@
     "count_held_runs",
     "count_state",
     "get_fence",
+    "inherit_restart",
     "mark_dirty",
     "record_given_up",
 ]
@@ -90,6 +92,11 @@
     wanted_fence, committing_fence, stored_fence : int
         Highest token that is needed, the one in the commit that is being stored, and
         the one that is stored, so that a successor begins above it.
+    committing_restarts, stored_restarts : frozenset of str
+        Incarnations that may have longer leases than their owners grant, because they
+        replaced others: in the commit that is being stored, and as stored.
+    inherited_restarts : frozenset of str
+        Those that predecessors have stored.
     took_over_at : float
         When this owner took over.
     renewed_at : float
@@ -152,6 +159,9 @@
     wanted_fence: int = 0
     committing_fence: int = 0
     stored_fence: int = 0
+    committing_restarts: frozenset[str] = frozenset()
+    stored_restarts: frozenset[str] = frozenset()
+    inherited_restarts: frozenset[str] = frozenset()
     took_over_at: float = 0.0
     renewed_at: float = 0.0
     interference: InterferenceModel = field(default_factory=InterferenceModel)
@@ -190,6 +200,12 @@
     return min(runner.fence, state.stored_fence)
 
 
+def inherit_restart(state: Dispatcher, runner: Runner) -> None:
+    """Record what predecessors have stored of the earlier incarnations of a runner."""
+    if runner.incarnation in state.inherited_restarts:
+        runner.earlier_calls_end = math.inf
+
+
 def record_given_up(state: Dispatcher, task: Task, why: str) -> None:
     """Record that a task's run is about to be given up; see `GiveUpReason`."""
     given_up = RunGivenUp(task.key, task.run, task.incarnation, why)
--- a/plantainyard/dispatch/tests/test_restarted_runners.py
+++ b/plantainyard/dispatch/tests/test_restarted_runners.py
@@ -1,7 +1,7 @@
 """Tests of leases at runners that start again under their id, in virtual time."""
 
 from plantainyard.dispatch.tests.test_takeovers import start_long_running
-from plantainyard.dispatch.tests.world import World
+from plantainyard.dispatch.tests.world import World, make_step
 
 OLD_AGE_S = 3.0
 """Time for which the first incarnation runs the task, so that its clock is ahead."""
@@ -70,3 +70,19 @@
     world.run(0.3)
     exchange_reachable_runner(world, home)
     assert_runs_once_until_it_moves(world, home)
+
+
+def test_a_second_successor_counts_the_longest_lease_of_a_new_incarnation():
+    # Guards against two runs of one task: the same renewal, two changes of owner, and
+    # a commit of the owner in between, which hasn't read the entry of the runner yet.
+    world = World(runners=2)
+    home = restart_beside_a_renewal(world)
+    world.entries_published = False
+    world.change_owner()
+    world.submit("b", make_step())
+    world.cancel("b")
+    world.entries_published = True
+    world.change_owner()
+    world.run(0.3)
+    exchange_reachable_runner(world, home)
+    assert_runs_once_until_it_moves(world, home)
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -13,10 +13,10 @@
     make_submission_key,
 )
 from plantainyard.batch.replica import (
-    FENCE_KEY,
+    FENCES_KEY,
     Replica,
     apply_record,
-    encode_fence,
+    encode_fences,
     mark_job_started,
     mark_jobs_delivered,
 )
@@ -90,6 +90,7 @@
         self.delayed_kind = OrderKind.START
         self.delayed_orders: list[tuple[SendOrder, int]] = []
         self.store_down = False
+        self.entries_published = True
         self.renewing = True
         self.pending_commit: Commit | None = None
         self.pending_reports: list[tuple[float, RequestReport]] = []
@@ -145,9 +146,10 @@
         self.replica = Replica()
         for key, value in self.stored.items():
             apply_record(self.replica, key, value)
-        fence = max(self.owners, self.replica.fence + 1)
+        fence = max(self.owners, self.replica.fences.highest + 1)
         if fence > self.owners:
-            self.store(FENCE_KEY, encode_fence(fence))
+            fences = self.replica.fences._replace(highest=fence)
+            self.store(FENCES_KEY, encode_fences(fences))
         self.state = restore_dispatcher(
             self.replica, self.limits, self.now, self.now * 1000, self.now, fence
         )
@@ -160,6 +162,9 @@
         apply_record(self.replica, key, value)
 
     def publish_entries(self) -> None:
+        """Let the owner read the entries of all runners."""
+        if not self.entries_published:
+            return
         for name, runner in self.runners.items():
             entry = decode_entry(
                 name, json.dumps(runner.build_entry(self.now)).encode()
--- a/plantainyard/entry/takeover.py
+++ b/plantainyard/entry/takeover.py
@@ -6,7 +6,7 @@
 
 import pykka
 
-from plantainyard.batch.replica import FENCE_KEY, OWNER_KEY, encode_fence
+from plantainyard.batch.replica import FENCES_KEY, OWNER_KEY, encode_fences
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import (
     CancelRequested,
@@ -76,14 +76,15 @@
         The epoch, unless an earlier owner has used a higher token; then one more than
         that, once it is stored. None if a successor has fenced this ownership.
     """
-    if context.replica.fence < context.epoch:
+    fences = context.replica.fences
+    if fences.highest < context.epoch:
         return context.epoch
-    fence = context.replica.fence + 1
+    fence = fences.highest + 1
     context.sequence += 1
     append = Append(
         PROGRESS,
         context.unit,
-        [Record(FENCE_KEY, encode_fence(fence))],
+        [Record(FENCES_KEY, encode_fences(fences._replace(highest=fence)))],
         PRODUCER,
         context.epoch,
         context.sequence,
--- a/plantainyard/entry/tests/test_ownership_manager.py
+++ b/plantainyard/entry/tests/test_ownership_manager.py
@@ -12,10 +12,11 @@
 
 from plantainyard.batch.records import encode_progress, make_progress_key
 from plantainyard.batch.replica import (
-    FENCE_KEY,
+    FENCES_KEY,
+    Fences,
     Replica,
     apply_record,
-    encode_fence,
+    encode_fences,
 )
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import StepProgress, TaskProgress
@@ -132,7 +133,7 @@
     # Guards against a unit that nobody can serve: a predecessor has raised its fencing
     # token at a runner that started again, and the runner refuses its successor.
     store, runner = StoreState(), RunnerState("r0", {JOB: 0.0})
-    store.put(PROGRESS, FENCE_KEY, encode_fence(9))
+    store.put(PROGRESS, FENCES_KEY, encode_fences(Fences(9)))
     runner.fence = 9
     with run_instance(store, runner) as instance:
         own_units(instance, 5, 0)
@@ -140,7 +141,7 @@
         wait_until(lambda: runner.running)
         assert runner.fence == 10
         assert instance.claims[0].epoch == 5
-        assert store.newest(PROGRESS)[FENCE_KEY] == encode_fence(10)
+        assert store.newest(PROGRESS)[FENCES_KEY] == encode_fences(Fences(10))
 
 
 def test_an_owner_keeps_its_unit_when_a_runner_refuses_an_earlier_token_of_its_own():
