Wait for a start that a silent new incarnation may still carry out

Callers would see two runs of one task: a start isn't answered, its runner restarts and stays silent, the leases that the old incarnation had been granted end, the task starts elsewhere, and then the new incarnation carries the start out. Its lease is a time on the old clock, which the new one compares with its own.

Change: a task whose start was never resolved waits at a silent new incarnation until that incarnation's clock, which its entry shows, has passed the end of the lease in the start; other tasks there don't wait. The first report, with the raised token, resolves it at once, and a runner whose entry stays away counts as gone. For a start of a predecessor, whose lease isn't known, the wait is 25 s from the entry: a call may be executed seconds late, and then gets the longest lease.

--- a/plantainyard/dispatch/leases.py
+++ b/plantainyard/dispatch/leases.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "can_start_arrive",
+    "can_start_arrive_late",
     "count_earlier_calls",
     "end_inheritance",
     "get_lease_end",
@@ -17,6 +18,7 @@
     "inherit_lease",
     "limit_inheritance",
     "list_lease_ends",
+    "move_start",
     "record_clock",
 ]
 
@@ -93,7 +95,11 @@
     ends: dict[str, float] = {}
     for runner in runners:
         runner_id = runner.incarnation.partition("@")[0]
-        ends[runner_id] = max(ends.get(runner_id, 0.0), get_lease_end(runner))
+        ends[runner_id] = max(
+            ends.get(runner_id, 0.0),
+            get_lease_end(runner),
+            *(task.late_start_end for task in runner.tasks.values()),
+        )
     return ends
 
 
@@ -189,6 +195,46 @@
         runner.inherited_bound = min(runner.inherited_bound, bound)
 
 
+def move_start(task: Task, runner: Runner, limits: Limits) -> None:
+    """Record that a task's start may be carried out by a new incarnation.
+
+    Parameters
+    ----------
+    task : Task
+        Changed in place.
+    runner : Runner
+        The new incarnation, whose entry was just read.
+    limits : Limits
+        Provides the drift of clocks, and how late a call may be executed.
+
+    Notes
+    -----
+    The new incarnation refuses the start once its clock shows the end of the lease in
+    it, which is a time on another clock and may be far ahead. That end isn't known of a
+    start that a predecessor sent.
+    """
+    start_ms = task.start_until_ms if task.starts_sent else math.inf
+    task.late_start_ms = max(task.late_start_ms, start_ms)
+    task.start_until_ms = 0
+    left_s = max(0.0, task.late_start_ms - runner.seen_clock_ms) / 1000
+    if left_s == math.inf:
+        left_s = limits.late_call_s + limits.longest_lease_s
+    drift_s = left_s * limits.clock_drift
+    task.late_start_end = runner.seen_at + left_s + drift_s + limits.lease_slack_s
+
+
+def can_start_arrive_late(task: Task, runner: Runner, now: float) -> bool:
+    """Return whether a runner that hasn't answered may carry out an earlier start.
+
+    Notes
+    -----
+    Guards against two runs of one task: a start that was sent to an earlier incarnation
+    is carried out after all leases that were granted to that one have ended. A runner
+    whose entry stays away counts as gone.
+    """
+    return runner.registered and now <= task.late_start_end
+
+
 def can_start_arrive(task: Task, runner: Runner, now: float) -> bool:
     """Return whether a copy of the task's start could still be carried out."""
     clock_ms = runner.clock_ms + (now - runner.clock_at) * 1000
--- a/plantainyard/dispatch/limits.py
+++ b/plantainyard/dispatch/limits.py
@@ -31,6 +31,9 @@
         2 %.
     lease_slack_s : float
         Added to the bounds of leases for the time between a lapse and the last kill.
+    late_call_s : float
+        Longest time after which a call without an answer may still be executed; the
+        platform says that it may take seconds.
     report_wait_s : float
         Longest time for which a report request waits for a run to end; each request
         renews the lease once.
@@ -67,6 +70,7 @@
     longest_lease_s: float = 10.0
     clock_drift: float = 0.025
     lease_slack_s: float = 0.1
+    late_call_s: float = 15.0
     report_wait_s: float = 1.0
     watched_report_wait_s: float = 0.25
     idle_report_interval_s: float = 1.0
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -80,6 +80,13 @@
         Number of times that the start of the newest run was sent.
     start_until_ms : int
         End of the lease in that start, on the runner's clock; 0 if it is unknown.
+    late_start_ms : float
+        The same for a start that was sent to an earlier incarnation, which the newest
+        may carry out and compares with its own clock; 0 if there is none, and infinite
+        if its lease is unknown.
+    late_start_end : float
+        When nothing of that start can be running any more unless the incarnation has
+        answered since; 0 if there is none.
     failures : int
         Number of failed runs.
     checkpoint : str
@@ -114,6 +121,8 @@
     order_pending: bool = False
     starts_sent: int = 0
     start_until_ms: int = 0
+    late_start_ms: float = 0.0
+    late_start_end: float = 0.0
     failures: int = 0
     checkpoint: str = ""
     waiting_since: float = 0.0
@@ -217,6 +226,10 @@
         None for an incarnation that is known only from a predecessor's records.
     registered : bool
         Whether its entry is in the store.
+    seen_at : float
+        When its entry was first read.
+    seen_clock_ms : int
+        The runner's clock in that entry; 0 if it is unknown.
     fence : int
         Fencing token of its calls, above that of all calls to earlier incarnations.
     earlier_calls_end : float
@@ -283,6 +296,8 @@
     incarnation: str
     entry: RunnerEntry | None
     registered: bool = True
+    seen_at: float = 0.0
+    seen_clock_ms: int = 0
     fence: int = 0
     earlier_calls_end: float = 0.0
     tasks: dict[TaskKey, Task] = field(default_factory=dict)
--- a/plantainyard/dispatch/orders.py
+++ b/plantainyard/dispatch/orders.py
@@ -48,6 +48,7 @@
     task.seen_in_report = False
     task.starts_sent = 0
     task.start_until_ms = 0
+    task.late_start_ms = task.late_start_end = 0.0
     task.percent = -1
     task.progress_at = now
     task.pace = task.previous_pace = 100
@@ -174,5 +175,6 @@
     task.phase = Phase.WAITING
     task.incarnation = ""
     task.resolved_at = None
+    task.late_start_ms = task.late_start_end = 0.0
     task.order_pending = False
     task.percent = -1
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -14,12 +14,14 @@
 )
 from plantainyard.dispatch.interference import learn_from_sample
 from plantainyard.dispatch.leases import (
+    can_start_arrive_late,
     count_earlier_calls,
     end_inheritance,
     get_lease_end,
     grant_lease,
     has_lease_expired,
     has_start_expired,
+    move_start,
     record_clock,
 )
 from plantainyard.dispatch.model import Phase, Runner
@@ -67,6 +69,7 @@
         runner = Runner(entry.incarnation, entry)
         state.runners[entry.incarnation] = runner
     if not runner.fence:
+        runner.seen_at, runner.seen_clock_ms = now, entry.clock_ms
         runner.fence = state.fence
         inherit_restart(state, runner)
     runner.entry = entry
@@ -106,7 +109,7 @@
             continue
         release_resources(old, task)
         task.resolved_at = now
-        task.start_until_ms = 0
+        move_start(task, new, state.limits)
         task.incarnation = new.incarnation
         reserve_resources(new, task)
         orders.send_stop(state, task, now)
@@ -176,6 +179,7 @@
         _stop_unwanted_run(state, runner, run.task, run.run)
         return False
     task.seen_in_report = True
+    task.late_start_ms = task.late_start_end = 0.0
     runs.mark_started(state, task.step, now)
     if run.checkpoint:
         task.checkpoint = run.checkpoint
@@ -255,7 +259,9 @@
         is_silent = runner.entry is None or not runner.responsive
         if is_silent and has_lease_expired(runner, now):
             for task in list(runner.tasks.values()):
-                if task.phase != Phase.STORING:
+                if task.phase == Phase.STORING:
+                    continue
+                if not can_start_arrive_late(task, runner, now):
                     record_given_up(state, task, GiveUpReason.LEASE_EXPIRED)
                     runs.requeue_task(state, task)
         if runner.quarantined_until and runner.quarantined_until < now:
--- a/plantainyard/entry/directory.py
+++ b/plantainyard/entry/directory.py
@@ -53,7 +53,8 @@
         if entry is None:
             self.log.write("unreadable_entry", key=runner)
             return
-        if self.entries.get(runner) == entry:
+        known = self.entries.get(runner)
+        if known is not None and known == entry._replace(clock_ms=known.clock_ms):
             return
         self.entries[runner] = entry
         self.log.write(
--- a/plantainyard/platform/entries.py
+++ b/plantainyard/platform/entries.py
@@ -32,6 +32,8 @@
         Kind and rack of the runner, in this order if it has both.
     machine : str
         Name of its machine; empty if unknown.
+    clock_ms : int
+        The runner's clock when it wrote the entry; 0 if unknown.
     """
 
     runner: str
@@ -44,6 +46,7 @@
     capacity: Resources
     labels: tuple[str, ...]
     machine: str = ""
+    clock_ms: int = 0
 
     @property
     def incarnation(self) -> str:
@@ -84,6 +87,7 @@
             ),
             labels=tuple(_read_str(label) for label in data.get("labels", ())),
             machine=_read_str(data.get("machine", "")),
+            clock_ms=_read_int(data.get("clockMs", 0)),
         )
     except (ValueError, TypeError, KeyError, AttributeError):
         return None
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -56,6 +56,10 @@
         by itself.
     max_lease_s, stop_s : float
         Longest lease that the runner grants, and time that a run takes to stop.
+    clock_rate : float
+        Rate of the runner's clock; 1 is exact.
+    clock_start_ms : int
+        Time of its clock at the start of its incarnation.
     capacity : dict
         Capacity as written in the runner's entry.
     started : list
@@ -68,6 +72,8 @@
     durations: dict[str, float] = field(default_factory=dict)
     max_lease_s: float = 10.0
     stop_s: float = 0.3
+    clock_rate: float = 1.0
+    clock_start_ms: int = 1000
     capacity: dict[str, int] = field(
         default_factory=lambda: {"cpu": 64_000, "memMb": 256_000, "gpu": 0}
     )
@@ -88,7 +94,8 @@
 
     def clock_ms(self, now: float) -> int:
         """Return the time of the runner's clock; it restarts with each incarnation."""
-        return 1000 + round((now - self.incarnation_started_at) * 1000)
+        age_s = (now - self.incarnation_started_at) * self.clock_rate
+        return self.clock_start_ms + round(age_s * 1000)
 
     def build_entry(self, now: float) -> dict[str, Any]:
         """Return the entry that the runner writes to the store."""
