Complete a restored gang of which one end is stored

Callers saw a job that never ends: the end of one member of a gang is stored, its owner is replaced, and the runner of another member leaves. The new owner requeues that member, and a gang is never started in part.

Cause: that one end stands for all members was kept in memory only.

Change: a new owner derives it from the stored progress, with no record of its own: the other members are done, those with a run that may still be active once it has surely ended or is stopped.

The same class was looked for in `apply_earlier_completion`: of a task that isn't in a gang nothing is kept in memory, because its end isn't acknowledged before the task is stored as done.

--- a/plantainyard/dispatch/restoring.py
+++ b/plantainyard/dispatch/restoring.py
@@ -21,6 +21,7 @@
 from plantainyard.dispatch.model import Phase, Runner, StepRun, Task
 from plantainyard.dispatch.placing import reserve_resources
 from plantainyard.dispatch.queue import set_deadlines
+from plantainyard.dispatch.runs import complete_gang
 from plantainyard.dispatch.state import Dispatcher, inherit_restart
 
 __all__ = ["restore_jobs"]
@@ -109,6 +110,8 @@
             _restore_handed_over_task(state, task, stored.unit, delivered)
         elif stored.runner:
             _restore_run(state, task, stored.runner, now)
+    if step.spec.gang and progress.done:
+        complete_gang(state, step, now)
 
 
 def _restore_handed_over_task(
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -19,6 +19,7 @@
 __all__ = [
     "apply_earlier_completion",
     "apply_order_result",
+    "complete_gang",
     "end_run",
     "give_up_start",
     "mark_started",
@@ -218,6 +219,19 @@
     return task is None or _complete_tasks(state, task, end.run, now)
 
 
+def complete_gang(state: Dispatcher, step: StepRun, now: float) -> None:
+    """Complete a restored gang of which the end of one member is stored.
+
+    Notes
+    -----
+    Guards against a gang that never ends: one end stands for all members, and is listed
+    by that member's runner alone, which has discarded it. Runs that the other members
+    may still have are stopped first.
+    """
+    for member in step.tasks:
+        _complete_task(state, member, 0, now)
+
+
 def _complete_tasks(state: Dispatcher, task: Task, run: int, now: float) -> bool:
     """Complete a task, with its gang; return whether none has a run left to end."""
     tasks = task.step.tasks if task.step.spec.gang else [task]
