Bound a run that isn't known to have begun by its record

Callers would see a long-running task without a run for 14 s, or 20 s and more with several owners in a row: its next run is stored and its start reaches nobody, the runner leaves, and the owner is killed. The new owner waits for the longest lease from its takeover, since its predecessor may be cut off with that runner and go on.

Change: the record of such a run says for how long it can last, counting every lease that was granted at its runner; until it is stored that the run was seen, its owner grants no lease beyond that. A successor counts the duration from its own reading and stores what is left once a second. A run that can't be stored as seen is stopped before the bound.

--- a/plantainyard/batch/records.py
+++ b/plantainyard/batch/records.py
@@ -153,7 +153,8 @@
     done = sum(1 << index for index in progress.done)
     tasks = {str(index): list(task) for index, task in progress.tasks.items()}
     started = {"begun": True} if progress.started else {}
-    return _dump({"done": f"{done:x}", "tasks": tasks, **started})
+    unseen = {"unseen": dict(progress.unseen_s)} if progress.unseen_s else {}
+    return _dump({"done": f"{done:x}", "tasks": tasks, **started, **unseen})
 
 
 def decode_progress(value: bytes) -> StepProgress:
@@ -161,7 +162,8 @@
 
     Examples
     --------
-    >>> progress = StepProgress(frozenset({0, 5}), {1: TaskProgress(2, "r@7", 1, "")})
+    >>> tasks = {1: TaskProgress(2, "r@7", 1, "")}
+    >>> progress = StepProgress(frozenset({0, 5}), tasks, False, {1: 2.5})
     >>> decode_progress(encode_progress(progress)) == progress
     True
     """
@@ -169,7 +171,8 @@
     bits = int(data["done"], 16)
     done = frozenset(n for n in range(bits.bit_length()) if bits >> n & 1)
     tasks = {int(index): TaskProgress(*task) for index, task in data["tasks"].items()}
-    return StepProgress(done, tasks, bool(data.get("begun")))
+    unseen = {int(k): float(left_s) for k, left_s in data.get("unseen", {}).items()}
+    return StepProgress(done, tasks, bool(data.get("begun")), unseen)
 
 
 def _pack_step(step: Step) -> dict[str, Any]:
--- a/plantainyard/batch/values.py
+++ b/plantainyard/batch/values.py
@@ -1,5 +1,7 @@
 """Values that describe a job, its steps and the progress of their tasks."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 __all__ = [
@@ -207,8 +209,12 @@
         Unfinished tasks that were ordered at least once.
     started : bool
         A task of the job is known to have started.
+    unseen_s : mapping of int to float
+        For outstanding runs that aren't known to have begun: time in seconds from the
+        storing of the progress until nothing of the run can be running any more.
     """
 
     done: frozenset[int]
     tasks: dict[int, TaskProgress]
     started: bool = False
+    unseen_s: Mapping[int, float] = MappingProxyType({})
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -68,6 +68,13 @@
 from plantainyard.dispatch.restoring import restore_jobs
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.timing import add_elapsed_time, summarize_times
+from plantainyard.dispatch.unseen import (
+    confirm_seen,
+    limit_assigned,
+    list_seen,
+    list_unseen_s,
+    maintain_unseen,
+)
 from plantainyard.dispatch.weights import (
     decode_interference,
     encode_interference,
@@ -170,6 +177,7 @@
         open_due_occurrences(state, now)
         orders.resend_orders(state, now)
         reports.expire_leases(state, now)
+        maintain_unseen(state, now)
         _plan_moves(state, now)
         _update_times(state, now)
         _expire_interference(state, now)
@@ -286,8 +294,9 @@
     summaries = [
         _summarize(state.jobs[job_id], now) for job_id in state.new_final_states
     ]
+    limit_assigned(state, now)
     records = [
-        Record(_progress_key(item), _encode_step(item))
+        Record(_progress_key(item), _encode_step(item, now))
         for item in state.dirty_steps.values()
         if not item.job.final_state
     ]
@@ -312,7 +321,7 @@
         for incarnation, number in last_ends.items():
             state.runners[incarnation].last_stored_end = number
         return
-    records += _encode_started(state)
+    records += _encode_started(state, now)
     records += pop_delivery_records(state)
     if (
         state.interference.estimates
@@ -329,6 +338,7 @@
     state.committing_outgoing = state.outgoing
     state.outgoing = {}
     state.committing_starts = state.assigned
+    state.committing_seen = list_seen(list(state.dirty_steps.values()))
     state.dirty_steps = {}
     state.started_steps = {}
     state.new_final_states = {}
@@ -368,10 +378,10 @@
     return frozenset(current)
 
 
-def _encode_started(state: Dispatcher) -> list[Record]:
+def _encode_started(state: Dispatcher, now: float) -> list[Record]:
     """Return the records of steps that only the start of their jobs has changed."""
     return [
-        Record(_progress_key(item), _encode_step(item))
+        Record(_progress_key(item), _encode_step(item, now))
         for identity, item in state.started_steps.items()
         if identity not in state.dirty_steps and not item.job.final_state
     ]
@@ -400,6 +410,7 @@
             runner.last_stored_end = max(
                 runner.last_stored_end, min(number, runner.last_end)
             )
+    confirm_seen(state.committing_seen)
     for job_id in state.committing_ends:
         state.jobs.pop(job_id, None)
     forward_outgoing(state)
@@ -417,7 +428,7 @@
     )
 
 
-def _encode_step(item: StepRun) -> bytes:
+def _encode_step(item: StepRun, now: float) -> bytes:
     done = frozenset(t.key.number for t in item.tasks if t.phase == Phase.DONE)
     tasks = {
         t.key.number: TaskProgress(
@@ -426,4 +437,5 @@
         for t in item.tasks
         if t.phase != Phase.DONE and (t.run or t.unit is not None)
     }
-    return encode_progress(StepProgress(done, tasks, item.job.started))
+    unseen_s = list_unseen_s(item, now)
+    return encode_progress(StepProgress(done, tasks, item.job.started, unseen_s))
--- a/plantainyard/dispatch/leases.py
+++ b/plantainyard/dispatch/leases.py
@@ -11,9 +11,11 @@
     "can_start_arrive_late",
     "count_earlier_calls",
     "end_inheritance",
+    "find_end_of_lease",
     "get_lease_end",
     "grant_lease",
     "has_lease_expired",
+    "has_run_expired",
     "has_start_expired",
     "inherit_lease",
     "limit_inheritance",
@@ -71,15 +73,38 @@
     """
     if not runner.clock_at:
         return 0
-    length_s = min(limits.lease_s, longest_s, renewed_at + limits.longest_lease_s - now)
+    elapsed_s = now - runner.clock_at
+    left_s = (_find_grant_limit(runner) - limits.lease_slack_s - now) / (
+        1 + limits.clock_drift
+    )
+    length_s = min(
+        limits.lease_s,
+        longest_s,
+        renewed_at + limits.longest_lease_s - now,
+        left_s - elapsed_s,
+    )
     if length_s <= 0:
         return 0
-    elapsed_s = now - runner.clock_at
     bound = now + (length_s + elapsed_s) * (1 + limits.clock_drift)
     runner.lease_bound = max(runner.lease_bound, bound + limits.lease_slack_s)
     return round(runner.clock_ms + (elapsed_s + length_s) * 1000)
 
 
+def _find_grant_limit(runner: Runner) -> float:
+    """Return the time that no lease granted at a runner may exceed; see `unseen`."""
+    ends = [task.unseen_end for task in runner.tasks.values() if task.unseen_end]
+    return min(ends, default=math.inf)
+
+
+def has_run_expired(task: Task, runner: Runner, now: float) -> bool:
+    """Return whether nothing of the task's run can be running any more."""
+    if task.unseen_end and now > task.unseen_end:
+        return True
+    return has_lease_expired(runner, now) and not can_start_arrive_late(
+        task, runner, now
+    )
+
+
 def has_lease_expired(runner: Runner, now: float) -> bool:
     """Return whether everything that was ordered at the runner has surely stopped."""
     return now > get_lease_end(runner)
@@ -111,13 +136,12 @@
     Any of them may go on granting leases until the longest lease after its last
     renewal, which precedes this owner's claim.
     """
-    runner.inherited_bound = _find_end_of_longest_lease(limits, now)
+    runner.inherited_bound = find_end_of_lease(limits, limits.longest_lease_s, now)
 
 
-def _find_end_of_longest_lease(limits: Limits, now: float) -> float:
-    """Return when the longest lease that a runner grants at `now` has surely ended."""
-    max_lease_s = limits.longest_lease_s * (1 + limits.clock_drift)
-    return now + max_lease_s + limits.lease_slack_s
+def find_end_of_lease(limits: Limits, lease_s: float, now: float) -> float:
+    """Return when a lease that begins at `now` has surely ended."""
+    return now + lease_s * (1 + limits.clock_drift) + limits.lease_slack_s
 
 
 def count_earlier_calls(runner: Runner, limits: Limits, now: float) -> None:
@@ -140,7 +164,7 @@
     anew, so that it grants its longest lease for everything that runs there. After
     `now` it refuses such calls.
     """
-    runner.earlier_calls_end = _find_end_of_longest_lease(limits, now)
+    runner.earlier_calls_end = find_end_of_lease(limits, limits.longest_lease_s, now)
     runner.lease_bound = max(runner.lease_bound, runner.earlier_calls_end)
 
 
@@ -213,6 +237,7 @@
     it, which is a time on another clock and may be far ahead. That end isn't known of a
     start that a predecessor sent.
     """
+    task.unseen_end = 0.0
     start_ms = task.start_until_ms if task.starts_sent else math.inf
     task.late_start_ms = max(task.late_start_ms, start_ms)
     task.start_until_ms = 0
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -87,6 +87,10 @@
     late_start_end : float
         When nothing of that start can be running any more unless the incarnation has
         answered since; 0 if there is none.
+    unseen_end : float
+        When nothing of the run can be running any more. No lease beyond it is granted
+        at its runner until it is stored that the run was seen; 0 if there is no such
+        bound.
     failures : int
         Number of failed runs.
     checkpoint : str
@@ -123,6 +127,7 @@
     start_until_ms: int = 0
     late_start_ms: float = 0.0
     late_start_end: float = 0.0
+    unseen_end: float = 0.0
     failures: int = 0
     checkpoint: str = ""
     waiting_since: float = 0.0
--- a/plantainyard/dispatch/orders.py
+++ b/plantainyard/dispatch/orders.py
@@ -172,9 +172,12 @@
     runner = state.runners.get(task.incarnation)
     if runner is not None:
         release_resources(runner, task)
+        if task.unseen_end:
+            # The lease of its neighbours could not be renewed beyond that bound.
+            runner.next_report_at = 0.0
     task.phase = Phase.WAITING
     task.incarnation = ""
     task.resolved_at = None
-    task.late_start_ms = task.late_start_end = 0.0
+    task.late_start_ms = task.late_start_end = task.unseen_end = 0.0
     task.order_pending = False
     task.percent = -1
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -14,12 +14,12 @@
 )
 from plantainyard.dispatch.interference import learn_from_sample
 from plantainyard.dispatch.leases import (
-    can_start_arrive_late,
     count_earlier_calls,
     end_inheritance,
     get_lease_end,
     grant_lease,
     has_lease_expired,
+    has_run_expired,
     has_start_expired,
     move_start,
     record_clock,
@@ -187,7 +187,7 @@
         task.percent = run.percent
         task.progress_at = now
     if task.phase == Phase.ORDERED:
-        task.phase = Phase.RUNNING
+        runs.mark_running(state, task)
         task.resolved_at = sent_at
     return True
 
@@ -256,14 +256,8 @@
 def expire_leases(state: Dispatcher, now: float) -> None:
     """Requeue tasks whose leases expired, and remove dead runner incarnations."""
     for runner in list(state.runners.values()):
-        is_silent = runner.entry is None or not runner.responsive
-        if is_silent and has_lease_expired(runner, now):
-            for task in list(runner.tasks.values()):
-                if task.phase == Phase.STORING:
-                    continue
-                if not can_start_arrive_late(task, runner, now):
-                    record_given_up(state, task, GiveUpReason.LEASE_EXPIRED)
-                    runs.requeue_task(state, task)
+        if runner.entry is None or not runner.responsive:
+            _expire_runs(state, runner, now)
         if runner.quarantined_until and runner.quarantined_until < now:
             runner.quarantined_until = 0.0
             runner.failure_score = state.limits.quarantine_after / 2
@@ -274,6 +268,14 @@
             del state.runners[runner.incarnation]
 
 
+def _expire_runs(state: Dispatcher, runner: Runner, now: float) -> None:
+    """Requeue the tasks of a silent runner whose runs have surely ended."""
+    for task in list(runner.tasks.values()):
+        if task.phase != Phase.STORING and has_run_expired(task, runner, now):
+            record_given_up(state, task, GiveUpReason.LEASE_EXPIRED)
+            runs.requeue_task(state, task)
+
+
 def request_reports(state: Dispatcher, now: float) -> None:
     """Request the reports that are due."""
     for runner in state.runners.values():
@@ -286,7 +288,7 @@
             if now >= runner.next_report_at:
                 _request_report(state, runner, now, 0.0, renew=False)
         elif runner.last_end == runner.last_stored_end and not runner.holds_end:
-            is_watched = has_serving_tasks(runner) and has_backfill_tasks(runner)
+            is_watched = _is_watched(runner)
             limits = state.limits
             wait_s = (
                 limits.watched_report_wait_s if is_watched else limits.report_wait_s
@@ -299,6 +301,12 @@
             _request_report(state, runner, now, 0.0, renew=True)
 
 
+def _is_watched(runner: Runner) -> bool:
+    """Return whether the next report of a runner is needed soon."""
+    is_unseen = any(task.unseen_end for task in runner.tasks.values())
+    return is_unseen or (has_serving_tasks(runner) and has_backfill_tasks(runner))
+
+
 def _request_report(
     state: Dispatcher, runner: Runner, now: float, wait_s: float, renew: bool
 ) -> None:
--- a/plantainyard/dispatch/restoring.py
+++ b/plantainyard/dispatch/restoring.py
@@ -23,6 +23,7 @@
 from plantainyard.dispatch.queue import set_deadlines
 from plantainyard.dispatch.runs import complete_gang
 from plantainyard.dispatch.state import Dispatcher, inherit_restart
+from plantainyard.dispatch.unseen import restore_unseen
 
 __all__ = ["restore_jobs"]
 
@@ -110,6 +111,8 @@
             _restore_handed_over_task(state, task, stored.unit, delivered)
         elif stored.runner:
             _restore_run(state, task, stored.runner, now)
+            if index in progress.unseen_s:
+                restore_unseen(state, task, progress.unseen_s[index], now)
     if step.spec.gang and progress.done:
         complete_gang(state, step, now)
 
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -22,6 +22,7 @@
     "complete_gang",
     "end_run",
     "give_up_start",
+    "mark_running",
     "mark_started",
     "requeue_task",
 ]
@@ -42,6 +43,13 @@
     state.actions.append(JobStarted(job.submission.record_id, waited_s))
 
 
+def mark_running(state: Dispatcher, task: Task) -> None:
+    """Mark a task whose ordered run was seen at its runner."""
+    task.phase = Phase.RUNNING
+    if task.unseen_end:
+        mark_dirty(state, task.step)
+
+
 def apply_order_result(state: Dispatcher, event: OrderAnswered, now: float) -> None:
     """Apply the result of an order to its task."""
     runner = state.runners.get(event.incarnation)
@@ -91,7 +99,7 @@
         task.resolved_at = now
         mark_started(state, task.step, now)
         if task.phase == Phase.ORDERED:
-            task.phase = Phase.RUNNING
+            mark_running(state, task)
             task.progress_at = now
             spec = task.step.spec
             if spec.backfill and get_pace(runner, spec.image) < task.pace:
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -97,6 +97,11 @@
         replaced others: in the commit that is being stored, and as stored.
     inherited_restarts : frozenset of str
         Those that predecessors have stored.
+    unseen_tasks, unseen_stored_at : list of Task, float
+        Tasks with a bound until their run was seen, and when inherited bounds were last
+        stored; see `unseen`.
+    committing_seen : list of tuple
+        Tasks, and their runs, that are stored as seen by the commit in progress.
     took_over_at : float
         When this owner took over.
     renewed_at : float
@@ -162,6 +167,9 @@
     committing_restarts: frozenset[str] = frozenset()
     stored_restarts: frozenset[str] = frozenset()
     inherited_restarts: frozenset[str] = frozenset()
+    unseen_tasks: list[Task] = field(default_factory=list)
+    unseen_stored_at: float = 0.0
+    committing_seen: list[tuple[Task, int]] = field(default_factory=list)
     took_over_at: float = 0.0
     renewed_at: float = 0.0
     interference: InterferenceModel = field(default_factory=InterferenceModel)
