Don't stop a run whose record as seen may be under way

A successor that inherits two seconds or less of a bound sees the run, and the next tick comes before the record of that is stored: a healthy run would be stopped. It is stopped now only half a second after it was seen. By reading; the tests' world stores at once.

--- a/plantainyard/dispatch/unseen.py
+++ b/plantainyard/dispatch/unseen.py
@@ -29,6 +29,10 @@
 """Time before the bound at which a run is stopped that couldn't be stored as seen. It
 stops within a second, which leaves another one to renew its neighbours' leases."""
 
+SEEN_COMMIT_S = 0.5
+"""Time for which a run that was seen isn't stopped, as the record of that may be under
+way."""
+
 REFRESH_S = 1.0
 """Time between records of the bounds that a new owner inherits, so that its successor
 inherits what remains."""
@@ -43,7 +47,8 @@
     runner has the same lease, so that the bound covers all leases granted there so far.
     """
     for task in state.assigned:
-        if task.step.spec.long_running and task.run > 1:
+        is_restart = task.step.spec.long_running and task.run > 1
+        if is_restart and task.phase == Phase.STORING:
             runner = state.runners[task.incarnation]
             task.seen_in_report = False
             task.unseen_end = _find_bound(runner, state.limits, now)
@@ -107,8 +112,15 @@
     refresh_due = now - state.unseen_stored_at >= REFRESH_S
     for task in state.unseen_tasks:
         runner = state.runners.get(task.incarnation)
-        if task.phase == Phase.RUNNING and now > task.unseen_end - STOP_MARGIN_S:
+        if _is_stop_due(task, now):
             send_stop(state, task, now)
         elif refresh_due and runner is not None and not runner.has_reported:
             mark_dirty(state, task.step)
             state.unseen_stored_at = now
+
+
+def _is_stop_due(task: Task, now: float) -> bool:
+    if task.phase != Phase.RUNNING or task.resolved_at is None:
+        return False
+    is_pending = now - task.resolved_at > SEEN_COMMIT_S
+    return is_pending and now > task.unseen_end - STOP_MARGIN_S
