--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -68,7 +68,7 @@
 from plantainyard.dispatch.restoring import restore_jobs
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.timing import add_elapsed_time, summarize_times
-from plantainyard.dispatch.unseen import (
+from plantainyard.dispatch.unseen_runs import (
     confirm_seen,
     limit_assigned,
     list_seen,
--- a/plantainyard/dispatch/restoring.py
+++ b/plantainyard/dispatch/restoring.py
@@ -23,7 +23,7 @@
 from plantainyard.dispatch.queue import set_deadlines
 from plantainyard.dispatch.runs import complete_gang
 from plantainyard.dispatch.state import Dispatcher, inherit_restart
-from plantainyard.dispatch.unseen import restore_unseen
+from plantainyard.dispatch.unseen_runs import restore_unseen
 
 __all__ = ["restore_jobs"]
 
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -99,7 +99,7 @@
         Those that predecessors have stored.
     unseen_tasks, unseen_stored_at : list of Task, float
         Tasks with a bound until their run was seen, and when inherited bounds were last
-        stored; see `unseen`.
+        stored; see `unseen_runs`.
     committing_seen : list of tuple
         Tasks, and their runs, that are stored as seen by the commit in progress.
     took_over_at : float
