--- a/plantainyard/dispatch/leases.py
+++ b/plantainyard/dispatch/leases.py
@@ -91,7 +91,7 @@
 
 
 def _find_grant_limit(runner: Runner) -> float:
-    """Return the time that no lease granted at a runner may exceed; see `unseen_runs`."""
+    """Return the time that no lease at a runner may exceed; see `unseen_runs`."""
     ends = [task.unseen_end for task in runner.tasks.values() if task.unseen_end]
     return min(ends, default=math.inf)
 
