Start nothing in failure domains that operators evacuate

Cause: nothing read `op/evacuate/ZONE`; `coldLeftMs` was not decoded.

Change: instances that own or claim units read the newest records under the prefix five times within the platform's bound, and at once with a claim. An owner starts nothing before its first reading, nor on one older than the bound less a second; a runner of an evacuated domain accepts no task, and so counts neither as a place nor as capacity. Assignments that weren't sent are given up, unanswered starts are stopped instead of repeated. What runs there goes on. Log lines, gauges, the dump and the wait reason name evacuations.

Weighed: reading the requests with the configuration, which most owners get from another owner (a call a second less for each owner, but the bound would depend on two readings and on offsets that are taken over).

Tests: dispatch/tests/test_evacuations.py, entry/tests/test_evacuations.py. With `accepts_tasks` unguarded, two of the former fail (handed-over jobs); with `can_start` unguarded they don't end, as assignments are given up without end.

--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -19,12 +19,14 @@
 from plantainyard.dispatch import orders, reports, runs
 from plantainyard.dispatch.balancing import count_slots, measure_finite_demand
 from plantainyard.dispatch.estimates import InterferenceModel
+from plantainyard.dispatch.evacuations import apply_evacuations, knows_evacuations
 from plantainyard.dispatch.events import (
     Action,
     CancelRequested,
     Commit,
     Committed,
     EntryChanged,
+    EvacuationsRead,
     Event,
     Forwarded,
     InterferenceReceived,
@@ -187,7 +189,7 @@
     state.changed_runners |= _find_changed_runners(event)
     state.search_all |= isinstance(event, Tick)
     if not state.commit_pending:
-        if state.plan_due:
+        if state.plan_due and knows_evacuations(state, now):
             plan_starts(state, now)
             state.plan_due = False
         _commit(state, now)
@@ -231,7 +233,8 @@
 
 
 def _plan_moves(state: Dispatcher, now: float) -> None:
-    if now - state.moves_planned_at >= MOVES_INTERVAL_S:
+    is_due = now - state.moves_planned_at >= MOVES_INTERVAL_S
+    if is_due and knows_evacuations(state, now):
         plan_moves(state, now)
         state.moves_planned_at = now
 
@@ -268,6 +271,8 @@
             add_job(state, submission, now)
             added = state.jobs.get(submission.record_id)
             plan_handovers(state, [added] if added else [], now)
+        case EvacuationsRead():
+            apply_evacuations(state, event)
         case CancelRequested(job_id) if job_id in state.handed_over:
             forward_cancel(state, job_id)
         case CancelRequested(job_id):
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -20,6 +20,7 @@
     "HandoversConfirmed",
     "Committed",
     "EntryChanged",
+    "EvacuationsRead",
     "Event",
     "Forward",
     "Forwarded",
@@ -116,6 +117,21 @@
     sent_at: float
 
 
+class EvacuationsRead(NamedTuple):
+    """All evacuations that operators have requested were read.
+
+    Attributes
+    ----------
+    domains : frozenset of str
+        The evacuated failure domains.
+    read_at : float
+        When the reading began; requests that were stored later may be missing.
+    """
+
+    domains: frozenset[str]
+    read_at: float
+
+
 class LeasesReported(NamedTuple):
     """The predecessor has released the unit, and reported which leases remain.
 
@@ -166,6 +182,7 @@
     | ReportReceived
     | ReportFailed
     | OwnershipRenewed
+    | EvacuationsRead
     | Forwarded
     | LeasesReported
     | LoadsReceived
@@ -248,6 +265,9 @@
         The run's incarnation of the runner has ended.
     ``NOT_SENT``
         The start was never sent: the runner doesn't answer, or the job has ended.
+    ``EVACUATED``
+        The start was never sent: nothing may start in the runner's failure domain any
+        more, or this is unknown.
     """
 
     LEASE_EXPIRED = "lease expired"
@@ -257,6 +277,7 @@
     STOPPED = "stop confirmed"
     RUNNER_REPLACED = "runner replaced"
     NOT_SENT = "not sent"
+    EVACUATED = "domain evacuated"
 
 
 class RunGivenUp(NamedTuple):
--- a/plantainyard/dispatch/limits.py
+++ b/plantainyard/dispatch/limits.py
@@ -1,5 +1,6 @@
 """Time limits and thresholds of the dispatcher."""
 
+import math
 from typing import NamedTuple
 
 __all__ = ["Limits", "choose_lease"]
@@ -64,6 +65,9 @@
         elsewhere, that lead to quarantine.
     remote_factor : float
         Factor by which a task takes longer away from its preferred rack.
+    evacuation_age_s : float
+        Age of the last reading of the evacuations above which nothing is started;
+        infinite if the platform has no evacuations.
     """
 
     lease_s: float = MAX_LEASE_S
@@ -82,6 +86,7 @@
     quarantine_s: float = 4.0
     quarantine_after: float = 2.0
     remote_factor: float = 1.0
+    evacuation_age_s: float = math.inf
 
 
 def choose_lease(longest_lease_s: float, cancelled_s: float) -> float:
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -231,6 +231,10 @@
         None for an incarnation that is known only from a predecessor's records.
     registered : bool
         Whether its entry is in the store.
+    evacuated : bool
+        Whether nothing may be started there because its failure domain is evacuated.
+    slow_until : float
+        Time until which its tasks are slow after its start.
     seen_at : float
         When its entry was first read.
     seen_clock_ms : int
@@ -301,6 +305,8 @@
     incarnation: str
     entry: RunnerEntry | None
     registered: bool = True
+    evacuated: bool = False
+    slow_until: float = 0.0
     seen_at: float = 0.0
     seen_clock_ms: int = 0
     fence: int = 0
--- a/plantainyard/dispatch/orders.py
+++ b/plantainyard/dispatch/orders.py
@@ -2,6 +2,7 @@
 
 import math
 
+from plantainyard.dispatch.evacuations import knows_evacuations
 from plantainyard.dispatch.events import GiveUpReason, OrderKind, SendOrder
 from plantainyard.dispatch.leases import can_start_arrive, grant_lease
 from plantainyard.dispatch.model import Phase, Runner, Task
@@ -43,6 +44,11 @@
         record_given_up(state, task, GiveUpReason.NOT_SENT)
         release_task(state, task)
         return
+    if runner.evacuated or not knows_evacuations(state, now):
+        record_given_up(state, task, GiveUpReason.EVACUATED)
+        release_task(state, task)
+        state.plan_due = True
+        return
     task.phase = Phase.ORDERED
     task.resolved_at = None
     task.seen_in_report = False
@@ -164,7 +170,20 @@
                 and runner.responsive
                 and can_start_arrive(task, runner, now)
             ):
-                _send_order(state, OrderKind.START, task, runner, now)
+                _repeat_start(state, task, runner, now)
+
+
+def _repeat_start(state: Dispatcher, task: Task, runner: Runner, now: float) -> None:
+    """Repeat a start, or stop its run if nothing may start there any more.
+
+    Notes
+    -----
+    Once the stop is answered, the runner refuses all copies of the start.
+    """
+    if runner.evacuated:
+        send_stop(state, task, now)
+    else:
+        _send_order(state, OrderKind.START, task, runner, now)
 
 
 def release_task(state: Dispatcher, task: Task) -> None:
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -14,6 +14,7 @@
 __all__ = [
     "accepts_tasks",
     "can_start",
+    "can_start_after_evacuation",
     "count_step_tasks",
     "estimate_speed",
     "find_min_speed",
@@ -119,6 +120,11 @@
     -----
     A runner that hasn't reported to this owner may be full of its predecessor's tasks.
     """
+    return not runner.evacuated and _is_usable(runner)
+
+
+def _is_usable(runner: Runner) -> bool:
+    """Return whether a runner accepts tasks unless its domain is evacuated."""
     entry = runner.entry
     if entry is None or entry.draining or not runner.registered:
         return False
@@ -127,8 +133,13 @@
 
 def can_start(task: Task, runner: Runner, now: float) -> bool:
     """Return whether a task may start on the runner, capacity aside."""
+    return not runner.evacuated and can_start_after_evacuation(task, runner, now)
+
+
+def can_start_after_evacuation(task: Task, runner: Runner, now: float) -> bool:
+    """Return the same as `can_start` for the time when no domain is evacuated."""
     entry = runner.entry
-    if entry is None or not accepts_tasks(runner):
+    if entry is None or not _is_usable(runner):
         return False
     if entry.service != task.step.job.submission.service:
         return False
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -4,6 +4,7 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.dispatch import orders, runs
+from plantainyard.dispatch.evacuations import mark_evacuated
 from plantainyard.dispatch.events import (
     GiveUpReason,
     OrderKind,
@@ -74,6 +75,8 @@
         inherit_restart(state, runner)
     runner.entry = entry
     runner.registered = True
+    runner.slow_until = now + entry.slow_for_ms / 1000
+    mark_evacuated(state, runner)
     if entry.draining and not runner.leaves_at:
         leaves_in_ms = (
             DEFAULT_DRAIN_MS if entry.leaves_in_ms is None else entry.leaves_in_ms
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -106,6 +106,10 @@
         When this owner took over.
     renewed_at : float
         When the last successful renewal of the ownership was sent.
+    evacuated_domains : frozenset of str
+        Failure domains in which nothing may be started.
+    evacuations_read_at : float
+        When the last complete reading of the evacuations began.
     interference : InterferenceModel
         Estimates of interference between tasks.
     interference_stored_at : float
@@ -172,6 +176,8 @@
     committing_seen: list[tuple[Task, int]] = field(default_factory=list)
     took_over_at: float = 0.0
     renewed_at: float = 0.0
+    evacuated_domains: frozenset[str] = frozenset()
+    evacuations_read_at: float = -math.inf
     interference: InterferenceModel = field(default_factory=InterferenceModel)
     interference_stored_at: float = 0.0
     interference_expired_at: float = 0.0
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+import math
 from typing import Any
 
 from result import Err
@@ -27,6 +28,7 @@
     Commit,
     Committed,
     EntryChanged,
+    EvacuationsRead,
     Event,
     Forward,
     Forwarded,
@@ -56,6 +58,7 @@
 from standins.platform.samples import SERVICE, order_runner, request_report
 
 TICK_S = 0.1
+EVACUATIONS_INTERVAL_S = 1.0
 
 
 class World:
@@ -72,6 +75,9 @@
     store, as another world with the same runners (`former_owners`), until its successor
     reaches it.
 
+    The owner reads each second which domains are evacuated (`evacuated`), if its limits
+    bound the age of a reading, and while it reaches the store.
+
     Calls carry the fencing tokens that the dispatcher chose, from the number of its
     owner on.
     """
@@ -90,6 +96,8 @@
         self.delayed_kind = OrderKind.START
         self.delayed_orders: list[tuple[SendOrder, int]] = []
         self.store_down = False
+        self.evacuated: set[str] = set()
+        self.evacuations_due_at = 0.0
         self.entries_published = True
         self.renewing = True
         self.pending_commit: Commit | None = None
@@ -153,6 +161,7 @@
         self.state = restore_dispatcher(
             self.replica, self.limits, self.now, self.now * 1000, self.now, fence
         )
+        self.evacuations_due_at = self.now
         self.publish_entries()
         self.run(TICK_S)
 
@@ -301,8 +310,16 @@
                         self.send_event(event)
             if self.renewing and not self.store_down:
                 self.send_event(OwnershipRenewed(self.now))
+                self.read_evacuations()
             self.send_event(Tick())
 
+    def read_evacuations(self) -> None:
+        """Let the owner read the evacuations if a reading is due."""
+        bounded = self.limits.evacuation_age_s < math.inf
+        if bounded and self.now >= self.evacuations_due_at:
+            self.evacuations_due_at = self.now + EVACUATIONS_INTERVAL_S
+            self.send_event(EvacuationsRead(frozenset(self.evacuated), self.now))
+
     def answer_reports(self) -> None:
         pending_reports, self.pending_reports = self.pending_reports, []
         for sent_at, action in pending_reports:
--- a/plantainyard/dispatch/timing.py
+++ b/plantainyard/dispatch/timing.py
@@ -8,7 +8,11 @@
 from collections.abc import Iterable
 
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun, Task
-from plantainyard.dispatch.placing import can_start, has_capacity
+from plantainyard.dispatch.placing import (
+    can_start,
+    can_start_after_evacuation,
+    has_capacity,
+)
 
 __all__ = [
     "TimePart",
@@ -30,6 +34,8 @@
     -----
     ``WAITING_RUNNER``
         No runner may take the task: none has its service or label, or all are silent.
+    ``WAITING_EVACUATION``
+        All runners that may take the task are in evacuated failure domains.
     ``WAITING_CAPACITY``
         No eligible runner has the capacity.
     ``WAITING_PLACE``
@@ -48,6 +54,7 @@
     """
 
     WAITING_RUNNER = "waiting_runner"
+    WAITING_EVACUATION = "waiting_evacuation"
     WAITING_CAPACITY = "waiting_room"
     WAITING_PLACE = "waiting_place"
     WAITING_TURN = "waiting_turn"
@@ -70,7 +77,10 @@
     step.wait_reason_at = now
     usable = [runner for runner in runners if can_start(task, runner, now)]
     if not usable:
-        step.wait_reason = TimePart.WAITING_RUNNER
+        evacuated = any(can_start_after_evacuation(task, r, now) for r in runners)
+        step.wait_reason = (
+            TimePart.WAITING_EVACUATION if evacuated else TimePart.WAITING_RUNNER
+        )
     elif not any(has_capacity(step.spec, runner) for runner in usable):
         step.wait_reason = TimePart.WAITING_CAPACITY
     else:
--- a/plantainyard/entry/directory.py
+++ b/plantainyard/entry/directory.py
@@ -54,7 +54,7 @@
             self.log.write("unreadable_entry", key=runner)
             return
         known = self.entries.get(runner)
-        if known is not None and known == entry._replace(clock_ms=known.clock_ms):
+        if known is not None and _is_unchanged(known, entry):
             return
         self.entries[runner] = entry
         self.log.write(
@@ -77,3 +77,9 @@
         if self.entries.pop(runner, None) is not None:
             self.log.write("runner_changed", runner=runner, removed=True)
             self.notify(EntryChanged(runner, None))
+
+
+def _is_unchanged(known: RunnerEntry, entry: RunnerEntry) -> bool:
+    """Return whether an entry tells nothing but that time has passed."""
+    passed = entry._replace(clock_ms=known.clock_ms, slow_for_ms=known.slow_for_ms)
+    return known == passed and entry.slow_for_ms <= known.slow_for_ms
--- a/plantainyard/entry/inspection.py
+++ b/plantainyard/entry/inspection.py
@@ -31,6 +31,10 @@
             "version": configuration.version if configuration else None,
             "age_s": round(now - instance.configuration_synced_at(), 3),
         },
+        "evacuations": {
+            "versions": dict(instance.evacuations.versions),
+            "read_s_ago": _count_since(instance.evacuations.read_at, now),
+        },
         "units": instance.layout.units,
         "owners": {u: o._asdict() for u, o in list(instance.layout.owners.items())},
         "owned": {
@@ -40,10 +44,16 @@
     }
 
 
+def _count_since(at: float, now: float) -> float | None:
+    """Return the seconds since `at`; None if it has never come."""
+    return round(now - at, 3) if at > 0 else None
+
+
 def _describe_unit(state: Dispatcher, now: float) -> dict[str, Any]:
     return {
         **count_state(state)._asdict(),
         "load": state.load._asdict(),
+        "evacuated": sorted(state.evacuated_domains),
         "renewed_s_ago": round(now - state.renewed_at, 3),
         "commit_out": state.commit_pending,
         "moved": len(state.handed_over),
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -20,11 +20,16 @@
     count_state,
 )
 from plantainyard.entry.copies import UnitCopy
+from plantainyard.entry.evacuations import Evacuations
 from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.incomplete_reads import build_read_observer
 from plantainyard.entry.layout import Layout, find_unit
 from plantainyard.entry.meters import Meters
-from plantainyard.entry.readers import PartitionReader, poll_reader
+from plantainyard.entry.readers import (
+    PartitionReader,
+    choose_retry_pause,
+    poll_reader,
+)
 from plantainyard.entry.topics import CONFIGURATION_KEY, LAYOUT, OPERATIONS
 from plantainyard.entry.unit import UnitActor, UnitContext
 from plantainyard.platform.configuration import Configuration, decode_configuration
@@ -49,17 +54,6 @@
 all instances, and of submissions by the owner. Each makes one call per second while
 nothing changes."""
 
-RETRY_S = 0.1
-"""Pause in seconds after a failed read."""
-
-MAX_RETRY_S = 0.4
-"""Maximum pause in seconds after repeated failures. An owner has to see soon that the
-store answers again."""
-
-MIN_JITTER = 0.5
-"""Smallest part of a pause after repeated failures that a reader waits. Instances whose
-reads failed together don't all read again together."""
-
 MAX_READ_S = 0.25
 """Time in seconds, in addition to the wait, after which the last read is too old for
 the next one to wait. A slow store takes that long for a call."""
@@ -130,6 +124,8 @@
         Time of the last successful answer of the store to any call.
     layout : Layout
         Number of units, and their owners.
+    evacuations : Evacuations
+        The failure domains in which operators want nothing more to start.
     copies : list of UnitCopy
         Copies of all units, by unit; empty until the number of units is known.
     claims : dict
@@ -170,6 +166,7 @@
         self.copied_at = 0.0
         self.store_answered_at = 0.0
         self.layout = Layout(log)
+        self.evacuations = Evacuations()
         self.copies: list[UnitCopy] = []
         self.claims: dict[int, Claim] = {}
         self.owned: dict[int, OwnedUnit] = {}
@@ -228,6 +225,7 @@
         meters.configuration_age.set(read_clock() - self.configuration_synced_at())
         if self.configuration is not None:
             meters.configuration_version.set(self.configuration.version)
+        self._refresh_evacuations()
         owned = list(self.owned.values())
         meters.owned.set(len(owned))
         counts = [count_state(unit.context.dispatcher) for unit in owned]
@@ -240,6 +238,15 @@
             for name in {name for row in rows for name in row}:
                 gauge.labels(name).set(sum(row.get(name, 0) for row in rows))
 
+    def _refresh_evacuations(self) -> None:
+        evacuations = self.evacuations
+        evacuated = evacuations.versions if self.claims else {}
+        for domain in self.settings.domains | evacuations.versions.keys():
+            self.meters.evacuated.labels(domain).set(domain in evacuated)
+        if evacuations.read_at > 0:
+            age_s = read_clock() - evacuations.read_at
+            self.meters.evacuations_age.set(age_s)
+
     def _apply_operation(self, record: Record) -> None:
         if record.key == CONFIGURATION_KEY:
             self.apply_configuration(record.value)
@@ -317,24 +324,3 @@
         failures = failures + 1 if isinstance(found, Err) else 0
         if failures:
             stopping.wait(choose_retry_pause(failures, random.random()))
-
-
-def choose_retry_pause(failures: int, draw: float) -> float:
-    """Return the pause in seconds after a number of consecutive failed reads.
-
-    Parameters
-    ----------
-    failures : int
-        Number of consecutive failures, at least one.
-    draw : float
-        Random number from 0 to 1.
-
-    Examples
-    --------
-    >>> [choose_retry_pause(failures, 1.0) for failures in (1, 2, 3, 9)]
-    [0.1, 0.2, 0.4, 0.4]
-    >>> choose_retry_pause(3, 0.0)
-    0.2
-    """
-    pause_s = min(RETRY_S * 2 ** min(failures - 1, 8), MAX_RETRY_S)
-    return pause_s * (MIN_JITTER + (1 - MIN_JITTER) * draw)
--- a/plantainyard/entry/meters.py
+++ b/plantainyard/entry/meters.py
@@ -38,6 +38,8 @@
     "plantainyard_configuration_age_seconds": "Since the configuration was confirmed.",
     "plantainyard_configuration_version": "Version of the configuration in force.",
     "plantainyard_configuration_copied": "1 if an owner is asked for it, else 0.",
+    "plantainyard_evacuated": "1 if this owner starts nothing in the domain, else 0.",
+    "plantainyard_evacuations_age_seconds": "Since the evacuations were last read.",
 }
 """Names and help texts of all metrics; counters are exported with suffix `_total`."""
 
@@ -78,6 +80,8 @@
         self.configuration_copied = self._build_gauge(
             "plantainyard_configuration_copied"
         )
+        self.evacuated = self._build_gauge("plantainyard_evacuated", "domain")
+        self.evacuations_age = self._build_gauge("plantainyard_evacuations_age_seconds")
 
     def observe_call(self, observation: CallObservation) -> None:
         """Record the duration and the bytes of a call to store, runner or peer."""
--- a/plantainyard/entry/ownership_manager.py
+++ b/plantainyard/entry/ownership_manager.py
@@ -22,9 +22,9 @@
 )
 from plantainyard.entry.copies import UnitCopy, refresh_copy
 from plantainyard.entry.directory import RunnerDirectory
+from plantainyard.entry.evacuations import send_evacuations
 from plantainyard.entry.group import GroupAssignment
 from plantainyard.entry.instance import (
-    RETRY_S,
     Claim,
     Instance,
     OwnedUnit,
@@ -32,7 +32,7 @@
 )
 from plantainyard.entry.layout import Owner, announce_owner
 from plantainyard.entry.peers import fetch_owner_status
-from plantainyard.entry.readers import PartitionReader, poll_reader
+from plantainyard.entry.readers import RETRY_S, PartitionReader, poll_reader
 from plantainyard.entry.reserves import is_strong
 from plantainyard.entry.takeover import (
     choose_fence,
@@ -139,6 +139,8 @@
         if why in (ClaimReason.SHARE, ClaimReason.RESERVE):
             self.moved_at = read_clock()
         instance.claims[unit] = Claim(epoch, read_clock())
+        # The takeover may start nothing before the evacuations are read.
+        instance.evacuations.due.set()
         instance.log.write("owner_named", unit=unit, epoch=epoch, why=why)
         arguments = (instance.copies[unit], epoch)
         threading.Thread(
@@ -257,6 +259,7 @@
     ) -> None:
         unit, epoch, instance = copy.unit, owner.epoch, self.instance
         instance.owned[unit] = owned
+        send_evacuations(instance, unit)
         took_s = round(read_clock() - began_at, 3)
         instance.log.write("owner_gained", unit=unit, epoch=epoch, took_s=took_s)
         self._query_predecessor(copy, owner, owned.context.stopping)
--- a/plantainyard/entry/process.py
+++ b/plantainyard/entry/process.py
@@ -15,6 +15,7 @@
 
 from plantainyard.clock import read_clock
 from plantainyard.entry.caller_api import build_caller_app
+from plantainyard.entry.evacuations import follow_evacuations
 from plantainyard.entry.eventlog import EventLog, open_event_log
 from plantainyard.entry.group import follow_group
 from plantainyard.entry.inspection import build_inspection_app
@@ -149,6 +150,7 @@
     """Start following the configuration and, until `draining`, claiming units."""
     threads = (
         (follow_configuration, (instance,)),
+        (follow_evacuations, (instance,)),
         (_run_units, (instance, draining)),
     )
     for target, arguments in threads:
--- a/plantainyard/entry/readers.py
+++ b/plantainyard/entry/readers.py
@@ -11,7 +11,9 @@
 
 __all__ = [
     "READ_TIMEOUT_S",
+    "RETRY_S",
     "PartitionReader",
+    "choose_retry_pause",
     "load_newest",
     "poll_reader",
     "read_ahead",
@@ -23,6 +25,17 @@
 connection that has stopped responding is detected only by this timeout. A large slice
 or page may take longer as long as it keeps arriving."""
 
+RETRY_S = 0.1
+"""Pause in seconds after a failed read."""
+
+MAX_RETRY_S = 0.4
+"""Maximum pause in seconds after repeated failures. An owner has to see soon that the
+store answers again."""
+
+MIN_JITTER = 0.5
+"""Smallest part of a pause after repeated failures that a reader waits. Instances whose
+reads failed together don't all read again together."""
+
 _UNANSWERED = frozenset({ErrorKind.LOST, ErrorKind.UNREACHABLE})
 """Errors of calls without an answer. The store may refuse one kind of call only."""
 
@@ -212,3 +225,24 @@
     for record in found.ok_value.records:
         reader.on_record(record)
     return Ok(len(found.ok_value.records))
+
+
+def choose_retry_pause(failures: int, draw: float) -> float:
+    """Return the pause in seconds after a number of consecutive failed reads.
+
+    Parameters
+    ----------
+    failures : int
+        Number of consecutive failures, at least one.
+    draw : float
+        Random number from 0 to 1.
+
+    Examples
+    --------
+    >>> [choose_retry_pause(failures, 1.0) for failures in (1, 2, 3, 9)]
+    [0.1, 0.2, 0.4, 0.4]
+    >>> choose_retry_pause(3, 0.0)
+    0.2
+    """
+    pause_s = min(RETRY_S * 2 ** min(failures - 1, 8), MAX_RETRY_S)
+    return pause_s * (MIN_JITTER + (1 - MIN_JITTER) * draw)
--- a/plantainyard/entry/sources.py
+++ b/plantainyard/entry/sources.py
@@ -19,10 +19,9 @@
     LONG_POLL_S,
     MAX_READ_S,
     Instance,
-    choose_retry_pause,
 )
 from plantainyard.entry.peers import fetch_configuration
-from plantainyard.entry.readers import poll_reader
+from plantainyard.entry.readers import choose_retry_pause, poll_reader
 
 __all__ = ["STORE", "SourceState", "follow_configuration", "list_readers"]
 
--- a/plantainyard/entry/takeover.py
+++ b/plantainyard/entry/takeover.py
@@ -20,6 +20,7 @@
     restore_dispatcher,
 )
 from plantainyard.entry.copies import UnitCopy
+from plantainyard.entry.evacuations import choose_max_age_s
 from plantainyard.entry.instance import LONG_POLL_S, Instance, run_reader
 from plantainyard.entry.layout import Owner, encode_owner, find_unit
 from plantainyard.entry.peers import fetch_remaining_leases
@@ -107,6 +108,7 @@
         longest_lease_s=settings.longest_lease_s,
         missed_target_s=settings.max_target_violation_s,
         remote_factor=settings.remote_factor,
+        evacuation_age_s=choose_max_age_s(settings.evacuation_deadline_s),
     )
     now = read_clock()
     return restore_dispatcher(
--- a/plantainyard/platform/__init__.py
+++ b/plantainyard/platform/__init__.py
@@ -11,6 +11,12 @@
     decode_configuration,
 )
 from plantainyard.platform.entries import RunnerEntry, decode_entry
+from plantainyard.platform.evacuations import (
+    EVACUATION_PREFIX,
+    EvacuationRecord,
+    UnreadableRecord,
+    decode_evacuations,
+)
 from plantainyard.platform.runners import (
     Order,
     OrderOutcome,
@@ -37,6 +43,8 @@
     "Append",
     "AppendResult",
     "Configuration",
+    "EVACUATION_PREFIX",
+    "EvacuationRecord",
     "RunnerReport",
     "ReportedRun",
     "InstanceSettings",
@@ -51,10 +59,12 @@
     "RunnerEntry",
     "Slice",
     "StoreCalls",
+    "UnreadableRecord",
     "build_runner_calls",
     "build_store_calls",
     "decode_body",
     "decode_configuration",
     "decode_entry",
+    "decode_evacuations",
     "load_instance_settings",
 ]
--- a/plantainyard/platform/entries.py
+++ b/plantainyard/platform/entries.py
@@ -34,6 +34,8 @@
         Name of its machine; empty if unknown.
     clock_ms : int
         The runner's clock when it wrote the entry; 0 if unknown.
+    slow_for_ms : int
+        Time in milliseconds for which its tasks are still slow after its start.
     """
 
     runner: str
@@ -47,6 +49,7 @@
     labels: tuple[str, ...]
     machine: str = ""
     clock_ms: int = 0
+    slow_for_ms: int = 0
 
     @property
     def incarnation(self) -> str:
@@ -88,6 +91,7 @@
             labels=tuple(_read_str(label) for label in data.get("labels", ())),
             machine=_read_str(data.get("machine", "")),
             clock_ms=_read_int(data.get("clockMs", 0)),
+            slow_for_ms=_read_int(data.get("coldLeftMs", 0)),
         )
     except (ValueError, TypeError, KeyError, AttributeError):
         return None
--- a/plantainyard/platform/settings.py
+++ b/plantainyard/platform/settings.py
@@ -67,6 +67,11 @@
         Bandwidth of the instance's own link, in megabits per second.
     cores : float
         Processor capacity of the instance, in cores of standard speed.
+    domains : frozenset of str
+        All failure domains; empty if the settings don't list them.
+    evacuation_deadline_s : float or None
+        Time after which no task may start any more in an evacuated failure domain, in
+        seconds; None if the platform has no evacuations.
     """
 
     instance: str
@@ -87,6 +92,8 @@
     remote_factor: float = 1.0
     link_mbps: float = 1000.0
     cores: float = 1.0
+    domains: frozenset[str] = frozenset()
+    evacuation_deadline_s: float | None = None
 
 
 def load_instance_settings(path: Path) -> Result[InstanceSettings, SettingsFault]:
@@ -166,6 +173,12 @@
         link_mbps=_get_number(limits, "linkMbps", 1000.0),
         # The instance's share of a core, times the speed factor of that core.
         cores=_get_number(limits, "cpuShare", 1.0) * _get_number(limits, "cores", 1.0),
+        domains=frozenset(data.get("zones", {})),
+        evacuation_deadline_s=(
+            _get_number(bounds, "evacuateMs", 0) / MS_IN_S
+            if "evacuateMs" in bounds
+            else None
+        ),
     )
 
 
--- a/plantainyard/platform/store.py
+++ b/plantainyard/platform/store.py
@@ -45,10 +45,19 @@
 
 
 class Record(NamedTuple):
-    """A record of a keyed topic; an empty value deletes the key."""
+    """A record of a keyed topic; an empty value deletes the key.
+
+    Attributes
+    ----------
+    key, value : str, bytes
+        Contents of the record.
+    offset : int
+        Its offset in the partition, for a record among the newest of a range of keys.
+    """
 
     key: str
     value: bytes
+    offset: int = 0
 
 
 class Append(NamedTuple):
@@ -382,7 +391,10 @@
     data = read_object(response)
     try:
         items = data["items"]
-        records = [Record(item["key"], _decode_value(item)) for item in items]
+        records = [
+            Record(item["key"], _decode_value(item), int(item.get("offset", 0)))
+            for item in items
+        ]
         last_key = items[-1]["key"] if items else ""
         return Ok(Page(records, last_key, bool(data.get("hasMore")), int(data["end"])))
     except (ValueError, TypeError, KeyError) as error:
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -62,6 +62,10 @@
         Time of its clock at the start of its incarnation.
     capacity : dict
         Capacity as written in the runner's entry.
+    domain : str
+        Failure domain of the runner.
+    slow_for_ms : int
+        Time for which it says that it is still slow after its start.
     started : list
         All runs of all incarnations: (time, task, run).
     lock : RLock
@@ -80,6 +84,8 @@
     service: str = "tollgate"
     labels: tuple[str, ...] = ("a", "r1-1")
     address: str = "127.0.0.1:1"
+    domain: str = "addis-kality"
+    slow_for_ms: int = 0
     draining: bool = False
     faults: RunnerFaults = field(default_factory=RunnerFaults)
     incarnation_started_at: float = 0.0
@@ -102,11 +108,11 @@
         return {
             "service": self.service,
             "address": self.address,
-            "zone": "addis-kality",
+            "zone": self.domain,
             "version": "v1",
             "slotCount": 8,
             "state": "draining" if self.draining else "ready",
-            "coldLeftMs": 0,
+            "coldLeftMs": self.slow_for_ms,
             "capacity": self.capacity,
             "labels": list(self.labels),
             "clockMs": self.clock_ms(now),
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -105,6 +105,14 @@
                 found[key] = value
         return found
 
+    def _find_offsets(self, topic: str, part: int) -> dict[str, int]:
+        """Return the offset of the newest record of each key."""
+        records = self._partition(topic, part).records
+        return {
+            record[1 : 1 + record[0]].decode(): offset
+            for offset, record in enumerate(records)
+        }
+
     def drop_history(self) -> None:
         """Drop all records from the log; the newest of each key remain readable."""
         for partition in self.partitions.values():
@@ -180,10 +188,15 @@
         """Serve ``log-newest``."""
         topic, part = query["topic"], int(query.get("part", 0))
         after = query.get("after", "")
-        keys = sorted(key for key in self.newest(topic, part) if key > after)
         values = self.newest(topic, part)
+        offsets = self._find_offsets(topic, part)
+        keys = sorted(key for key in values if key > after)
         items = [
-            {"key": key, "value": base64.b64encode(values[key]).decode(), "offset": 0}
+            {
+                "key": key,
+                "value": base64.b64encode(values[key]).decode(),
+                "offset": offsets[key],
+            }
             for key in keys[:MAX_PAGE_ITEMS]
         ]
         end = len(self._partition(topic, part).records)
