--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 DEPLOYMENT ?= awash
+# Processes that run tests; files of tests stay together, as their sites share ports.
+TEST_PROCESSES ?= 4
 
 .PHONY: demo test check bench proofs format schema clean
 
@@ -23,7 +25,7 @@
 	$(BIN)/mypy
 
 test: check
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist loadfile
 
 bench: $(STAMP)
 	$(BIN)/python -m bench report
--- a/bench/dispatch/customers.py
+++ b/bench/dispatch/customers.py
@@ -45,6 +45,8 @@
         Priority and maximum number of attempts, as in the queue's configuration.
     failure_rate : float
         Share of the runs that fail without an external cause.
+    estimate_spread : float
+        Standard deviation of the logarithm of an estimate around the run time.
     """
 
     name: str
@@ -67,6 +69,7 @@
     priority: int = 0
     attempts: int = 2
     failure_rate: float = 0.02
+    estimate_spread: float = 0.5
 
 
 class Serving(NamedTuple):
@@ -129,6 +132,8 @@
     longest_lease_s, max_cancel_s : float
         The platform's bounds for the length of a lease, and for the time until nothing
         of a cancelled job is running.
+    traffic_amplitude : float
+        Relative amplitude of the oscillation of the traffic.
     """
 
     name: str
@@ -142,6 +147,7 @@
     interference_weight: float = 4.5
     longest_lease_s: float = 6.0
     max_cancel_s: float = 3.4
+    traffic_amplitude: float = 0.15
 
 
 _SHORT = JobKind(
@@ -255,7 +261,52 @@
     serving=_SERVING._replace(at_start=19, arrivals_per_s=0.103, worth=0.511),
 )
 
-CUSTOMERS = {customer.name: customer for customer in (_LANTERNS, _TANKS, _OVENS)}
+_TANKS_NOW = Customer(
+    name="tanks_now",
+    runners=41,
+    rack=12,
+    cores=32,
+    memory_gb=125,
+    kinds=(
+        _SHORT._replace(
+            arrivals_per_s=0.79,
+            worth=0.345,
+            late_worth=0.0518,
+            width=10,
+            cores=5.4,
+            memory_gb=11,
+            attempts=3,
+            failure_rate=0.005,
+            estimate_spread=0.9,
+        ),
+        _BATCH._replace(
+            arrivals_per_s=2.57,
+            worth=0.92,
+            late_worth=0.138,
+            width=20,
+            cores=3.5,
+            memory_gb=6.4,
+            images=18,
+            attempts=2,
+        ),
+    ),
+    serving=_SERVING._replace(
+        at_start=14,
+        arrivals_per_s=0.0515,
+        worth=0.236,
+        width=14,
+        cores=6.4,
+        memory_gb=13,
+        images=10,
+    ),
+    longest_lease_s=10.0,
+    max_cancel_s=4.0,
+    traffic_amplitude=0.27,
+)
+
+CUSTOMERS = {
+    customer.name: customer for customer in (_LANTERNS, _TANKS, _OVENS, _TANKS_NOW)
+}
 """Customers with published sheets, by name."""
 
 
@@ -268,7 +319,7 @@
     be served.
     """
     source = random.Random(f"customer {seed}")
-    base = source.choice(list(CUSTOMERS.values()))
+    base = source.choice((_LANTERNS, _TANKS, _OVENS))
     short, batch = base.kinds
     serving = base.serving
     runners = source.randint(15, 45)
--- a/bench/dispatch/workload.py
+++ b/bench/dispatch/workload.py
@@ -20,14 +20,11 @@
 SERVICE = "service"
 """Name of the service to which all runners and jobs belong."""
 
-ESTIMATE_SPREAD = 0.5
-"""Standard deviation of the logarithm of an estimate around the run time."""
-
 RUN_TIME_SPREAD = 0.15
 """Maximum relative deviation of run times among the tasks of a step."""
 
-TRAFFIC_AMPLITUDE, TRAFFIC_PERIOD_S = 0.15, 11.0
-"""Relative amplitude of the traffic's oscillation, and its period in seconds."""
+TRAFFIC_PERIOD_S = 11.0
+"""Period of the traffic's oscillation, in seconds."""
 
 INITIAL_ARRIVALS_S = 3.0
 """Time within which the initial long-running jobs arrive, in seconds."""
@@ -102,7 +99,8 @@
 def _draw_kind(
     customer: Customer, kind: JobKind, pattern: Pattern, source: random.Random
 ) -> Iterator[Arrival]:
-    max_rate = kind.arrivals_per_s * (1 + TRAFFIC_AMPLITUDE)
+    amplitude = customer.traffic_amplitude
+    max_rate = kind.arrivals_per_s * (1 + amplitude)
     max_rate *= max(
         [f.factor for f in pattern.faults if f.kind == "burst"], default=1.0
     )
@@ -112,7 +110,7 @@
         if at >= pattern.seconds:
             return
         rate = kind.arrivals_per_s * (
-            1 + TRAFFIC_AMPLITUDE * math.sin(2 * math.pi * at / TRAFFIC_PERIOD_S)
+            1 + amplitude * math.sin(2 * math.pi * at / TRAFFIC_PERIOD_S)
         )
         if kind.backfill:
             rate *= _find_factor(pattern, "burst", at)
@@ -158,7 +156,7 @@
             length_s * source.uniform(1 - RUN_TIME_SPREAD, 1 + RUN_TIME_SPREAD)
             for _ in range(width)
         ]
-        estimate = length_s * math.exp(source.gauss(0, ESTIMATE_SPREAD))
+        estimate = length_s * math.exp(source.gauss(0, kind.estimate_spread))
         steps.append(
             Step(
                 width,
