Let successive owners go on with one wait for a runner's leases

What callers saw: a long-running task without a run while owners are killed one after the other (up to 36 s in random schedules, an owner every 2.5 s).

Cause: each new owner that can't reach a runner waits for the longest lease from its own takeover; a killed owner reports nothing, and what remains was stored only for runs that aren't known to have begun.

Evidence: one runner cut off for good, owners killed every 2.5 s: no run in 40 s. Every second: none. Every 6 s: 4.6 s.

Change: an owner stores what remains of its waits, by runner, twice a second, and grants nothing beyond until the store has a record without that runner. The record counts for the direct successor only.

The three new tests fail without the record; without the limit on grants, and without the check of the epoch, one of them each ends with two runs of the task.

--- a/plantainyard/batch/replica.py
+++ b/plantainyard/batch/replica.py
@@ -2,7 +2,7 @@
 
 import json
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -16,14 +16,17 @@
 from plantainyard.batch.values import JobState, StepProgress, Submission
 
 __all__ = [
+    "BOUNDS_KEY",
     "FENCES_KEY",
     "INTERFERENCE_KEY",
     "OWNER_KEY",
     "Fences",
     "JobView",
+    "LeaseBounds",
     "Replica",
     "apply_record",
     "describe_state",
+    "encode_bounds",
     "encode_fences",
     "is_divided",
     "mark_job_started",
@@ -39,6 +42,9 @@
 FENCES_KEY = "fences"
 """Key of the fencing tokens that the owners of a unit have used at runners."""
 
+BOUNDS_KEY = "bounds"
+"""Key of the bounds of leases at runners that a unit's owner can't reach."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -89,6 +95,22 @@
     restarts: frozenset[str] = frozenset()
 
 
+class LeaseBounds(NamedTuple):
+    """The bounds of leases at runners that an owner hasn't reached.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of that owner; the bounds count only for its direct successor.
+    left_s : dict
+        By runner incarnation: time in seconds after which nothing that this owner or an
+        earlier one ordered can still be running there.
+    """
+
+    epoch: int = 0
+    left_s: Mapping[str, float] = {}
+
+
 @dataclass(slots=True)
 class Replica:
     """The state of one unit according to the store.
@@ -101,11 +123,14 @@
         Encoded interference estimates that the owners of the unit have learned.
     fences : Fences
         Fencing tokens that the owners of the unit have used at runners.
+    bounds : LeaseBounds
+        Bounds of leases at runners that the last owners couldn't reach.
     """
 
     jobs: dict[str, JobView] = field(default_factory=dict)
     interference: bytes = b""
     fences: Fences = Fences()
+    bounds: LeaseBounds = LeaseBounds()
 
 
 def apply_record(replica: Replica, key: str, value: bytes) -> str:
@@ -117,7 +142,7 @@
         Modified in place.
     key : str
         One of the keys of `plantainyard.batch.records`, `OWNER_KEY`,
-        `INTERFERENCE_KEY` or `FENCES_KEY`.
+        `INTERFERENCE_KEY`, `FENCES_KEY` or `BOUNDS_KEY`.
     value : bytes
         Value of the record; empty if the key was deleted.
 
@@ -140,6 +165,9 @@
         if key == FENCES_KEY:
             replica.fences = decode_fences(value)
             return ""
+        if key == BOUNDS_KEY:
+            replica.bounds = decode_bounds(value)
+            return ""
         parsed = parse_key(key)
         _apply_to_job(replica, parsed, value)
     except (ValueError, TypeError, KeyError, AttributeError) as error:
@@ -167,6 +195,26 @@
     return Fences(int(data["highest"]), frozenset(map(str, data["restarts"])))
 
 
+def encode_bounds(bounds: LeaseBounds) -> bytes:
+    """Return the stored form of bounds of leases; see `decode_bounds`."""
+    data = {"epoch": bounds.epoch, "left_s": dict(bounds.left_s)}
+    return json.dumps(data, separators=(",", ":")).encode()
+
+
+def decode_bounds(value: bytes) -> LeaseBounds:
+    """Return the bounds of leases from their stored form; see `encode_bounds`.
+
+    Examples
+    --------
+    >>> bounds = LeaseBounds(7, {"r0@5": 2.5})
+    >>> decode_bounds(encode_bounds(bounds)) == bounds
+    True
+    """
+    data = json.loads(value)
+    left_s = {str(name): float(left) for name, left in data["left_s"].items()}
+    return LeaseBounds(int(data["epoch"]), left_s)
+
+
 def _apply_to_job(replica: Replica, key: StoredKey, value: bytes) -> None:
     if key.kind == RecordKind.SUBMISSION and not value:
         replica.jobs.pop(key.job_id, None)
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -1,6 +1,7 @@
 """Dispatcher of one unit: applies events to its state and returns actions."""
 
 import logging
+from collections.abc import Mapping
 
 from plantainyard.batch.records import (
     encode_progress,
@@ -54,6 +55,11 @@
     plan_handovers,
     plan_task_handovers,
 )
+from plantainyard.dispatch.inherited_bounds import (
+    confirm_bounds,
+    encode_changed_bounds,
+    restore_bound,
+)
 from plantainyard.dispatch.interference import expire_unobserved
 from plantainyard.dispatch.jobs import (
     add_job,
@@ -120,6 +126,8 @@
     wall_ms: float,
     fenced_at: float,
     fence: int = 1,
+    epoch: int = 0,
+    left_s: Mapping[str, float] | None = None,
 ) -> Dispatcher:
     """Return a dispatcher that continues from the stored records.
 
@@ -137,13 +145,20 @@
         When the owner sent its first record; that of a successor is sent later.
     fence : int
         Fencing token, positive and above all that predecessors have used.
+    epoch : int
+        Number of this ownership.
+    left_s : mapping, optional
+        The bounds that the last predecessor stored; see `inherited_bounds`.
     """
     state = Dispatcher(limits=limits, wall_offset_s=wall_ms / 1000 - now)
     state.fence = state.wanted_fence = state.stored_fence = fence
     state.inherited_restarts = state.stored_restarts = replica.fences.restarts
+    state.epoch = epoch
     state.took_over_at = now
     state.renewed_at = fenced_at
     restore_jobs(state, replica, now)
+    for runner in state.runners.values():
+        restore_bound(state, runner, left_s or {}, now)
     if replica.interference:
         state.interference = _decode_interference_record(replica.interference)
     return state
@@ -322,6 +337,7 @@
         if r.last_end > r.last_stored_end
     }
     records += _encode_fences(state, bool(records), now)
+    records += encode_changed_bounds(state, bool(records), now)
     if not records:
         for incarnation, number in last_ends.items():
             state.runners[incarnation].last_stored_end = number
@@ -416,6 +432,7 @@
                 runner.last_stored_end, min(number, runner.last_end)
             )
     confirm_seen(state.committing_seen)
+    confirm_bounds(state)
     for job_id in state.committing_ends:
         state.jobs.pop(job_id, None)
     forward_outgoing(state)
--- a/plantainyard/dispatch/leases.py
+++ b/plantainyard/dispatch/leases.py
@@ -91,9 +91,12 @@
 
 
 def _find_grant_limit(runner: Runner) -> float:
-    """Return the time that no lease at a runner may exceed; see `unseen_runs`."""
+    """Return the time that no lease at a runner may exceed.
+
+    See `unseen_runs` and `inherited_bounds`.
+    """
     ends = [task.unseen_end for task in runner.tasks.values() if task.unseen_end]
-    return min(ends, default=math.inf)
+    return min([runner.grant_limit, *ends])
 
 
 def has_run_expired(task: Task, runner: Runner, now: float) -> bool:
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -1,5 +1,6 @@
 """State of jobs, steps, tasks and runners from the dispatcher's point of view."""
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -265,6 +266,9 @@
         there.
     inherited_bound : float
         The same for what its predecessors ordered.
+    grant_limit : float
+        Time that no lease may exceed, as a stored record says so; infinite if none
+        does.
     last_end, last_stored_end : int
         Number of the last reported end of a run that was applied, and of the last one
         whose effect is stored.
@@ -324,6 +328,7 @@
     clock_at: float = 0.0
     lease_bound: float = 0.0
     inherited_bound: float = 0.0
+    grant_limit: float = math.inf
     last_end: int = 0
     last_stored_end: int = 0
     holds_end: bool = False
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -117,6 +117,7 @@
         reserve_resources(new, task)
         orders.send_stop(state, task, now)
     new.lease_bound = max(new.lease_bound, get_lease_end(old))
+    new.grant_limit = min(new.grant_limit, old.grant_limit)
     new.earlier_calls_end = math.inf
     if old.entry is not None:
         new.fence = max(new.fence, old.fence + 1)
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -102,6 +102,13 @@
         stored; see `unseen_runs`.
     committing_seen : list of tuple
         Tasks, and their runs, that are stored as seen by the commit in progress.
+    epoch : int
+        Number of this ownership, by which a successor recognizes its bounds.
+    stored_bounds, committing_bounds : frozenset of str, frozenset of str or None
+        Runner incarnations whose bounds may be stored, and those in the commit that is
+        being stored; None if it doesn't contain the bounds.
+    bounds_due_at : float
+        When to store the bounds again; see `inherited_bounds`.
     took_over_at : float
         When this owner took over.
     renewed_at : float
@@ -174,6 +181,10 @@
     unseen_tasks: list[Task] = field(default_factory=list)
     unseen_stored_at: float = 0.0
     committing_seen: list[tuple[Task, int]] = field(default_factory=list)
+    epoch: int = 0
+    stored_bounds: frozenset[str] = frozenset()
+    committing_bounds: frozenset[str] | None = None
+    bounds_due_at: float = 0.0
     took_over_at: float = 0.0
     renewed_at: float = 0.0
     evacuated_domains: frozenset[str] = frozenset()
--- a/plantainyard/dispatch/tests/test_inherited_leases.py
+++ b/plantainyard/dispatch/tests/test_inherited_leases.py
@@ -177,3 +177,89 @@
         assert kept.incarnation in world.state.runners
         called = {action.entry.runner for _, action in world.pending_reports}
         assert home not in called
+
+
+LONGEST_WAIT_S = 10.35
+"""Longest lease at a runner that can't be reached, with drift and slack."""
+
+LOST_PER_OWNER_S = 1.0
+"""Part of each ownership after which the wait begins anew."""
+
+
+def play_killed_owners(world: World, lifetime_s: float) -> float:
+    """Kill owners until the task runs again; return the time that it took."""
+    (home,) = (name for name, runner in world.runners.items() if runner.running)
+    world.unreachable.add(home)
+    lost_at = world.now
+    while world.now < lost_at + 60.0:
+        world.change_owner()
+        for _ in range(round(lifetime_s / 0.1)):
+            world.run(0.1)
+            started = [at for at, _, _ in world.list_starts("a") if at > lost_at]
+            if started:
+                return started[0] - lost_at
+    return float("inf")
+
+
+def test_owners_that_are_killed_in_series_go_on_with_one_wait():
+    # Guards against a task that never starts again: its runner can't be reached, and
+    # each new owner waits anew for the longest lease, longer than it lives.
+    lifetime_s = 2.5
+    world = build_world()
+    start_long_running(world)
+    waited_s = play_killed_owners(world, lifetime_s)
+    useful_share = (lifetime_s - LOST_PER_OWNER_S) / lifetime_s
+    assert LEASE_S <= waited_s < LONGEST_WAIT_S / useful_share
+
+
+def await_end_of_bound(world: World) -> tuple[str, World]:
+    """Cut an owner off with the runner of its task until a stored bound nearly ends.
+
+    Returns
+    -------
+    tuple of str and World
+        The runner, on which the task still runs, and the owner that was cut off.
+    """
+    home = start_long_running(world)
+    former = world.cut_off_owner(home)
+    while not 0 < min(world.replica.bounds.left_s.values(), default=0.0) < 1.4:
+        world.run(0.1)
+    assert world.runners[home].running
+    return home, former
+
+
+def assert_one_run_at_most(world: World) -> None:
+    for _ in range(120):
+        world.run(0.1)
+        assert len(world.list_running("a")) <= 1
+
+
+def test_no_lease_exceeds_a_stored_bound_until_the_store_has_another():
+    # Guards against two runs of one task: a runner answers again, its owner renews the
+    # leases there and is lost, and the next one trusts the bound stored before.
+    world = build_world()
+    home, former = await_end_of_bound(world)
+    world.store_down = True
+    world.end_owner(former)
+    world.unreachable.discard(home)
+    world.run(0.8)
+    world.unreachable.add(home)
+    world.store_down = False
+    world.change_owner()
+    assert_one_run_at_most(world)
+
+
+def test_bounds_of_an_owner_before_the_last_one_do_not_count():
+    # Guards against two runs of one task: the owner in between stored no bounds, and
+    # has renewed the leases at the runner since.
+    world = build_world()
+    home, former = await_end_of_bound(world)
+    world.end_owner(former)
+    bounds = world.stored["bounds"]
+    world.unreachable.discard(home)
+    world.change_owner()
+    world.run(0.3)
+    world.store("bounds", bounds)
+    world.unreachable.add(home)
+    world.change_owner()
+    assert_one_run_at_most(world)
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -158,8 +158,16 @@
         if fence > self.owners:
             fences = self.replica.fences._replace(highest=fence)
             self.store(FENCES_KEY, encode_fences(fences))
+        bounds = self.replica.bounds
         self.state = restore_dispatcher(
-            self.replica, self.limits, self.now, self.now * 1000, self.now, fence
+            self.replica,
+            self.limits,
+            self.now,
+            self.now * 1000,
+            self.now,
+            fence,
+            self.owners,
+            bounds.left_s if bounds.epoch == self.owners - 1 else {},
         )
         self.evacuations_due_at = self.now
         self.publish_entries()
--- a/plantainyard/entry/ownership_manager.py
+++ b/plantainyard/entry/ownership_manager.py
@@ -250,7 +250,7 @@
             fence = choose_fence(context)
             if fence is None:
                 return
-            context.dispatcher = restore_unit(instance, copy, fenced_at, fence)
+            context.dispatcher = restore_unit(instance, copy, owner, fenced_at, fence)
             with run_unit_actor(context, context.dispatcher) as actor:
                 self._serve(copy, owner, OwnedUnit(context, actor), began_at)
 
--- a/plantainyard/entry/takeover.py
+++ b/plantainyard/entry/takeover.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 import pykka
 
@@ -99,7 +99,7 @@
 
 
 def restore_unit(
-    instance: Instance, copy: UnitCopy, fenced_at: float, fence: int
+    instance: Instance, copy: UnitCopy, owner: Owner, fenced_at: float, fence: int
 ) -> Dispatcher:
     """Return a dispatcher that continues from a unit's stored records."""
     settings = instance.settings
@@ -112,10 +112,31 @@
     )
     now = read_clock()
     return restore_dispatcher(
-        copy.replica, limits, now, read_wall_clock_ms(), fenced_at, fence
+        copy.replica,
+        limits,
+        now,
+        read_wall_clock_ms(),
+        fenced_at,
+        fence,
+        owner.epoch,
+        _find_inherited_bounds(copy, owner),
     )
 
 
+def _find_inherited_bounds(copy: UnitCopy, owner: Owner) -> Mapping[str, float]:
+    """Return the bounds that the last predecessor stored, if it did.
+
+    Notes
+    -----
+    Guards against an owner in between that grants leases beyond them: one of a version
+    that stores no bounds, or one that was lost before it stored its own.
+    """
+    predecessor, bounds = copy.find_predecessor(owner), copy.replica.bounds
+    if predecessor is None or predecessor.epoch != bounds.epoch:
+        return {}
+    return bounds.left_s
+
+
 def query_predecessor(
     instance: Instance,
     unit: int,
