Draw evacuations in the soak and in the state machine of faults

The soak evacuates failure domains from a random source of its own, so that the other faults of a seed stay as they were, and checks that nothing starts there after the bound, unless the order may have been held back (its runner was cut off, or an instance was paused). The state machine does the same in virtual time, across changes of owner and delayed orders.

--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -234,8 +234,6 @@
         Whether its entry is in the store.
     evacuated : bool
         Whether nothing may be started there because its failure domain is evacuated.
-    slow_until : float
-        Time until which its tasks are slow after its start.
     seen_at : float
         When its entry was first read.
     seen_clock_ms : int
@@ -310,7 +308,6 @@
     entry: RunnerEntry | None
     registered: bool = True
     evacuated: bool = False
-    slow_until: float = 0.0
     seen_at: float = 0.0
     seen_clock_ms: int = 0
     fence: int = 0
--- a/plantainyard/dispatch/orders.py
+++ b/plantainyard/dispatch/orders.py
@@ -47,7 +47,7 @@
     if runner.evacuated or not knows_evacuations(state, now):
         record_given_up(state, task, GiveUpReason.EVACUATED)
         release_task(state, task)
-        state.plan_due = True
+        task.not_before = now + state.limits.refusal_pause_s
         return
     task.phase = Phase.ORDERED
     task.resolved_at = None
@@ -178,11 +178,12 @@
 
     Notes
     -----
-    Once the stop is answered, the runner refuses all copies of the start.
+    Once the stop is answered, the runner refuses all copies of the start. While it
+    isn't known whether something may start there, nothing is sent.
     """
     if runner.evacuated:
         send_stop(state, task, now)
-    else:
+    elif knows_evacuations(state, now):
         _send_order(state, OrderKind.START, task, runner, now)
 
 
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -75,7 +75,6 @@
         inherit_restart(state, runner)
     runner.entry = entry
     runner.registered = True
-    runner.slow_until = now + entry.slow_for_ms / 1000
     mark_evacuated(state, runner)
     if entry.draining and not runner.leaves_at:
         leaves_in_ms = (
--- a/plantainyard/dispatch/tests/test_evacuations.py
+++ b/plantainyard/dispatch/tests/test_evacuations.py
@@ -201,3 +201,28 @@
     world.run(3.0)
     assert not list_started(world, 0.0)
     assert OrderKind.START not in {order.kind for order, _ in world.delayed_orders}
+
+
+def test_a_runner_that_comes_during_an_evacuation_gets_no_start():
+    # Guards against starts at a runner whose entry is newer than the last reading.
+    world = build_world("a")
+    evacuate(world, "a")
+    world.evacuations_due_at = world.now + 3.0
+    world.runners["r0"].restart(world.now)
+    world.publish_entries()
+    world.submit("a", make_step())
+    world.run(2.5)
+    assert not list_started(world, 0.0)
+
+
+def test_an_unanswered_start_is_not_repeated_on_an_old_reading():
+    # Guards against copies of a start that an owner without the store goes on sending
+    # while operators request an evacuation.
+    world = build_world("a", lease_s=5.0)
+    world.losing_orders = {"r0"}
+    world.evacuations_due_at = float("inf")
+    world.submit("a", make_step())
+    world.run(AGE_S)
+    copies = len(world.delayed_orders)
+    world.run(0.9)
+    assert len(world.delayed_orders) == copies
--- a/plantainyard/dispatch/tests/test_faults.py
+++ b/plantainyard/dispatch/tests/test_faults.py
@@ -16,6 +16,9 @@
 CORES = 64
 TASK_CPU = 20_000
 LEASE_EXPIRY_S = 14.0
+DOMAINS = "abb"
+EVACUATION_DEADLINE_S = 5.0
+EVACUATION_AGE_S = 4.0
 
 
 class Faults(RuleBasedStateMachine):
@@ -150,6 +153,49 @@
         self.world.has_slow_answers = True
 
 
+class EvacuationFaults(Faults):
+    """The same with evacuations: none of the starts is later than their bound."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World(runners=RUNNERS, evacuation_age_s=EVACUATION_AGE_S)
+        for runner, domain in zip(self.world.runners.values(), DOMAINS, strict=True):
+            runner.domain = domain
+        self.world.publish_entries()
+        self.evacuated_at: dict[str, float] = {}
+        self.delivered_late: set[tuple[str, float, str, int]] = set()
+
+    @rule(domain=st.sampled_from(sorted(set(DOMAINS))))
+    def evacuate_or_end(self, domain: str) -> None:
+        self.check_starts()
+        self.world.evacuated ^= {domain}
+        self.evacuated_at.pop(domain, None)
+        if domain in self.world.evacuated:
+            self.evacuated_at[domain] = self.world.now
+
+    def list_starts(self) -> set[tuple[str, float, str, int]]:
+        runners = self.world.runners.items()
+        return {(name, *start) for name, runner in runners for start in runner.started}
+
+    @rule()
+    def deliver_delayed_orders(self) -> None:
+        before = self.list_starts()
+        super().deliver_delayed_orders()
+        self.delivered_late |= self.list_starts() - before
+
+    @invariant()
+    def check_starts(self) -> None:
+        for name, at, task, run in self.list_starts() - self.delivered_late:
+            evacuated_at = self.evacuated_at.get(self.world.runners[name].domain, at)
+            assert at <= evacuated_at + EVACUATION_DEADLINE_S, f"{task}, run {run}"
+
+    def teardown(self) -> None:
+        self.check_starts()
+        self.world.evacuated.clear()
+        self.evacuated_at.clear()
+        super().teardown()
+
+
 SETTINGS = settings(
     max_examples=60,
     stateful_step_count=25,
@@ -161,3 +207,5 @@
 TestFaults.settings = SETTINGS
 TestSlowFaults = SlowFaults.TestCase
 TestSlowFaults.settings = SETTINGS
+TestEvacuationFaults = EvacuationFaults.TestCase
+TestEvacuationFaults.settings = SETTINGS
--- a/plantainyard/entry/directory.py
+++ b/plantainyard/entry/directory.py
@@ -62,6 +62,7 @@
             runner=entry.incarnation,
             draining=entry.draining,
             address=entry.address,
+            slow_for_ms=entry.slow_for_ms,
         )
         self.notify(EntryChanged(runner, entry))
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,13 +4,22 @@
 import random
 import threading
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import product
 
 from plantainyard.clock import read_clock
 from soak.callers import Callers, PendingCount, SubmissionState, TrackedJob
-from soak.site import Site
-
-__all__ = ["InvariantMonitor", "check_counts", "check_jobs", "list_waiting"]
+from soak.plan import Fault, FaultKind
+from soak.site import EVACUATION_DEADLINE_S, Site
+from standins.platform import RunnerState
+
+__all__ = [
+    "InvariantMonitor",
+    "check_counts",
+    "check_evacuations",
+    "check_jobs",
+    "list_waiting",
+]
 
 CHECK_INTERVAL_S = 0.05
 """Time between two checks of the running tasks."""
@@ -24,6 +33,10 @@
 be 2 s old, and a caller waits 3 s for a response."""
 
 
+HELD_BACK_S = 2.0
+"""Time after a fault within which orders that it held back arrive."""
+
+
 class InvariantMonitor:
     """Checks all runners periodically and collects the violations in `broken`.
 
@@ -127,6 +140,40 @@
     return f"status {status}, {body}"
 
 
+def check_evacuations(site: Site, plan: Sequence[Fault], began_at: float) -> list[str]:
+    """Return the starts in evacuated domains after the bound.
+
+    Notes
+    -----
+    A start is excused if it may have been on its way since before: its runner was cut
+    off, which holds orders back, or an instance was paused.
+    """
+    return [
+        f"{task} started on {runner.runner} {at - evacuation.begun_at:.2f} s after "
+        f"the evacuation of {evacuation.domain} was requested"
+        for runner, evacuation in product(site.runners, site.evacuations)
+        if runner.domain == evacuation.domain
+        for at, task, _ in runner.started
+        if evacuation.begun_at + EVACUATION_DEADLINE_S
+        < at
+        < (evacuation.ended_at or math.inf)
+        if not _was_held_back(site, runner, plan, at - began_at)
+    ]
+
+
+def _was_held_back(
+    site: Site, runner: RunnerState, plan: Sequence[Fault], at: float
+) -> bool:
+    """Return whether an order that arrived at a time may have been sent long before."""
+    number = site.runners.index(runner)
+    return any(
+        fault.at <= at <= fault.at + fault.for_s + HELD_BACK_S
+        for fault in plan
+        if fault.kind == FaultKind.PAUSE
+        or (fault.kind == FaultKind.CUT_RUNNER and fault.target == number)
+    )
+
+
 def check_counts(site: Site, callers: Callers) -> tuple[int, list[str]]:
     """Return the number of counts that had to include a job, and the wrong counts.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 
 from plantainyard.clock import read_clock
 from soak.plan import Fault, FaultKind
-from soak.site import Site, format_store_link
+from soak.site import DOMAINS, Site, format_store_link
 
 __all__ = ["heal_all", "inject_faults"]
 
@@ -62,6 +62,8 @@
     if kind == FaultKind.CUT_RUNNER:
         name = site.runners[target].runner
         return lambda: site.set_cut(name, True), lambda: site.set_cut(name, False)
+    if kind == FaultKind.EVACUATE:
+        return lambda: site.evacuate(target), lambda: site.end_evacuation(target)
     if kind == FaultKind.NEW_INCARNATION:
         return lambda: _restart_runner(site, target), _do_nothing
     return _make_store_fault(site, kind)
@@ -100,6 +102,8 @@
     """End every fault and restart the instances that have ended."""
     site.store.faults.down = False
     site.store.faults.lose_answers = 0
+    for domain in range(len(DOMAINS)):
+        site.end_evacuation(domain)
     for number, instance in enumerate(site.instances):
         site.set_cut(format_store_link(number), False)
         instance.resume_or_restart()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -10,6 +10,13 @@
 most faults, so that they overlap."""
 
 
+EVACUATION_GAP_S = (1.0, 8.0)
+"""Shortest and longest time between the beginnings of two evacuations."""
+
+EVACUATION_S = (4.0, 9.0)
+"""Shortest and longest duration of an evacuation; the bound is 5 s."""
+
+
 class FaultKind:
     """Kinds of faults.
 
@@ -25,6 +32,8 @@
         it drops all but the newest record of each key.
     ``NEW_INCARNATION``
         A runner restarts without any state of its previous incarnation.
+    ``EVACUATE``
+        Operators request that nothing more is started in a failure domain.
     """
 
     KILL = "kill"
@@ -36,8 +45,9 @@
     LOSE_ANSWERS = "lose answers"
     DROP_HISTORY = "drop history"
     NEW_INCARNATION = "new life"
+    EVACUATE = "evacuate"
 
-    ALL = (
+    DISTURBING = (
         KILL,
         STOP,
         PAUSE,
@@ -48,6 +58,7 @@
         DROP_HISTORY,
         NEW_INCARNATION,
     )
+    ALL = (*DISTURBING, EVACUATE)
 
 
 class Fault(NamedTuple):
@@ -71,21 +82,40 @@
     for_s: float
 
 
-def make_plan(seed: int, seconds: float, instances: int, runners: int) -> list[Fault]:
-    """Return the faults of a run, ordered by time.
+def make_plan(
+    seed: int, seconds: float, instances: int, runners: int, domains: int = 0
+) -> list[Fault]:
+    """Return the faults of a run, ordered by time; evacuations if there are domains.
 
     Examples
     --------
-    >>> make_plan(7, 10.0, 3, 4) == make_plan(7, 10.0, 3, 4)
+    >>> make_plan(7, 10.0, 3, 4, 2) == make_plan(7, 10.0, 3, 4, 2)
     True
     """
     source = random.Random(seed)
     plan: list[Fault] = []
     at = source.uniform(*GAP_S)
     while at < seconds:
-        kind = source.choice(FaultKind.ALL)
+        kind = source.choice(FaultKind.DISTURBING)
         on_runner = kind in (FaultKind.CUT_RUNNER, FaultKind.NEW_INCARNATION)
         target = source.randrange(runners if on_runner else instances)
         plan.append(Fault(at, kind, target, source.uniform(0.3, 4.0)))
         at += source.uniform(*GAP_S)
+    return sorted(plan + (_draw_evacuations(seed, seconds, domains) if domains else []))
+
+
+def _draw_evacuations(seed: int, seconds: float, domains: int) -> list[Fault]:
+    """Return evacuations from a random source of their own.
+
+    Notes
+    -----
+    The other faults of a seed stay as they are whether there are evacuations or not.
+    """
+    source = random.Random(f"evacuations {seed}")
+    plan: list[Fault] = []
+    at = source.uniform(*EVACUATION_GAP_S)
+    while at < seconds:
+        for_s = source.uniform(*EVACUATION_S)
+        plan.append(Fault(at, FaultKind.EVACUATE, source.randrange(domains), for_s))
+        at += source.uniform(*EVACUATION_GAP_S)
     return plan
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,10 +12,15 @@
 
 from plantainyard.clock import read_clock
 from soak.callers import Callers, SubmissionState
-from soak.checks import InvariantMonitor, check_counts, check_jobs
+from soak.checks import (
+    InvariantMonitor,
+    check_counts,
+    check_evacuations,
+    check_jobs,
+)
 from soak.faults import heal_all, inject_faults
 from soak.plan import make_plan
-from soak.site import Site, SiteSpec, open_site
+from soak.site import DOMAINS, Site, SiteSpec, open_site
 
 __all__ = ["Outcome", "run_soak"]
 
@@ -76,7 +81,9 @@
     callers = Callers(site, seed)
     monitor = InvariantMonitor(site, callers)
     stopping, checked = threading.Event(), threading.Event()
-    plan = make_plan(seed, seconds, len(site.instances), len(site.runners))
+    plan = make_plan(
+        seed, seconds, len(site.instances), len(site.runners), len(DOMAINS)
+    )
     started_at = read_clock()
     targets: list[tuple[Callable[..., None], tuple[object, ...]]] = [
         (callers.run, (number, stopping)) for number in range(CALLERS)
@@ -101,9 +108,10 @@
     for thread in observers:
         thread.join()
     counted, miscounts = check_counts(site, callers)
+    late_starts = check_evacuations(site, plan, started_at)
     states = [job.state for job in callers.jobs]
     return Outcome(
-        monitor.broken + broken + miscounts,
+        monitor.broken + broken + miscounts + late_starts,
         states.count(SubmissionState.ACCEPTED),
         states.count(SubmissionState.REJECTED),
         states.count(SubmissionState.UNKNOWN),
--- a/soak/site.py
+++ b/soak/site.py
@@ -13,7 +13,8 @@
 from typing import IO, NamedTuple
 
 from plantainyard.clock import read_clock
-from plantainyard.entry.topics import LAYOUT, UNITS_KEY
+from plantainyard.entry.topics import LAYOUT, OPERATIONS, UNITS_KEY
+from plantainyard.platform.evacuations import EVACUATION_PREFIX
 from plantainyard.platform.settings import SETTINGS_VARIABLE
 from plantainyard.transport import build_peer, build_pool, call_json
 from standins.link import run_links
@@ -44,8 +45,16 @@
 minTtlMs = 1000
 [limits]
 cpuShare = {cores}
+[bounds]
+evacuateMs = {evacuate_ms}
 """
 
+DOMAINS = ("addis-kality", "addis-akaki")
+"""Failure domains, among which runners are divided in turn."""
+
+EVACUATION_DEADLINE_S = 5.0
+"""Time after which nothing may start any more in an evacuated domain."""
+
 OWNER_CORES, RESERVE_CORES = 1.0, 0.5
 """Processors in the settings of instances that own units, and of reserves."""
 
@@ -80,6 +89,7 @@
                 store=store,
                 parts=PARTITIONS,
                 cores=cores,
+                evacuate_ms=round(EVACUATION_DEADLINE_S * 1000),
             )
         )
         self.log: IO[bytes] = (folder / f"edge-{number}.log").open("ab")
@@ -117,6 +127,14 @@
         self.log.close()
 
 
+class Evacuation(NamedTuple):
+    """An evacuation of a domain, from its request to its end; None while it lasts."""
+
+    domain: str
+    begun_at: float
+    ended_at: float | None = None
+
+
 class Site:
     """Running site with the handles that faults and checks need."""
 
@@ -124,6 +142,7 @@
         self.store = store
         self.runners = runners
         self.instances: list[Instance] = []
+        self.evacuations: list[Evacuation] = []
         self._links = build_peer(links, build_pool(1, 2), 10.0)
 
     def open_relay(self, name: str, address: str) -> str:
@@ -138,6 +157,22 @@
         action = "cut" if cut else "heal"
         call_json(self._links, "links", "POST", "/faults", {action: [[name]]})
 
+    def evacuate(self, number: int) -> None:
+        """Request the evacuation of a domain, as operators do."""
+        self.end_evacuation(number)
+        domain = DOMAINS[number]
+        self.store.put(OPERATIONS, EVACUATION_PREFIX + domain, b"{}")
+        self.evacuations.append(Evacuation(domain, read_clock()))
+
+    def end_evacuation(self, number: int) -> None:
+        """Remove the request to evacuate a domain, if there is one."""
+        domain = DOMAINS[number]
+        for index, evacuation in enumerate(self.evacuations):
+            if evacuation.domain == domain and evacuation.ended_at is None:
+                ended = evacuation._replace(ended_at=read_clock())
+                self.evacuations[index] = ended
+                self.store.put(OPERATIONS, EVACUATION_PREFIX + domain, b"")
+
     def write_runner_entry(self, runner: RunnerState) -> None:
         """Write a runner's entry to the store, as each new incarnation does."""
         entry = json.dumps(runner.build_entry(read_clock())).encode()
@@ -174,8 +209,11 @@
 def open_site(folder: Path, spec: SiteSpec) -> Iterator[Site]:
     """Start a site, and stop exactly the processes that it started on exit."""
     store = StoreState(parts=PARTITIONS)
-    states = [RunnerState(f"r{number}") for number in range(spec.runners)]
-    store.put("keyed.op", "config", make_configuration(1))
+    states = [
+        RunnerState(f"r{number}", domain=DOMAINS[number % len(DOMAINS)])
+        for number in range(spec.runners)
+    ]
+    store.put(OPERATIONS, "config", make_configuration(1))
     if spec.units:
         store.put(LAYOUT, UNITS_KEY, json.dumps({"units": spec.units}).encode())
     with (
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -8,7 +8,9 @@
 import pytest
 
 from soak.callers import Callers, PendingCount, SubmissionState, TrackedJob
-from soak.checks import check_counts
+from soak.checks import check_counts, check_evacuations
+from soak.plan import Fault, FaultKind
+from soak.site import Evacuation
 
 ASKED_AT = 100.0
 ANSWERED_AT = 100.5
@@ -67,3 +69,30 @@
 
 def test_a_response_without_a_count_is_always_wrong():
     assert len(check(-1, [])[1]) == 1
+
+
+EVACUATED = Evacuation("d", 10.0, 20.0)
+
+
+def find_late_starts(at: float, plan: list[Fault], domain: str = "d") -> list[str]:
+    runner = SimpleNamespace(runner="r0", domain=domain, started=[(at, "a.0.0.1", 1)])
+    site: Any = SimpleNamespace(runners=[runner], evacuations=[EVACUATED])
+    return check_evacuations(site, plan, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("at", "late"), [(9.0, 0), (14.9, 0), (15.1, 1), (19.9, 1), (20.1, 0)]
+)
+def test_a_start_in_an_evacuated_domain_is_late_after_the_bound(at, late):
+    # Guards against an owner that forgets an evacuation or reads it late.
+    assert len(find_late_starts(at, [])) == late
+    assert not find_late_starts(at, [], domain="elsewhere")
+
+
+def test_a_start_that_a_fault_may_have_held_back_is_excused():
+    held = Fault(12.0, FaultKind.CUT_RUNNER, 0, 3.0)
+    elsewhere = held._replace(target=1)
+    assert not find_late_starts(16.0, [held])
+    assert find_late_starts(18.0, [held])
+    assert find_late_starts(16.0, [elsewhere])
+    assert not find_late_starts(16.0, [elsewhere._replace(kind=FaultKind.PAUSE)])
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -13,8 +13,16 @@
 
 
 def test_plans_contain_all_kinds_of_faults():
-    kinds = {fault.kind for seed in range(5) for fault in make_plan(seed, 30.0, 3, 4)}
-    assert kinds == set(FaultKind.ALL)
+    plans = [make_plan(seed, 30.0, 3, 4, 2) for seed in range(5)]
+    assert {fault.kind for plan in plans for fault in plan} == set(FaultKind.ALL)
+
+
+def test_the_other_faults_of_a_seed_are_the_same_with_and_without_evacuations():
+    # Guards against a seed that showed a fault and no longer means the same faults.
+    with_evacuations = make_plan(222, 30.0, 3, 4, 2)
+    others = [f for f in with_evacuations if f.kind != FaultKind.EVACUATE]
+    assert others == make_plan(222, 30.0, 3, 4)
+    assert len(others) < len(with_evacuations)
 
 
 def test_an_instance_that_found_its_port_taken_is_started_again(tmp_path):
