--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -265,7 +265,11 @@
         # In this order, so that nobody takes an older value for this version's.
         self.configuration_value = value
         self.configuration = configuration
-        self.log.write("configuration_in_force", version=configuration.version)
+        regional = [q.name for q in configuration.queues if q.allowed_regions]
+        fields = {"regions_ignored": regional} if regional else {}
+        self.log.write(
+            "configuration_in_force", version=configuration.version, **fields
+        )
 
     def _forward_record(self, unit: int, job_id: str, record: Record) -> None:
         """Forward a caller's record to the unit's actor if this instance owns it."""
--- a/plantainyard/platform/configuration.py
+++ b/plantainyard/platform/configuration.py
@@ -26,6 +26,9 @@
         Number of failed runs of a task after which the job fails.
     stretch, target_latency_ms : float
         See `plantainyard.batch.Submission`.
+    allowed_regions : tuple of str
+        Regions that the platform names for the queue; they have no effect here, as no
+        page describes them.
     """
 
     name: str
@@ -36,6 +39,7 @@
     max_attempts: int = 1
     stretch: float = 1.0
     target_latency_ms: float = 0.0
+    allowed_regions: tuple[str, ...] = ()
 
 
 class Configuration(NamedTuple):
@@ -82,6 +86,7 @@
         max_attempts=max(1, int(route.get("maxAttempts", 1))),
         stretch=float(route.get("stretch", 1.0)),
         target_latency_ms=float(route.get("targetLatencyMs", 0.0)),
+        allowed_regions=tuple(map(str, route.get("allowedRegions") or ())),
     )
 
 
--- a/plantainyard/platform/tests/test_decoding.py
+++ b/plantainyard/platform/tests/test_decoding.py
@@ -58,6 +58,14 @@
     assert found.max_target_violation_s == 4.5
 
 
+def test_allowed_regions_are_decoded():
+    route = {"name": "q", "host": "h", "pathPrefix": "/", "service": "s"}
+    for regions in ([], ["addis"], None):
+        value = {"version": 1, "routes": [route | {"allowedRegions": regions}]}
+        (queue,) = decode_configuration(json.dumps(value).encode()).queues
+        assert queue.allowed_regions == tuple(regions or ())
+
+
 def test_cancel_deadline_is_the_sum_of_two_bounds():
     bounds = "[bounds]\ncancel_ms = 4000\nstopMs = 200\n"
     found = parse_instance_settings(SETTINGS.replace("[bounds]\n", bounds)).unwrap()
