Split the calls between instances by what they are about

The query for remaining leases now shows in the meters like all others.

`test_dropped_history_is_replaced_by_the_newest_records` compares offsets too: records among the newest carry them since evacuations have versions.

--- a/plantainyard/entry/peers.py
+++ b/plantainyard/entry/peers.py
@@ -1,39 +1,41 @@
 """Calls between instances: queries to owners of units, and the answers to them."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 from urllib.parse import quote
 from wsgiref.types import StartResponse, WSGIEnvironment
 
-from result import Err, Ok, Result
+from result import Err
 
 from plantainyard.batch.pending import Pending, count_pending
 from plantainyard.batch.replica import describe_state
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import Load, list_arrivals
 from plantainyard.entry.claims import OwnerReply, OwnerStatus
+from plantainyard.entry.configuration_exchange import (
+    CONFIGURATION_PATH,
+    describe_configuration,
+    send_configuration,
+)
 from plantainyard.entry.copies import UnitCopy
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.layout import Owner
+from plantainyard.entry.peer_calls import (
+    ROUNDING_S,
+    build_instance_peer,
+    query_owner,
+)
 from plantainyard.entry.readers import read_ahead
 from plantainyard.entry.reserves import is_strong
-from plantainyard.entry.responses import OK, send_json, send_response
-from plantainyard.errors import CallError, ErrorKind
-from plantainyard.transport import (
-    HttpPeer,
-    build_peer,
-    build_pool,
-    call_json,
-    send_request,
-)
+from plantainyard.entry.responses import OK, send_json
+from plantainyard.errors import ErrorKind
+from plantainyard.transport import call_json
 
 __all__ = [
-    "ConfigurationReply",
     "JobLookup",
     "PendingCount",
     "build_peer_app",
     "count_pending_in_copy",
-    "fetch_configuration",
     "fetch_interference",
     "fetch_job",
     "fetch_load",
@@ -43,9 +45,6 @@
     "look_up_job",
 ]
 
-QUERY_TIMEOUT_S = 0.4
-"""Timeout in seconds of a query to an owner. An answer between regions takes 30 ms."""
-
 STATUS_TIMEOUT_S = 0.3
 """Timeout in seconds of an owner's status query. Only three consecutive queries without
 an answer have an effect."""
@@ -55,31 +54,10 @@
 read that waits a second and finds nothing proves only the state at its start, so the
 last read of a healthy owner is up to two seconds old, and older after a lost answer."""
 
-CONFIGURATION_TIMEOUT_S = 4.0
-"""Timeout in seconds of a query for the configuration. A megabyte takes 1.7 s over a
-link of five megabits per second, and other calls share the link."""
-
-INACTIVITY_S = (0.1, 0.4)
-"""Minimum and maximum time in seconds without a part of the configuration after which
-such a query fails."""
-
-CONFIGURATION_PATH = "/configuration/"
-"""Path of the configuration, to be followed by the version that is known already."""
-
-VERSION_FIELD = "Configuration-Version"
-AGE_FIELD = "Configuration-Age-S"
-OFFSET_FIELD = "Configuration-Offset"
-BINARY = "application/octet-stream"
-
 LEASES_TIMEOUT_S = 1.0
 """Timeout in seconds of a query for the leases of a predecessor. Nothing waits for the
 answer, and the predecessor may be behind a busy link."""
 
-ROUNDING_S = 0.001
-"""Added to durations that are rounded to milliseconds but must not become shorter."""
-
-_pool = build_pool(pools=64, connections_per_peer=4)
-
 
 class JobLookup(NamedTuple):
     """State of a job as found in one unit.
@@ -111,27 +89,6 @@
     age_s: float
 
 
-class ConfigurationReply(NamedTuple):
-    """The configuration as another instance knows it.
-
-    Attributes
-    ----------
-    version : int
-        Version in force there; zero if there is none.
-    age_s : float
-        Time in seconds since the start of that instance's last read of the store.
-    offset : int
-        Offset of the topic up to which that instance has read.
-    value : bytes
-        Stored value of that version; empty if it was known already.
-    """
-
-    version: int
-    age_s: float
-    offset: int
-    value: bytes = b""
-
-
 def count_pending_in_copy(copy: UnitCopy, queue: str) -> PendingCount:
     """Return the pending count of a queue according to a copy of a unit."""
     age_s = read_clock() - copy.intake.synced_at
@@ -152,7 +109,7 @@
     if unit in instance.owned:
         return _look_up_confirmed(instance.copies[unit], job_id)
     path = f"/units/{unit}/jobs/{job_id}"
-    body = _query_owner(instance, unit, "peer.describe", path, "state", str)
+    body = query_owner(instance, unit, "peer.describe", path, "state", str)
     if body is None:
         return None
     moved = body.get("moved")
@@ -178,7 +135,7 @@
         arrived |= count.pending.arrived
         return count._replace(pending=count.pending._replace(arrived=arrived))
     path = f"/units/{unit}/pending/{quote(queue)}"
-    body = _query_owner(instance, unit, "peer.pending", path, "pending", dict)
+    body = query_owner(instance, unit, "peer.pending", path, "pending", dict)
     if body is None:
         return None
     try:
@@ -208,9 +165,7 @@
     owned = instance.owned.get(unit)
     if owned is not None:
         return owned.context.dispatcher.load
-    body = _query_owner(
-        instance, unit, "peer.load", f"/units/{unit}/load", "load", list
-    )
+    body = query_owner(instance, unit, "peer.load", f"/units/{unit}/load", "load", list)
     if body is None:
         return None
     try:
@@ -224,7 +179,7 @@
     """Return the interference estimates of a unit from its owner; empty if none."""
     if unit in instance.owned:
         return instance.copies[unit].replica.interference
-    body = _query_owner(
+    body = query_owner(
         instance, unit, "peer.harms", f"/units/{unit}/harms", "harms", str
     )
     return b"" if body is None else str(body["harms"]).encode()
@@ -236,7 +191,7 @@
     if owner is None or owner.address == instance.peer_address():
         status = _describe_claim(instance, unit)
         return OwnerReply(True, status)
-    peer = _build_owner_peer(instance, owner.address, STATUS_TIMEOUT_S)
+    peer = build_instance_peer(instance, owner.address, STATUS_TIMEOUT_S)
     answer = call_json(peer, "peer.owner", "GET", f"/units/{unit}/owner")
     if isinstance(answer, Err):
         return OwnerReply(answer.err_value.kind == ErrorKind.REFUSED)
@@ -247,81 +202,6 @@
         return OwnerReply(False)
 
 
-def fetch_configuration(
-    instance: Instance, address: str, within_s: float
-) -> Result[ConfigurationReply, CallError]:
-    """Return the configuration as the instance at `address` has read it from the store.
-
-    Parameters
-    ----------
-    instance : Instance
-        The instance that asks.
-    address : str
-        Address of the other instance, ``ip:port``.
-    within_s : float
-        Time in seconds without any answer after which the query should fail.
-    """
-    current = instance.configuration
-    version = current.version if current else 0
-    peer = _build_owner_peer(instance, address, CONFIGURATION_TIMEOUT_S)
-    inactivity_s = min(max(within_s, INACTIVITY_S[0]), INACTIVITY_S[1])
-    step = "peer.configuration"
-    path = f"{CONFIGURATION_PATH}{version}"
-    peer = peer._replace(inactivity_s=inactivity_s)
-    answer = send_request(peer, step, "GET", path)
-    if isinstance(answer, Err):
-        return answer
-    response = answer.ok_value
-    if response.status != 200:
-        detail = f"status {response.status}"
-        return Err(CallError(ErrorKind.REFUSED, step, address, detail))
-    try:
-        return Ok(_decode_configuration_reply(response.headers, response.body))
-    except (ValueError, KeyError) as error:
-        return Err(CallError(ErrorKind.MALFORMED, step, address, repr(error)))
-
-
-def _decode_configuration_reply(
-    headers: Mapping[str, str], body: bytes
-) -> ConfigurationReply:
-    return ConfigurationReply(
-        version=int(headers[VERSION_FIELD]),
-        # An age is never negative, so that no reply is newer than its query.
-        age_s=max(0.0, float(headers[AGE_FIELD])),
-        offset=int(headers[OFFSET_FIELD]),
-        value=body,
-    )
-
-
-def _describe_configuration(
-    instance: Instance, known_version: int
-) -> ConfigurationReply | None:
-    """Return the configuration as read from the store; None before the first read.
-
-    Notes
-    -----
-    Guards against a reply that claims more than what it contains while a read of the
-    store goes on: a read changes the configuration, then the offset, then the time, so
-    they are taken in the opposite order here.
-    """
-    reader = instance.operations_reader
-    synced_at = reader.synced_at
-    offset = reader.offset
-    current, value = instance.configuration, instance.configuration_value
-    if not synced_at or offset is None:
-        return None
-    version = current.version if current else 0
-    age_s = read_clock() - synced_at
-    if version <= known_version:
-        value = b""
-    return ConfigurationReply(version, age_s, offset, value)
-
-
-def _build_owner_peer(instance: Instance, address: str, timeout_s: float) -> HttpPeer:
-    peer = build_peer(f"http://{address}", _pool, timeout_s)
-    return peer._replace(observe=instance.meters.observe_call)
-
-
 def _describe_claim(instance: Instance, unit: int) -> OwnerStatus | None:
     claim = instance.claims.get(unit)
     if claim is None:
@@ -351,7 +231,7 @@
     if predecessor.address == owner.address:
         body = _describe_release(instance, unit, owner.epoch)
     else:
-        peer = build_peer(f"http://{predecessor.address}", _pool, LEASES_TIMEOUT_S)
+        peer = build_instance_peer(instance, predecessor.address, LEASES_TIMEOUT_S)
         path = f"/units/{unit}/leases/{owner.epoch}"
         answer = call_json(peer, "peer.leases", "GET", path)
         body = None if isinstance(answer, Err) else answer.ok_value.body
@@ -400,27 +280,6 @@
     return {"epoch": released.epoch, "remaining_s": remaining_s}
 
 
-def _query_owner(
-    instance: Instance, unit: int, step: str, path: str, field: str, kind: type
-) -> dict[str, Any] | None:
-    """Return an owner's answer if `field` is of type `kind`; log the reason if not."""
-    owner = instance.layout.owners.get(unit)
-    if owner is None or owner.address == instance.peer_address():
-        return None
-    peer = _build_owner_peer(instance, owner.address, QUERY_TIMEOUT_S)
-    answer = call_json(peer, step, "GET", path)
-    if isinstance(answer, Err):
-        detail = answer.err_value.detail
-        instance.log.write("peer_silent", unit=unit, address=owner.address, why=detail)
-        return None
-    body = answer.ok_value.body
-    if not isinstance(body.get(field), kind):
-        why = f"no {field} in the answer to {step}"
-        instance.log.write("peer_silent", unit=unit, address=owner.address, why=why)
-        return None
-    return body
-
-
 def _look_up_confirmed(copy: UnitCopy, job_id: str) -> JobLookup | None:
     """Return the state of a job in an owned unit, or None if it can't be determined.
 
@@ -446,27 +305,15 @@
         path = environ.get("PATH_INFO", "")
         known_version = path.removeprefix(CONFIGURATION_PATH)
         if known_version != path and known_version.isdigit():
-            reply = _describe_configuration(instance, int(known_version))
+            reply = describe_configuration(instance, int(known_version))
             if reply is not None:
-                return _send_configuration(start, reply)
+                return send_configuration(start, reply)
         answer = _answer(instance, path)
         return send_json(start, OK if answer else "404 Not Found", answer or {})
 
     return serve
 
 
-def _send_configuration(
-    start: StartResponse, reply: ConfigurationReply
-) -> Iterable[bytes]:
-    """Send the stored value as it is, since an encoded one is longer by a third."""
-    fields = {
-        VERSION_FIELD: str(reply.version),
-        AGE_FIELD: f"{reply.age_s + ROUNDING_S:.3f}",
-        OFFSET_FIELD: str(reply.offset),
-    }
-    return send_response(start, OK, BINARY, reply.value, fields=fields)
-
-
 def _encode_load(load: Load) -> dict[str, Any]:
     """Return the JSON form of a load.
 
--- a/plantainyard/entry/sources.py
+++ b/plantainyard/entry/sources.py
@@ -15,12 +15,12 @@
 from result import Err
 
 from plantainyard.clock import read_clock
+from plantainyard.entry.configuration_exchange import fetch_configuration
 from plantainyard.entry.instance import (
     LONG_POLL_S,
     MAX_READ_S,
     Instance,
 )
-from plantainyard.entry.peers import fetch_configuration
 from plantainyard.entry.readers import choose_retry_pause, poll_reader
 
 __all__ = ["STORE", "SourceState", "follow_configuration", "list_readers"]
--- a/plantainyard/entry/tests/test_readers.py
+++ b/plantainyard/entry/tests/test_readers.py
@@ -51,7 +51,7 @@
         store.put("keyed.x", "b", b"3")
         store.drop_history()
         assert poll_reader(reader).is_ok()
-        assert records[-2:] == [Record("a", b"2"), Record("b", b"3")]
+        assert records[-2:] == [Record("a", b"2", 1), Record("b", b"3", 2)]
 
 
 class SlowStore:
--- a/plantainyard/entry/tests/test_sources.py
+++ b/plantainyard/entry/tests/test_sources.py
@@ -9,10 +9,11 @@
 
 from plantainyard.clock import read_clock
 from plantainyard.entry.caller_api import MAX_CONFIGURATION_AGE_S
+from plantainyard.entry.configuration_exchange import fetch_configuration
 from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.instance import Instance, run_reader
 from plantainyard.entry.layout import Owner
-from plantainyard.entry.peers import build_peer_app, fetch_configuration
+from plantainyard.entry.peers import build_peer_app
 from plantainyard.entry.process import start_threads
 from plantainyard.entry.readers import poll_reader
 from plantainyard.entry.sources import (
