--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo --deployment=$(DEPLOYMENT)
+	$(BIN)/python -m soak.demo
 
 check: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,7 +22,7 @@
 from soak.plan import make_plan
 from soak.site import DOMAINS, Site, SiteSpec, open_site
 
-__all__ = ["Outcome", "run_soak"]
+__all__ = ["Outcome", "run_soak", "wait_until_ready"]
 
 CALLERS = 4
 DEFAULT_SPEC = SiteSpec()
@@ -73,7 +73,7 @@
         tempfile.TemporaryDirectory() as temporary,
         open_site(folder or Path(temporary), spec) as site,
     ):
-        _wait_until_ready(site)
+        wait_until_ready(site)
         return _run(site, seed, seconds)
 
 
@@ -119,7 +119,7 @@
     )
 
 
-def _wait_until_ready(site: Site) -> None:
+def wait_until_ready(site: Site) -> None:
     """Wait until all instances are ready, and restart those that have ended.
 
     Notes
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -3,7 +3,7 @@
 import pytest
 
 from soak.plan import FaultKind, make_plan
-from soak.run import _wait_until_ready, run_soak
+from soak.run import run_soak, wait_until_ready
 from soak.site import SiteSpec, open_site
 
 
@@ -32,7 +32,7 @@
         (instance,) = site.instances
         instance.process.kill()
         instance.process.wait()
-        _wait_until_ready(site)
+        wait_until_ready(site)
         assert instance.process.poll() is None
 
 
