--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 DEPLOYMENT ?= awash
-# Processes that run tests; files of tests stay together, as their sites share ports.
+# Processes that run tests; each file of tests stays in one process.
 TEST_PROCESSES ?= 4
 
 .PHONY: demo test check bench proofs format schema clean
--- a/plantainyard/entry/tests/test_evacuations.py
+++ b/plantainyard/entry/tests/test_evacuations.py
@@ -15,6 +15,7 @@
 from plantainyard.entry.inspection import describe_state
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.tests.harness import own_units, run_instance, wait_until
+from plantainyard.entry.topics import OPERATIONS
 from plantainyard.platform.evacuations import EVACUATION_PREFIX, decode_evacuations
 from plantainyard.platform.settings import parse_instance_settings
 from plantainyard.platform.store import Record
@@ -45,11 +46,11 @@
     store = StoreState()
     with run_instance(store) as instance:
         lines = collect_log(instance)
-        store.put("keyed.op", KEY, b"{}")
+        store.put(OPERATIONS, KEY, b"{}")
         store.drop_history()
         read_once(instance)
         assert instance.evacuations.versions.keys() == {DOMAIN}
-        store.put("keyed.op", KEY, b"")
+        store.put(OPERATIONS, KEY, b"")
         read_once(instance)
         assert not instance.evacuations.versions
         assert [event for event, _ in lines] == ["evacuation_begun", "evacuation_ended"]
@@ -60,7 +61,7 @@
     # Guards against a new owner that starts tasks in a domain that was evacuated
     # before its takeover, and against one that never starts any.
     store = StoreState()
-    store.put("keyed.op", KEY, b"{}")
+    store.put(OPERATIONS, KEY, b"{}")
     with run_instance(store, RunnerState("r0")) as instance:
         instance.settings = instance.settings._replace(evacuation_deadline_s=5.0)
         follower = threading.Thread(target=follow_evacuations, args=(instance,))
@@ -70,7 +71,7 @@
         wait_until(lambda: state.evacuated_domains == {DOMAIN})
         instance.refresh_meters()
         assert describe_state(instance)["evacuations"]["versions"] == {DOMAIN: 0}
-        store.put("keyed.op", KEY, b"")
+        store.put(OPERATIONS, KEY, b"")
         wait_until(lambda: not state.evacuated_domains)
         instance.stopping.set()
         instance.evacuations.due.set()
@@ -107,7 +108,7 @@
     with run_instance(store) as instance:
         lines = collect_log(instance)
         for value in (b"", b"{}", b"{}"):
-            store.put("keyed.op", KEY, value)
+            store.put(OPERATIONS, KEY, value)
             read_once(instance)
         assert [event for event, _ in lines] == [
             "evacuation_begun",
