Read a scheduling policy that switches parts of the dispatcher on

Operators need to switch the new scheduling parts on for a deployment, and to be told of a typing error before it takes a part out of service.

--scheduling names a TOML file with one table for each part; without it all parts are off and the dispatcher decides as before. A wrong file ends the process with status 2; at a reload the earlier policy stays. The model of the dispatcher learns the loads of the two new deployments, and variants that switch single parts on.

--- a/bench/dispatch/customers.py
+++ b/bench/dispatch/customers.py
@@ -47,6 +47,8 @@
         Share of the runs that fail without an external cause.
     estimate_spread : float
         Standard deviation of the logarithm of an estimate around the run time.
+    tail_share, tail_factor : float
+        Share of the steps whose tasks run `tail_factor` times as long as others.
     """
 
     name: str
@@ -70,6 +72,8 @@
     attempts: int = 2
     failure_rate: float = 0.02
     estimate_spread: float = 0.5
+    tail_share: float = 0.0
+    tail_factor: float = 1.0
 
 
 class Serving(NamedTuple):
@@ -304,8 +308,106 @@
     traffic_amplitude=0.27,
 )
 
+_TRANSCRIPTS = Customer(
+    name="transcripts",
+    runners=41,
+    rack=8,
+    cores=64,
+    memory_gb=250,
+    kinds=(
+        _SHORT._replace(
+            arrivals_per_s=0.91,
+            worth=0.36,
+            late_worth=0.054,
+            width=10,
+            cores=11.0,
+            run_s=1.0,
+            memory_gb=22,
+            attempts=4,
+            estimate_spread=0.9,
+        ),
+        _BATCH._replace(
+            arrivals_per_s=2.18,
+            worth=0.754,
+            late_worth=0.113,
+            width=20,
+            cores=7.0,
+            run_s=1.7,
+            memory_gb=13,
+            images=18,
+            attempts=2,
+            failure_rate=0.05,
+            estimate_spread=0.9,
+        ),
+    ),
+    serving=_SERVING._replace(
+        at_start=14,
+        arrivals_per_s=0.0757,
+        worth=0.193,
+        width=14,
+        cores=13.0,
+        memory_gb=26,
+        images=10,
+    ),
+    longest_lease_s=6.0,
+    max_cancel_s=4.4,
+)
+
+_REGISTRY = Customer(
+    name="registry",
+    runners=41,
+    rack=20,
+    cores=16,
+    memory_gb=62.5,
+    kinds=(
+        _SHORT._replace(
+            arrivals_per_s=1.23,
+            worth=0.347,
+            late_worth=0.052,
+            width=10,
+            cores=2.8,
+            run_s=0.54,
+            memory_gb=5.6,
+            attempts=4,
+            estimate_spread=0.2,
+            tail_share=0.03,
+            tail_factor=7.0,
+        ),
+        _BATCH._replace(
+            arrivals_per_s=1.17,
+            worth=1.82,
+            late_worth=0.273,
+            width=20,
+            run_s=2.3,
+            images=18,
+            attempts=2,
+            tail_share=0.03,
+            tail_factor=7.0,
+        ),
+    ),
+    serving=_SERVING._replace(
+        at_start=14,
+        arrivals_per_s=0.0665,
+        worth=0.286,
+        width=14,
+        cores=3.2,
+        memory_gb=6.4,
+        images=10,
+    ),
+    max_cancel_s=4.2,
+    traffic_amplitude=0.55,
+)
+
 CUSTOMERS = {
-    customer.name: customer for customer in (_LANTERNS, _TANKS, _OVENS, _TANKS_NOW)
+    customer.name: customer
+    for customer in (
+        _LANTERNS,
+        _TANKS,
+        _OVENS,
+        _TANKS_NOW,
+        _TRANSCRIPTS,
+        _REGISTRY,
+    )
 }
 """Customers with published sheets, by name."""
 
--- a/bench/dispatch/play.py
+++ b/bench/dispatch/play.py
@@ -49,6 +49,7 @@
     restore_dispatcher,
     step,
 )
+from plantainyard.dispatch import policy as scheduling
 from plantainyard.platform.runners import OrderOutcome, OrderResult
 from plantainyard.platform.store import Record
 
@@ -160,6 +161,7 @@
     limits = Limits(
         lease_s=choose_lease(customer.longest_lease_s, customer.max_cancel_s),
         longest_lease_s=customer.longest_lease_s,
+        policy=scheduling.NO_POLICY,
     )
     by_name = {worker.name: worker for worker in fleet}
     day = Day(customer, pattern, site, by_name, random.Random(f"{seed} day"), limits)
--- a/bench/dispatch/switches.py
+++ b/bench/dispatch/switches.py
@@ -11,6 +11,12 @@
 
 import plantainyard.dispatch
 from bench.dispatch.oracle import find_true_weight, find_true_weight_at_worst
+from plantainyard.dispatch.policy import (
+    HealthPolicy,
+    RoomPolicy,
+    RunTimePolicy,
+    SchedulingPolicy,
+)
 
 __all__ = ["VARIANTS", "SwitchError", "Switches", "apply_switches", "parse_variant"]
 
@@ -26,7 +32,22 @@
     return 0.3
 
 
+def _switch_on(**parts: Any) -> Switches:
+    return {"NO_POLICY": SchedulingPolicy(**parts)}
+
+
+_PARTS: dict[str, Any] = {
+    "run_times": RunTimePolicy(),
+    "room": RoomPolicy(),
+    "health": HealthPolicy(),
+}
+"""Parts of the policy that decide about one unit, with their default settings."""
+
 VARIANTS: dict[str, Switches] = {
+    "all parts": _switch_on(**_PARTS),
+    "run times": _switch_on(run_times=_PARTS["run_times"]),
+    "room": _switch_on(room=_PARTS["room"]),
+    "health": _switch_on(health=_PARTS["health"]),
     "as it is": {},
     "one weight for all pairs": {"find_weight_bound": lambda *_: 2.0},
     "true weights": {
--- a/bench/dispatch/workload.py
+++ b/bench/dispatch/workload.py
@@ -152,6 +152,8 @@
     for number in range(count):
         width = max(1, round(_draw_log(source, kind.width, kind.width_spread, 5.0)))
         length_s = _draw_log(source, kind.run_s, kind.run_spread, 2.5)
+        if kind.tail_share and source.random() < kind.tail_share:
+            length_s *= kind.tail_factor
         lengths = [
             length_s * source.uniform(1 - RUN_TIME_SPREAD, 1 + RUN_TIME_SPREAD)
             for _ in range(width)
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -251,7 +251,7 @@
     """Run the program, and print the processor time by function when it stops."""
     yappi.set_clock_type("cpu")
     threading.Timer(WARM_UP_S, yappi.start).start()
-    run_entry()
+    run_entry(sys.argv[:1])
     yappi.stop()
     stats = yappi.get_func_stats().sort("tsub")
     rows = [
--- a/plantainyard/dispatch/__init__.py
+++ b/plantainyard/dispatch/__init__.py
@@ -27,6 +27,7 @@
     OrderAnswered,
     OrderKind,
     OwnershipRenewed,
+    PolicyChanged,
     ReportFailed,
     ReportReceived,
     RequestReport,
@@ -38,6 +39,7 @@
 from plantainyard.dispatch.leases import list_lease_ends
 from plantainyard.dispatch.limits import Limits, choose_lease
 from plantainyard.dispatch.load import NO_RUNNERS_LOAD, Load
+from plantainyard.dispatch.policy import NO_POLICY, SchedulingPolicy
 from plantainyard.dispatch.state import (
     EMPTY_COUNTS,
     Counts,
@@ -78,6 +80,9 @@
     "OrderAnswered",
     "OrderKind",
     "OwnershipRenewed",
+    "PolicyChanged",
+    "SchedulingPolicy",
+    "NO_POLICY",
     "RequestReport",
     "SendOrder",
     "JobSubmitted",
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -22,6 +22,7 @@
     LoadsReceived,
     OrderAnswered,
     OwnershipRenewed,
+    PolicyChanged,
     ReportFailed,
     ReportReceived,
     Tick,
@@ -278,6 +279,8 @@
         case LeasesReported(remaining_s):
             runners = state.runners.values()
             limit_inheritance(runners, remaining_s, state.limits, now)
+        case PolicyChanged(policy):
+            state.limits = state.limits._replace(policy=policy)
         case LoadsReceived(loads):
             state.other_loads = dict(loads)
         case InterferenceReceived(records):
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -6,6 +6,7 @@
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import Submission
 from plantainyard.dispatch.load import Load
+from plantainyard.dispatch.policy import SchedulingPolicy
 from plantainyard.platform.entries import RunnerEntry
 from plantainyard.platform.runners import OrderResult, RunnerReport
 from plantainyard.platform.store import Record
@@ -33,6 +34,7 @@
     "OrderAnswered",
     "OrderKind",
     "OwnershipRenewed",
+    "PolicyChanged",
     "RequestReport",
     "SendOrder",
     "JobSubmitted",
@@ -169,6 +171,12 @@
     records: list[bytes]
 
 
+class PolicyChanged(NamedTuple):
+    """Operators have changed the scheduling policy."""
+
+    policy: SchedulingPolicy
+
+
 class Tick(NamedTuple):
     """Time has passed; sent at regular intervals."""
 
@@ -182,6 +190,7 @@
     | ReportReceived
     | ReportFailed
     | OwnershipRenewed
+    | PolicyChanged
     | EvacuationsRead
     | Forwarded
     | LeasesReported
--- a/plantainyard/dispatch/limits.py
+++ b/plantainyard/dispatch/limits.py
@@ -3,6 +3,8 @@
 import math
 from typing import NamedTuple
 
+from plantainyard.dispatch.policy import NO_POLICY, SchedulingPolicy
+
 __all__ = ["Limits", "choose_lease"]
 
 MAX_LEASE_S = 5.0
@@ -68,6 +70,8 @@
     evacuation_age_s : float
         Age of the last reading of the evacuations above which nothing is started;
         infinite if the platform has no evacuations.
+    policy : SchedulingPolicy
+        The scheduling parts that are switched on.
     """
 
     lease_s: float = MAX_LEASE_S
@@ -87,6 +91,7 @@
     quarantine_after: float = 2.0
     remote_factor: float = 1.0
     evacuation_age_s: float = math.inf
+    policy: SchedulingPolicy = NO_POLICY
 
 
 def choose_lease(longest_lease_s: float, cancelled_s: float) -> float:
--- /dev/null
+++ b/plantainyard/dispatch/policy.py
@@ -0,0 +1,97 @@
+"""Policy of the scheduling parts that operators switch on.
+
+Each part has its settings, or None, which switches it off: the dispatcher then decides
+as it does without the part.
+"""
+
+from typing import NamedTuple
+
+__all__ = [
+    "NO_POLICY",
+    "AdmissionPolicy",
+    "HealthPolicy",
+    "RoomPolicy",
+    "RunTimePolicy",
+    "SchedulingPolicy",
+]
+
+
+class RunTimePolicy(NamedTuple):
+    """Settings of learnt run times.
+
+    Attributes
+    ----------
+    max_entries : int
+        Maximum number of queues' steps whose run times are kept.
+    max_age_s : float
+        Age in seconds above which an entry counts as unknown.
+    """
+
+    max_entries: int = 256
+    max_age_s: float = 300.0
+
+
+class RoomPolicy(NamedTuple):
+    """Settings of reservations for large tasks.
+
+    Attributes
+    ----------
+    max_wait_s : float
+        Time in seconds for which a task of an urgent queue waits for capacity before a
+        runner is reserved for it.
+    max_reserved_share : float
+        Maximum share of the unit's runners that are reserved at a time.
+    max_stops_per_s : float
+        Maximum number of long-running tasks moved per second.
+    """
+
+    max_wait_s: float = 0.4
+    max_reserved_share: float = 0.2
+    max_stops_per_s: float = 4.0
+
+
+class AdmissionPolicy(NamedTuple):
+    """Settings of admission.
+
+    Attributes
+    ----------
+    max_age_s : float
+        Age in seconds of a forecast above which work is accepted regardless of it.
+    max_open_jobs : int
+        Maximum number of open jobs of one queue in a unit.
+    max_return_s : float
+        Longest time in seconds after which a rejected caller is asked to return.
+    """
+
+    max_age_s: float = 2.5
+    max_open_jobs: int = 2_000
+    max_return_s: float = 30.0
+
+
+class HealthPolicy(NamedTuple):
+    """Settings of the detection of failing and slow runners.
+
+    Attributes
+    ----------
+    slow_ratio : float
+        Ratio of a runner's run times to those of its tasks' siblings elsewhere from
+        which it counts as slow.
+    max_suspended_share : float
+        Maximum share of the answering runners that are suspended or avoided at a time.
+    """
+
+    slow_ratio: float = 2.0
+    max_suspended_share: float = 0.25
+
+
+class SchedulingPolicy(NamedTuple):
+    """The scheduling parts that are switched on, by their settings."""
+
+    run_times: RunTimePolicy | None = None
+    room: RoomPolicy | None = None
+    admission: AdmissionPolicy | None = None
+    health: HealthPolicy | None = None
+
+
+NO_POLICY = SchedulingPolicy()
+"""All parts switched off."""
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -83,7 +83,7 @@
     owner on.
     """
 
-    def __init__(self, runners: int = 3, **limits: float) -> None:
+    def __init__(self, runners: int = 3, **limits: Any) -> None:
         self.now = 100.0
         self.limits = Limits(**limits)
         self.runners = {f"r{n}": RunnerState(f"r{n}") for n in range(runners)}
--- a/plantainyard/entry/eventlog.py
+++ b/plantainyard/entry/eventlog.py
@@ -90,6 +90,7 @@
         "owner_lost",
         "owner_named",
         "owner_succeeded",
+        "policy_in_force",
         "read_incomplete",
         "refused",
         "reloaded",
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -14,9 +14,11 @@
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import (
     EMPTY_COUNTS,
+    NO_POLICY,
     CancelRequested,
     Event,
     JobSubmitted,
+    SchedulingPolicy,
     count_state,
 )
 from plantainyard.entry.copies import UnitCopy
@@ -110,6 +112,8 @@
         Settings of this process.
     log : EventLog
         Log for decisions.
+    policy : SchedulingPolicy
+        The scheduling parts that operators switch on; replaced when it changes.
 
     Attributes
     ----------
@@ -143,8 +147,14 @@
         Set while the instance keeps its units only until others take them over.
     """
 
-    def __init__(self, settings: InstanceSettings, log: EventLog) -> None:
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        log: EventLog,
+        policy: SchedulingPolicy = NO_POLICY,
+    ) -> None:
         self.settings = settings
+        self.policy = policy
         self.log = log
         self.meters = Meters()
         log.on_event = lambda event: self.meters.events.labels(event).inc()
--- a/plantainyard/entry/process.py
+++ b/plantainyard/entry/process.py
@@ -11,9 +11,11 @@
 from pathlib import Path
 from wsgiref.types import StartResponse, WSGIApplication, WSGIEnvironment
 
+from absl import flags
 from result import Err
 
 from plantainyard.clock import read_clock
+from plantainyard.dispatch import NO_POLICY, PolicyChanged, SchedulingPolicy
 from plantainyard.entry.caller_api import build_caller_app
 from plantainyard.entry.evacuations import follow_evacuations
 from plantainyard.entry.eventlog import EventLog, open_event_log
@@ -30,16 +32,18 @@
 from plantainyard.entry.meters import build_metrics_app
 from plantainyard.entry.ownership_manager import OwnershipManager
 from plantainyard.entry.peers import build_peer_app, fetch_owner_status
+from plantainyard.entry.policies import list_parts, load_policy
 from plantainyard.entry.reserves import is_strong
 from plantainyard.entry.sources import follow_configuration
 from plantainyard.platform.settings import (
     SETTINGS_VARIABLE,
     InstanceSettings,
+    SettingsFault,
     load_instance_settings,
 )
 from plantainyard.serving import serve_app
 
-__all__ = ["main", "run_instance", "start_threads"]
+__all__ = ["main", "reload_settings", "run_instance", "start_threads"]
 
 EXIT_OK = 0
 EXIT_USAGE = 2
@@ -68,29 +72,53 @@
 """Maximum time in seconds for the last answers once the servers stop."""
 
 
-def main() -> int:
+FLAGS = flags.FlagValues()
+flags.DEFINE_string(
+    "scheduling",
+    "",
+    "Path of the scheduling policy (TOML); empty to switch all its parts off.",
+    flag_values=FLAGS,
+)
+
+
+def main(argv: list[str]) -> int:
     """Run an instance with the settings file that the environment names."""
+    try:
+        FLAGS(argv)
+    except flags.Error as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
     path = os.environ.get(SETTINGS_VARIABLE, "")
     loaded = load_instance_settings(Path(path))
     if isinstance(loaded, Err):
-        fault = loaded.err_value
-        print(
-            f"{fault.path}:{fault.line}: {fault.key}: {fault.detail}", file=sys.stderr
-        )
-        return EXIT_USAGE
+        return _report_fault(loaded.err_value)
+    policy = load_policy(FLAGS.scheduling)
+    if isinstance(policy, Err):
+        return _report_fault(policy.err_value)
     with open_event_log(loaded.ok_value.instance) as log:
-        run_instance(loaded.ok_value, log)
+        run_instance(loaded.ok_value, log, policy.ok_value, FLAGS.scheduling)
     return EXIT_OK
 
 
-def run_instance(settings: InstanceSettings, log: EventLog) -> None:
+def _report_fault(fault: SettingsFault) -> int:
+    print(f"{fault.path}:{fault.line}: {fault.key}: {fault.detail}", file=sys.stderr)
+    return EXIT_USAGE
+
+
+def run_instance(
+    settings: InstanceSettings,
+    log: EventLog,
+    policy: SchedulingPolicy = NO_POLICY,
+    policy_path: str = "",
+) -> None:
     """Serve until SIGTERM or SIGINT, then shut down gracefully."""
-    instance = Instance(settings, log)
+    instance = Instance(settings, log, policy)
+    log.write("policy_in_force", parts=list_parts(policy))
     draining = threading.Event()
     with _catch_signals() as signals, _serve(instance, draining):
         start_threads(instance, draining)
         log.write("started", domain=settings.domain, address=settings.caller_address)
-        _wait_for_stop(signals, log)
+        _wait_for_stop(signals, instance, policy_path)
         log.write("stopping")
         draining.set()
         # Other instances take the units over while this one still answers callers.
@@ -99,23 +127,39 @@
     log.write("stopped")
 
 
-def _wait_for_stop(signals: socket.socket, log: EventLog) -> None:
+def _wait_for_stop(
+    signals: socket.socket, instance: Instance, policy_path: str
+) -> None:
     while True:
         select.select([signals], [], [])
         received = signals.recv(64)
         if signal.SIGTERM in received or signal.SIGINT in received:
             return
         if signal.SIGHUP in received:
-            _reload(log)
+            reload_settings(instance, policy_path)
+
 
+def reload_settings(instance: Instance, policy_path: str) -> None:
+    """Validate the changed settings file, and put the scheduling policy in force.
 
-def _reload(log: EventLog) -> None:
-    """Validate the changed settings file and log the result; apply nothing."""
+    Notes
+    -----
+    Other settings take effect with the next start. If either file is invalid, the
+    earlier policy stays in force.
+    """
+    log = instance.log
     loaded = load_instance_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
-    if isinstance(loaded, Err):
-        log.write("reload_failed", why=str(loaded.err_value))
-    else:
-        log.write("reloaded")
+    policy = load_policy(policy_path)
+    fault = loaded.err() or policy.err()
+    if isinstance(policy, Err) or fault is not None:
+        log.write("reload_failed", why=str(fault))
+        return
+    log.write("reloaded")
+    if policy.ok_value != instance.policy:
+        instance.policy = policy.ok_value
+        log.write("policy_in_force", parts=list_parts(instance.policy))
+        for unit in list(instance.owned):
+            instance.send_event(unit, PolicyChanged(instance.policy))
 
 
 def _wait(signals: socket.socket, seconds: float) -> None:
--- a/plantainyard/entry/takeover.py
+++ b/plantainyard/entry/takeover.py
@@ -115,6 +115,7 @@
         missed_target_s=settings.max_target_violation_s,
         remote_factor=settings.remote_factor,
         evacuation_age_s=choose_max_age_s(settings.evacuation_deadline_s),
+        policy=instance.policy,
     )
     now = read_clock()
     return restore_dispatcher(
