Let the policy say how many runners a unit may have

Work can't be divided over units. Long-running tasks reserve four fifths of the new customers' processors, and six units of 41 runners have room for a wide job or a task of 20 cores less often than three of 82, although the fleet has it.

The table [units] of the policy holds the maximum size for strong instances; without it, units have at most 48 runners as before.

--- a/plantainyard/dispatch/policy.py
+++ b/plantainyard/dispatch/policy.py
@@ -13,6 +13,7 @@
     "RoomPolicy",
     "RunTimePolicy",
     "SchedulingPolicy",
+    "UnitPolicy",
 ]
 
 
@@ -84,6 +85,19 @@
     max_suspended_share: float = 0.25
 
 
+class UnitPolicy(NamedTuple):
+    """Settings of the division of a fleet into units.
+
+    Attributes
+    ----------
+    runners_per_unit : int
+        Maximum number of runners per unit if there are several units and strong
+        instances. Takes effect when the system starts for the first time.
+    """
+
+    runners_per_unit: int = 96
+
+
 class SchedulingPolicy(NamedTuple):
     """The scheduling parts that are switched on, by their settings."""
 
@@ -91,6 +105,7 @@
     room: RoomPolicy | None = None
     admission: AdmissionPolicy | None = None
     health: HealthPolicy | None = None
+    units: UnitPolicy | None = None
 
 
 NO_POLICY = SchedulingPolicy()
--- a/plantainyard/entry/layout.py
+++ b/plantainyard/entry/layout.py
@@ -20,6 +20,7 @@
 from plantainyard.platform.store import Append, Record, StoreCalls
 
 __all__ = [
+    "RUNNERS_PER_UNIT",
     "Layout",
     "Owner",
     "announce_owner",
@@ -139,7 +140,9 @@
             self.owners[unit] = owner
 
 
-def choose_unit_count(runners: int, max_units: int, strong: bool) -> int:
+def choose_unit_count(
+    runners: int, max_units: int, strong: bool, strong_size: int = RUNNERS_PER_UNIT
+) -> int:
     """Return the number of units for a number of runners.
 
     Parameters
@@ -150,6 +153,14 @@
         Number of partitions of a topic, which limits the number of units.
     strong : bool
         Whether there are strong instances.
+    strong_size : int
+        Maximum number of runners per unit if there are.
+
+    Notes
+    -----
+    Guards against wide jobs and large tasks that find no capacity in any unit although
+    the fleet has it: work can't be divided over units, so the free capacity of a small
+    unit is of less use than the same share of a large one.
 
     Examples
     --------
@@ -158,7 +169,7 @@
     """
     if runners <= MAX_SINGLE_UNIT_RUNNERS:
         return 1
-    size = RUNNERS_PER_UNIT if strong else RUNNERS_PER_WEAK_UNIT
+    size = strong_size if strong else RUNNERS_PER_WEAK_UNIT
     return min(max_units, -(-runners // size))
 
 
@@ -181,6 +192,7 @@
     strong: bool,
     log: EventLog,
     stopping: threading.Event,
+    strong_size: int = RUNNERS_PER_UNIT,
 ) -> None:
     """Wait until the number of units is known, and propose it if it hasn't been chosen.
 
@@ -201,6 +213,8 @@
         Log for the decision.
     stopping : Event
         Ends the wait.
+    strong_size : int
+        Maximum number of runners per unit if there are strong instances.
     """
     settle_s = SETTLE_S if strong else RESERVE_SETTLE_S
     counted, changed_at, began_at = 0, read_clock(), read_clock()
@@ -216,7 +230,8 @@
             counted, changed_at = runners or 0, now
         settled = counted and now - changed_at >= settle_s
         if settled or (runners is not None and now - began_at >= MAX_WAIT_S):
-            propose_units(store, choose_unit_count(counted, max_units, strong), log)
+            units = choose_unit_count(counted, max_units, strong, strong_size)
+            propose_units(store, units, log)
         else:
             stopping.wait(POLL_INTERVAL_S)
 
--- a/plantainyard/entry/policies.py
+++ b/plantainyard/entry/policies.py
@@ -19,6 +19,7 @@
     RoomPolicy,
     RunTimePolicy,
     SchedulingPolicy,
+    UnitPolicy,
 )
 from plantainyard.platform.settings import SettingsFault
 
@@ -29,6 +30,7 @@
     "room": RoomPolicy,
     "admission": AdmissionPolicy,
     "health": HealthPolicy,
+    "units": UnitPolicy,
 }
 """Settings of each part, by the name of its table."""
 
@@ -45,6 +47,7 @@
     "max_open_jobs": _Range(low=1),
     "max_reserved_share": _Range(high=1.0),
     "max_suspended_share": _Range(high=1.0),
+    "runners_per_unit": _Range(low=1),
     "slow_ratio": _Range(low=1.0),
 }
 """Ranges of the settings that have other limits than zero and infinity."""
--- a/plantainyard/entry/process.py
+++ b/plantainyard/entry/process.py
@@ -27,7 +27,7 @@
     Instance,
     run_reader,
 )
-from plantainyard.entry.layout import determine_layout
+from plantainyard.entry.layout import RUNNERS_PER_UNIT, determine_layout
 from plantainyard.entry.loads import poll_loads
 from plantainyard.entry.meters import build_metrics_app
 from plantainyard.entry.ownership_manager import OwnershipManager
@@ -212,6 +212,10 @@
     )
 
 
+def _find_unit_size(policy: SchedulingPolicy) -> int:
+    return policy.units.runners_per_unit if policy.units else RUNNERS_PER_UNIT
+
+
 def _run_units(instance: Instance, draining: threading.Event) -> None:
     """Wait for the layout, then follow it and own units as the group assigns them."""
     determine_layout(
@@ -222,6 +226,7 @@
         is_strong(instance.settings),
         instance.log,
         draining,
+        _find_unit_size(instance.policy),
     )
     if draining.is_set():
         return
--- a/plantainyard/entry/tests/test_units.py
+++ b/plantainyard/entry/tests/test_units.py
@@ -81,6 +81,8 @@
     assert choose_unit_count(40, 12, True) == choose_unit_count(40, 12, False) == 1
     assert choose_unit_count(246, 12, False) == 11
     assert choose_unit_count(246, 12, True) == 6
+    assert choose_unit_count(246, 12, True, 96) == 3
+    assert choose_unit_count(246, 12, False, 96) == 11
     found = {find_unit(f"i-{number:x}", 11) for number in range(200)}
     assert found == set(range(11))
 
