--- a/plantainyard/batch/replica.py
+++ b/plantainyard/batch/replica.py
@@ -20,6 +20,7 @@
     "FENCES_KEY",
     "INTERFERENCE_KEY",
     "OWNER_KEY",
+    "RUN_TIMES_KEY",
     "Fences",
     "JobView",
     "LeaseBounds",
@@ -40,6 +41,9 @@
 INTERFERENCE_KEY = "harms"
 """Key of the interference estimates that the owners of a unit have learned."""
 
+RUN_TIMES_KEY = "run_times"
+"""Key of the run times that the owners of a unit have learned."""
+
 FENCES_KEY = "fences"
 """Key of the fencing tokens that the owners of a unit have used at runners."""
 
@@ -130,6 +134,8 @@
         Jobs by id.
     interference : bytes
         Encoded interference estimates that the owners of the unit have learned.
+    run_times : bytes
+        Encoded run times that the owners of the unit have learned.
     fences : Fences
         Fencing tokens that the owners of the unit have used at runners.
     bounds : LeaseBounds
@@ -138,6 +144,7 @@
 
     jobs: dict[str, JobView] = field(default_factory=dict)
     interference: bytes = b""
+    run_times: bytes = b""
     fences: Fences = Fences()
     bounds: LeaseBounds = NO_BOUNDS
 
@@ -151,7 +158,7 @@
         Modified in place.
     key : str
         One of the keys of `plantainyard.batch.records`, `OWNER_KEY`,
-        `INTERFERENCE_KEY`, `FENCES_KEY` or `BOUNDS_KEY`.
+        `INTERFERENCE_KEY`, `RUN_TIMES_KEY`, `FENCES_KEY` or `BOUNDS_KEY`.
     value : bytes
         Value of the record; empty if the key was deleted.
 
@@ -170,6 +177,9 @@
     if key == INTERFERENCE_KEY:
         replica.interference = value
         return ""
+    if key == RUN_TIMES_KEY:
+        replica.run_times = value
+        return ""
     try:
         if key == FENCES_KEY:
             replica.fences = decode_fences(value)
--- a/plantainyard/dispatch/commits.py
+++ b/plantainyard/dispatch/commits.py
@@ -15,6 +15,7 @@
 from plantainyard.batch.replica import (
     FENCES_KEY,
     INTERFERENCE_KEY,
+    RUN_TIMES_KEY,
     Fences,
     encode_fences,
 )
@@ -27,7 +28,7 @@
     encode_changed_bounds,
 )
 from plantainyard.dispatch.model import Job, Phase, StepRun
-from plantainyard.dispatch.queue import find_allowed_time_s
+from plantainyard.dispatch.run_times import encode_run_times
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.timing import summarize_times
 from plantainyard.dispatch.unanswered_starts import list_recipients
@@ -46,6 +47,10 @@
 """Time between stored copies of the interference model: a change of owner loses about a
 second of learning on average, at the cost of a kilobyte per copy."""
 
+RUN_TIMES_INTERVAL_S = 3.0
+"""Time between stored copies of the learned run times, for the same reason; a copy
+takes up to 20 KB with the default number of entries."""
+
 
 def request_commit(state: Dispatcher, now: float) -> None:
     """Commit all changes since the last commit, if there are any to store."""
@@ -73,6 +78,7 @@
     records += _encode_started(state, now)
     records += pop_delivery_records(state)
     records += _encode_interference(state, now)
+    records += _encode_run_times(state, now)
     state.commit_pending = True
     state.committing_last_ends = last_ends
     state.committing_ends = list(state.new_final_states)
@@ -117,6 +123,15 @@
     return [Record(INTERFERENCE_KEY, encode_interference(state.interference))]
 
 
+def _encode_run_times(state: Dispatcher, now: float) -> list[Record]:
+    run_times = state.run_times
+    is_due = now - run_times.stored_at > RUN_TIMES_INTERVAL_S
+    if state.limits.policy.run_times is None or not run_times.entries or not is_due:
+        return []
+    run_times.stored_at = now
+    return [Record(RUN_TIMES_KEY, encode_run_times(run_times, state.wall_offset_s))]
+
+
 def _encode_fences(state: Dispatcher, has_others: bool, now: float) -> list[Record]:
     """Return the record of the fencing tokens if it has changed.
 
@@ -164,11 +179,10 @@
 
 
 def _summarize(job: Job, now: float) -> JobSummary:
-    accepted_at = job.deadline - find_allowed_time_s(job.submission)
     return JobSummary(
         job.submission.record_id,
         job.final_state,
-        round(now - accepted_at, 3),
+        round(now - job.accepted_at, 3),
         round(now - job.deadline, 3),
         summarize_times(job),
         dict(job.lost_runs),
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -49,9 +49,15 @@
 )
 from plantainyard.dispatch.leases import limit_inheritance
 from plantainyard.dispatch.limits import Limits
+from plantainyard.dispatch.measured_runs import (
+    apply_run_time_policy,
+    estimate_job,
+    update_estimates,
+)
 from plantainyard.dispatch.placing import record_free_cpu
 from plantainyard.dispatch.planning import plan_moves, plan_starts
 from plantainyard.dispatch.restoring import restore_jobs
+from plantainyard.dispatch.run_times import decode_run_times
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.timing import add_elapsed_time
 from plantainyard.dispatch.unanswered_starts import maintain_unanswered
@@ -132,9 +138,25 @@
         restore_bound(state, runner, bounds.left_s, now)
     if replica.interference:
         state.interference = _decode_interference_record(replica.interference)
+    _restore_run_times(state, replica.run_times, now)
     return state
 
 
+def _restore_run_times(state: Dispatcher, value: bytes, now: float) -> None:
+    """Take over the run times that predecessors have learned, and apply them."""
+    policy = state.limits.policy.run_times
+    if policy is None or not value:
+        return
+    try:
+        state.run_times = decode_run_times(value, state.wall_offset_s, now)
+    except (ValueError, TypeError, OverflowError) as error:
+        # The run times are learned again from ended tasks.
+        _logger.warning("cannot decode the stored run times: %r", error)
+        return
+    for job in state.jobs.values():
+        estimate_job(state.run_times, policy, job)
+
+
 def _decode_interference_record(value: bytes) -> InterferenceModel:
     try:
         return decode_interference(value)
@@ -170,6 +192,9 @@
         _plan_moves(state, now)
         _update_times(state, now)
         _expire_interference(state, now)
+        update_estimates(
+            state.run_times, state.jobs.values(), state.limits.policy.run_times, now
+        )
         _encode_for_others(state, now)
         confirm_deliveries(state, now)
         expire_arrivals(state, now)
@@ -281,6 +306,9 @@
             limit_inheritance(runners, remaining_s, state.limits, now)
         case PolicyChanged(policy):
             state.limits = state.limits._replace(policy=policy)
+            apply_run_time_policy(
+                state.run_times, state.jobs.values(), policy.run_times
+            )
         case LoadsReceived(loads):
             state.other_loads = dict(loads)
         case InterferenceReceived(records):
--- a/plantainyard/dispatch/jobs.py
+++ b/plantainyard/dispatch/jobs.py
@@ -8,6 +8,7 @@
     forward_cancel,
     record_arrival,
 )
+from plantainyard.dispatch.measured_runs import estimate_job
 from plantainyard.dispatch.model import Job, Phase, StepRun, Task
 from plantainyard.dispatch.orders import release_task, send_stop
 from plantainyard.dispatch.queue import find_critical_paths_ms, set_deadlines
@@ -36,6 +37,7 @@
     remaining_ms = find_critical_paths_ms(submission.steps)
     job = Job(submission, 0.0, remaining_ms, now)
     set_deadlines(job, now)
+    estimate_job(state.run_times, state.limits.policy.run_times, job)
     state.jobs[job_id] = job
     record_arrival(state, submission, now)
     if submission.piece:
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -130,6 +130,11 @@
         When the pace was last lowered.
     unit : int or None
         Unit that the task is handed over to, if any.
+    worked_s, worked_until : float
+        Time that the run has taken at full pace up to `worked_until`, which is zero
+        before that is first measured; see `run_times`.
+    first_percent : int
+        Progress of the run at the beginning of that time; -1 if it isn't known.
     is_completed : bool
         Whether an earlier run, or another member of the gang, has completed the task.
         It is done as soon as its newest run has surely ended or is refused.
@@ -162,6 +167,9 @@
     previous_pace: int = 100
     slowed_at: float = 0.0
     unit: int | None = None
+    worked_s: float = 0.0
+    worked_until: float = 0.0
+    first_percent: int = -1
     is_completed: bool = False
 
 
@@ -213,8 +221,15 @@
         Time after which the result is of no use to the caller.
     received_at : float
         When the dispatcher received the job.
+    accepted_at : float
+        When the job was accepted, on the dispatcher's clock.
     remaining_ms : tuple of float
         By step, the estimated time from its start to the end of the job.
+    estimates_ms : tuple of float
+        By step, the estimated run time of its tasks according to learned run times;
+        empty if the declared figures are in force.
+    measured_ms : dict
+        By step, the run times of its tasks that were measured, by occurrence and index.
     steps : dict
         Steps by (occurrence, number); an occurrence is added when it is due.
     started : bool
@@ -234,6 +249,9 @@
     remaining_ms: tuple[float, ...]
     received_at: float = 0.0
     useful_until: float = 0.0
+    accepted_at: float = 0.0
+    estimates_ms: tuple[float, ...] = ()
+    measured_ms: dict[int, dict[tuple[int, int], float]] = field(default_factory=dict)
     started: bool = False
     steps: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     cancelled: bool = False
--- a/plantainyard/dispatch/orders.py
+++ b/plantainyard/dispatch/orders.py
@@ -5,6 +5,7 @@
 from plantainyard.dispatch.evacuations import knows_evacuations
 from plantainyard.dispatch.events import GiveUpReason, OrderKind, SendOrder
 from plantainyard.dispatch.leases import can_start_arrive, grant_lease
+from plantainyard.dispatch.measured_runs import begin_run_clock, record_pace
 from plantainyard.dispatch.model import Phase, Runner, Task
 from plantainyard.dispatch.pacing import (
     FULL_PACE,
@@ -59,6 +60,7 @@
     task.percent = -1
     task.progress_at = now
     task.pace = task.previous_pace = 100
+    begin_run_clock(task)
     _send_order(state, OrderKind.START, task, runner, now)
 
 
@@ -76,6 +78,7 @@
 ) -> None:
     """Order a run to work at a percentage of full speed."""
     assert runner.entry is not None
+    record_pace(task, now)
     if percent < task.pace:
         task.slowed_at = now
     task.previous_pace = max(0, task.pace)
--- a/plantainyard/dispatch/queue.py
+++ b/plantainyard/dispatch/queue.py
@@ -5,7 +5,7 @@
 it runs to completion on reserved processors.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from plantainyard.batch.values import Step, Submission
@@ -117,18 +117,28 @@
 
 def measure_remaining_work(job: Job) -> float:
     """Return the estimated work of a job's unfinished tasks, in core-seconds."""
+    estimates_ms = job.estimates_ms
     return sum(
         (len(step.tasks) - step.done_count)
         * max(step.spec.resources.cpu, 1)
-        * step.spec.estimate_ms
+        * (estimates_ms[step.number] if estimates_ms else step.spec.estimate_ms)
         / 1e6
         for step in job.steps.values()
     )
 
 
-def find_critical_paths_ms(steps: tuple[Step, ...]) -> tuple[float, ...]:
+def find_critical_paths_ms(
+    steps: tuple[Step, ...], estimates_ms: Sequence[float] = ()
+) -> tuple[float, ...]:
     """Return, for each step, the estimated time from its start to the job's end in ms.
 
+    Parameters
+    ----------
+    steps : tuple of Step
+        The steps of a job.
+    estimates_ms : sequence of float
+        Estimated run time of each step's tasks; those that were declared if empty.
+
     Examples
     --------
     >>> from plantainyard.batch.values import Step
@@ -148,15 +158,19 @@
             break
         for number in ready:
             longest = max((paths[n] for n in followers[number]), default=0)
-            paths[number] = steps[number].estimate_ms + longest
+            own = estimates_ms[number] if estimates_ms else steps[number].estimate_ms
+            paths[number] = own + longest
         remaining -= ready
     return tuple(paths.get(number, 0) for number in range(len(steps)))
 
 
 def find_deadline(
-    submission: Submission, accepted: float, factor: float = 1.0
+    submission: Submission,
+    accepted: float,
+    factor: float = 1.0,
+    estimates_ms: Sequence[float] = (),
 ) -> float:
-    """Return the time until which a job meets its objective, by its own estimates.
+    """Return the time until which a job meets its objective, by estimates.
 
     Parameters
     ----------
@@ -166,21 +180,27 @@
         When it was accepted.
     factor : float
         Multiple of the objective.
+    estimates_ms : sequence of float
+        Estimated run time of each step's tasks; those that were declared if empty.
     """
-    return accepted + factor * find_allowed_time_s(submission)
+    return accepted + factor * find_allowed_time_s(submission, estimates_ms)
 
 
-def find_allowed_time_s(submission: Submission) -> float:
-    """Return the time that a job may take by its own estimates, in seconds."""
-    path_ms = max(find_critical_paths_ms(submission.steps))
+def find_allowed_time_s(
+    submission: Submission, estimates_ms: Sequence[float] = ()
+) -> float:
+    """Return the time that a job may take by estimates, in seconds."""
+    path_ms = max(find_critical_paths_ms(submission.steps, estimates_ms))
     allowed_ms = submission.stretch * path_ms + submission.target_latency_ms
     return allowed_ms / 1000
 
 
 def set_deadlines(job: Job, accepted: float) -> None:
     """Set the times from which a job is late, and from which it is of no more use."""
-    job.deadline = find_deadline(job.submission, accepted)
-    job.useful_until = find_deadline(job.submission, accepted, LATE_FACTOR)
+    job.accepted_at = accepted
+    allowed_s = find_allowed_time_s(job.submission, job.estimates_ms)
+    job.deadline = accepted + allowed_s
+    job.useful_until = accepted + LATE_FACTOR * allowed_s
 
 
 def has_waiting_tasks(step: StepRun) -> bool:
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -26,6 +26,7 @@
     move_start,
     record_clock,
 )
+from plantainyard.dispatch.measured_runs import measure_progress
 from plantainyard.dispatch.model import Phase, Runner
 from plantainyard.dispatch.pacing import has_backfill_tasks, has_serving_tasks
 from plantainyard.dispatch.placing import release_resources, reserve_resources
@@ -198,6 +199,7 @@
     if run.percent != task.percent:
         task.percent = run.percent
         task.progress_at = now
+        measure_progress(state.run_times, state.limits.policy.run_times, task, now)
     if task.phase == Phase.ORDERED:
         runs.mark_running(state, task)
         task.resolved_at = sent_at
--- /dev/null
+++ b/plantainyard/dispatch/run_times.py
@@ -0,0 +1,307 @@
+"""Run times of steps, learned from the tasks that have ended.
+
+Guards against work that is placed last because of an inaccurate declaration: a task of
+one second that was declared with a tenth of it counted as of no more use after two
+seconds, and everything else was placed before it.
+
+Run times of the steps with one number in one queue are alike: their logarithms vary
+around a mean. What a submitter declares is another estimate, with an error of its own.
+Both are weighed by their variances, so that exact declarations stay in force.
+"""
+
+import json
+import math
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+from plantainyard.batch.values import Submission
+from plantainyard.dispatch.model import Job
+from plantainyard.dispatch.policy import RunTimePolicy
+
+__all__ = [
+    "RunTimeEntry",
+    "RunTimes",
+    "StepKey",
+    "decode_run_times",
+    "describe_run_times",
+    "encode_run_times",
+    "estimate_ms",
+    "expire_entries",
+    "learn_run_time",
+]
+
+MIN_RUN_MS = 1.0
+"""Shortest run time that is told apart; also stands for a declared time of zero."""
+
+MAX_RUN_MS = 1e10
+"""Longest run time, a third of a year: bounds what a mistaken declaration can do."""
+
+PRIOR_STEPS = 2.0
+"""Number of steps that the prior variances count for: after as many, what was learned
+is half of the estimate of a variance."""
+
+PRIOR_VARIANCE = 1.0
+"""Variance of the logarithm of run times before any was learned: a factor of e."""
+
+PRIOR_ERROR = 0.16
+"""Mean squared error of the logarithm of declared figures before any was learned: the
+platform calls them rough, and they are usually within half of the run time."""
+
+MIN_ERROR = 1e-4
+"""Least mean squared error of declared figures: a hundredth of the run time is below
+what reports resolve."""
+
+MAX_STEPS = 50.0
+"""Number of steps that an entry counts for at most, so that it follows a change of the
+run times within as many steps."""
+
+StepKey = tuple[str, int]
+"""Queue and step number."""
+
+
+class RunTimeEntry(NamedTuple):
+    """What is known of the run times of one step number of a queue.
+
+    Attributes
+    ----------
+    steps : float
+        Number of steps that it was learned from; a task counts for its share of a step.
+    mean, variance : float
+        Mean and variance of the logarithm of run times in milliseconds.
+    declared_steps : float
+        Number of these steps whose run time was declared.
+    error : float
+        Mean squared error of the logarithm of these declared run times.
+    learned_at : float
+        When the last run time was learned, on the dispatcher's clock.
+    """
+
+    steps: float = 0.0
+    mean: float = 0.0
+    variance: float = 0.0
+    declared_steps: float = 0.0
+    error: float = 0.0
+    learned_at: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class RunTimes:
+    """What one owner has learned of run times.
+
+    Attributes
+    ----------
+    entries : dict
+        Entries by queue and step number, the one that was used last at the end. An
+        entry is used when a run time is learned.
+    changed_jobs : dict
+        Jobs of which a run time was measured since the last tick, by id.
+    jobs_to_update : list of Job
+        Jobs that are yet to be updated from the entries.
+    has_news : bool
+        Whether an entry has changed since these jobs were listed.
+    listed_at, stored_at : float
+        When they were listed, and when the entries were last included in a commit.
+    """
+
+    entries: OrderedDict[StepKey, RunTimeEntry] = field(default_factory=OrderedDict)
+    changed_jobs: dict[str, Job] = field(default_factory=dict)
+    jobs_to_update: list[Job] = field(default_factory=list)
+    has_news: bool = False
+    listed_at: float = 0.0
+    stored_at: float = 0.0
+
+
+def learn_run_time(
+    run_times: RunTimes,
+    policy: RunTimePolicy,
+    submission: Submission,
+    number: int,
+    run_ms: float,
+    now: float,
+) -> None:
+    """Learn the run time of one task of a step.
+
+    Parameters
+    ----------
+    run_times : RunTimes
+        Changed in place.
+    policy : RunTimePolicy
+        Bounds the number of entries.
+    submission : Submission
+        The task's job.
+    number : int
+        Number of its step.
+    run_ms : float
+        Run time at full pace in milliseconds.
+    now : float
+        The dispatcher's clock.
+
+    Notes
+    -----
+    Guards against a wide step that outweighs all others: its tasks are alike and say
+    little more than one of them, so that each counts for its share of the step.
+    """
+    spec = submission.steps[number]
+    key = submission.queue, number
+    entry = run_times.entries.pop(key, RunTimeEntry())
+    observed = _take_log(run_ms)
+    weight = 1 / max(1, spec.size)
+    entry = _add_run_time(entry, observed, weight)
+    if spec.estimate_ms > 0:
+        error = (observed - _take_log(spec.estimate_ms)) ** 2
+        entry = _add_error(entry, error, weight)
+    run_times.entries[key] = entry._replace(learned_at=now)
+    run_times.has_news = True
+    while len(run_times.entries) > policy.max_entries:
+        run_times.entries.popitem(last=False)
+
+
+def _take_log(run_ms: float) -> float:
+    """Return the logarithm of a run time within its bounds."""
+    return math.log(min(MAX_RUN_MS, max(MIN_RUN_MS, run_ms)))
+
+
+def _add_run_time(entry: RunTimeEntry, observed: float, weight: float) -> RunTimeEntry:
+    """Return the entry with a further run time in its exponential moving moments."""
+    steps = min(MAX_STEPS, entry.steps + weight)
+    share = weight / steps
+    distance = observed - entry.mean
+    return entry._replace(
+        steps=steps,
+        mean=entry.mean + share * distance,
+        variance=(1 - share) * (entry.variance + share * distance**2),
+    )
+
+
+def _add_error(entry: RunTimeEntry, error: float, weight: float) -> RunTimeEntry:
+    steps = min(MAX_STEPS, entry.declared_steps + weight)
+    share = weight / steps
+    return entry._replace(
+        declared_steps=steps, error=entry.error + share * (error - entry.error)
+    )
+
+
+def estimate_ms(run_times: RunTimes, submission: Submission, number: int) -> float:
+    """Return the estimated run time of a step's tasks, in milliseconds.
+
+    Notes
+    -----
+    The declared figure and the learned mean are weighed by the inverse of their
+    variances. Before anything was learned, or once it is too old, the declared figure
+    is returned as it is.
+    """
+    spec = submission.steps[number]
+    entry = run_times.entries.get((submission.queue, number))
+    if entry is None or spec.long_running:
+        return min(MAX_RUN_MS, max(MIN_RUN_MS, spec.estimate_ms))
+    if spec.estimate_ms <= 0:
+        return math.exp(entry.mean)
+    declared_weight = 1 / find_declared_variance(entry)
+    learned_weight = 1 / find_learned_variance(entry)
+    declared = _take_log(spec.estimate_ms)
+    weighed = declared_weight * declared + learned_weight * entry.mean
+    return math.exp(weighed / (declared_weight + learned_weight))
+
+
+def find_learned_variance(entry: RunTimeEntry) -> float:
+    """Return the variance of a step's run time around the learned mean.
+
+    Notes
+    -----
+    It includes the error of the mean itself, which is large after one task.
+    """
+    steps = entry.steps
+    variance = (PRIOR_STEPS * PRIOR_VARIANCE + steps * entry.variance) / (
+        PRIOR_STEPS + steps
+    )
+    return variance * (1 + 1 / steps)
+
+
+def find_declared_variance(entry: RunTimeEntry) -> float:
+    """Return the mean squared error of the declared figures."""
+    steps = entry.declared_steps
+    error = (PRIOR_STEPS * PRIOR_ERROR + steps * entry.error) / (PRIOR_STEPS + steps)
+    return max(MIN_ERROR, error)
+
+
+def expire_entries(run_times: RunTimes, policy: RunTimePolicy, now: float) -> None:
+    """Remove the entries that are too old, or more than the policy permits."""
+    entries = run_times.entries
+    while entries:
+        oldest = next(iter(entries.values()))
+        is_old = now - oldest.learned_at > policy.max_age_s
+        if not is_old and len(entries) <= policy.max_entries:
+            return
+        entries.popitem(last=False)
+        run_times.has_news = True
+
+
+def encode_run_times(run_times: RunTimes, wall_offset_s: float) -> bytes:
+    """Return the stored form of the entries.
+
+    Parameters
+    ----------
+    run_times : RunTimes
+        The entries.
+    wall_offset_s : float
+        Unix time minus the dispatcher's clock: a successor has another clock, and an
+        entry's age must not begin anew with each owner.
+    """
+    rows = [
+        [*key, *map(_round, entry[:-1]), round(entry.learned_at + wall_offset_s, 1)]
+        for key, entry in run_times.entries.items()
+    ]
+    return json.dumps(rows, separators=(",", ":")).encode()
+
+
+def _round(value: float) -> float:
+    return float(f"{value:.4g}")
+
+
+def decode_run_times(value: bytes, wall_offset_s: float, now: float) -> RunTimes:
+    """Return what `encode_run_times` stored.
+
+    Raises
+    ------
+    ValueError, TypeError, OverflowError
+        If the bytes are not such a record.
+    """
+    run_times = RunTimes()
+    for queue, number, *values in json.loads(value):
+        steps, mean, variance, declared_steps, error, learned_at = map(float, values)
+        entry = RunTimeEntry(
+            steps, mean, variance, declared_steps, error, learned_at - wall_offset_s
+        )
+        if not _is_valid(entry):
+            raise ValueError(f"invalid run times of step {number} in {queue!r}")
+        # The clocks of two instances differ.
+        entry = entry._replace(learned_at=min(now, entry.learned_at))
+        run_times.entries[str(queue), int(number)] = entry
+    return run_times
+
+
+def _is_valid(entry: RunTimeEntry) -> bool:
+    amounts = entry.variance, entry.declared_steps, entry.error
+    return (
+        all(map(math.isfinite, entry))
+        and entry.steps > 0
+        and 0 <= entry.mean <= math.log(MAX_RUN_MS)
+        and all(amount >= 0 for amount in amounts)
+    )
+
+
+def describe_run_times(run_times: RunTimes, now: float) -> list[dict[str, Any]]:
+    """Return the entries as JSON values; may be called from any thread."""
+    return [
+        {
+            "queue": queue,
+            "step": number,
+            "steps_learned": round(entry.steps, 2),
+            "median_ms": round(math.exp(entry.mean), 1),
+            "spread": round(entry.variance**0.5, 3),
+            "declared_error": round(entry.error**0.5, 3),
+            "age_s": round(now - entry.learned_at, 1),
+        }
+        for (queue, number), entry in list(run_times.entries.items())
+    ]
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -8,6 +8,7 @@
     OrderKind,
 )
 from plantainyard.dispatch.leases import record_clock
+from plantainyard.dispatch.measured_runs import measure_end
 from plantainyard.dispatch.model import Phase, Runner, StepRun, Task
 from plantainyard.dispatch.orders import release_task, send_pace, send_stop
 from plantainyard.dispatch.pacing import get_pace
@@ -191,6 +192,7 @@
         and not job.final_state
     ):
         runner.failure_score = 0.0
+        measure_end(state.run_times, state.limits.policy.run_times, task, now)
         task.incarnation = ""
         jobs.finish_task(state, task)
         _complete_tasks(state, task, task.run, now)
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -14,6 +14,7 @@
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.load import NO_RUNNERS_LOAD, Load
 from plantainyard.dispatch.model import Job, Runner, StepRun, Task
+from plantainyard.dispatch.run_times import RunTimes
 
 __all__ = [
     "EMPTY_COUNTS",
@@ -134,6 +135,8 @@
         The model as other owners get it, and when it was encoded.
     interference_expired_at : float
         When pairs that were no longer observed were last removed from the model.
+    run_times : RunTimes
+        Run times that were learned from ended tasks.
     load, load_measured_at : Load, float
         Load of the unit, and when it was measured.
     max_short_task_cpu : int
@@ -208,6 +211,7 @@
     encoded_interference: bytes = b""
     interference_encoded_at: float = 0.0
     interference_expired_at: float = 0.0
+    run_times: RunTimes = field(default_factory=RunTimes)
     load: Load = NO_RUNNERS_LOAD
     load_measured_at: float = 0.0
     max_short_task_cpu: int = 0
