--- a/plantainyard/dispatch/commits.py
+++ b/plantainyard/dispatch/commits.py
@@ -27,6 +27,7 @@
     confirm_bounds,
     encode_changed_bounds,
 )
+from plantainyard.dispatch.measured_runs import summarize_estimate
 from plantainyard.dispatch.model import Job, Phase, StepRun
 from plantainyard.dispatch.run_times import encode_run_times
 from plantainyard.dispatch.state import Dispatcher
@@ -55,7 +56,7 @@
 def request_commit(state: Dispatcher, now: float) -> None:
     """Commit all changes since the last commit, if there are any to store."""
     summaries = [
-        _summarize(state.jobs[job_id], now) for job_id in state.new_final_states
+        _summarize(state, state.jobs[job_id], now) for job_id in state.new_final_states
     ]
     limit_assigned(state, now)
     records = [
@@ -178,7 +179,7 @@
     ]
 
 
-def _summarize(job: Job, now: float) -> JobSummary:
+def _summarize(state: Dispatcher, job: Job, now: float) -> JobSummary:
     return JobSummary(
         job.submission.record_id,
         job.final_state,
@@ -186,6 +187,7 @@
         round(now - job.deadline, 3),
         summarize_times(job),
         dict(job.lost_runs),
+        summarize_estimate(state.run_times, state.limits.policy.run_times, job, now),
     )
 
 
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -1,6 +1,7 @@
 """Events that the dispatcher handles and actions that it returns."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from types import MappingProxyType
 from typing import NamedTuple
 
 from plantainyard.batch.tasks import TaskKey
@@ -215,6 +216,8 @@
         Task-seconds by `timing.TimePart`, since this owner took over.
     lost_runs : dict
         Number of runs since then that didn't complete, by outcome.
+    estimate : mapping of str to float
+        What decided about its deadline; see `measured_runs.summarize_estimate`.
     """
 
     job_id: str
@@ -223,6 +226,7 @@
     lateness_s: float
     task_time_s: dict[str, float]
     lost_runs: dict[str, int]
+    estimate: Mapping[str, float] = MappingProxyType({})
 
 
 class Commit(NamedTuple):
--- a/plantainyard/dispatch/measured_runs.py
+++ b/plantainyard/dispatch/measured_runs.py
@@ -25,6 +25,7 @@
     "measure_end",
     "measure_progress",
     "record_pace",
+    "summarize_estimate",
     "update_estimates",
 ]
 
@@ -73,8 +74,15 @@
 def measure_progress(
     run_times: RunTimes, policy: RunTimePolicy | None, task: Task, now: float
 ) -> None:
-    """Measure the run time of a task that has just reported progress."""
-    if policy is None or task.step.spec.long_running or task.percent < 0:
+    """Measure the run time of a task that has just reported progress.
+
+    Notes
+    -----
+    A running task that reports 100 percent doesn't tell when it will end.
+    """
+    if policy is None or task.step.spec.long_running:
+        return
+    if not 0 <= task.percent < 100:
         return
     if task.first_percent < 0:
         task.first_percent = task.percent
@@ -167,6 +175,33 @@
     set_deadlines(job, job.accepted_at)
 
 
+def summarize_estimate(
+    run_times: RunTimes, policy: RunTimePolicy | None, job: Job, now: float
+) -> dict[str, float]:
+    """Return what decided about a job's deadline, for logs; empty if switched off.
+
+    Returns
+    -------
+    dict
+        Longest chain of steps by declared and by estimated run times, and the age of
+        the oldest entry that was available for it. A step without entry has no age.
+    """
+    if policy is None:
+        return {}
+    submission = job.submission
+    found = (
+        run_times.entries.get((submission.queue, number))
+        for number in range(len(submission.steps))
+    )
+    ages_s = [now - entry.learned_at for entry in found if entry is not None]
+    figures_s = {
+        "declared_s": max(find_critical_paths_ms(submission.steps)) / 1000,
+        "estimated_s": max(job.remaining_ms) / 1000,
+        "entries_age_s": max(ages_s, default=-1.0),
+    }
+    return {name: round(seconds, 2) for name, seconds in figures_s.items()}
+
+
 def apply_run_time_policy(
     run_times: RunTimes, jobs: Iterable[Job], policy: RunTimePolicy | None
 ) -> None:
--- a/plantainyard/dispatch/queue.py
+++ b/plantainyard/dispatch/queue.py
@@ -14,7 +14,6 @@
 __all__ = [
     "find_allowed_time_s",
     "find_critical_paths_ms",
-    "find_deadline",
     "has_waiting_tasks",
     "measure_remaining_work",
     "order_steps",
@@ -164,28 +163,6 @@
     return tuple(paths.get(number, 0) for number in range(len(steps)))
 
 
-def find_deadline(
-    submission: Submission,
-    accepted: float,
-    factor: float = 1.0,
-    estimates_ms: Sequence[float] = (),
-) -> float:
-    """Return the time until which a job meets its objective, by estimates.
-
-    Parameters
-    ----------
-    submission : Submission
-        The job.
-    accepted : float
-        When it was accepted.
-    factor : float
-        Multiple of the objective.
-    estimates_ms : sequence of float
-        Estimated run time of each step's tasks; those that were declared if empty.
-    """
-    return accepted + factor * find_allowed_time_s(submission, estimates_ms)
-
-
 def find_allowed_time_s(
     submission: Submission, estimates_ms: Sequence[float] = ()
 ) -> float:
--- a/plantainyard/dispatch/run_times.py
+++ b/plantainyard/dispatch/run_times.py
@@ -11,7 +11,6 @@
 
 import json
 import math
-from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
@@ -37,6 +36,8 @@
 MAX_RUN_MS = 1e10
 """Longest run time, a third of a year: bounds what a mistaken declaration can do."""
 
+MIN_LOG, MAX_LOG = math.log(MIN_RUN_MS), math.log(MAX_RUN_MS)
+
 PRIOR_STEPS = 2.0
 """Number of steps that the prior variances count for: after as many, what was learned
 is half of the estimate of a variance."""
@@ -104,7 +105,7 @@
         When they were listed, and when the entries were last included in a commit.
     """
 
-    entries: OrderedDict[StepKey, RunTimeEntry] = field(default_factory=OrderedDict)
+    entries: dict[StepKey, RunTimeEntry] = field(default_factory=dict)
     changed_jobs: dict[str, Job] = field(default_factory=dict)
     jobs_to_update: list[Job] = field(default_factory=list)
     has_news: bool = False
@@ -154,7 +155,7 @@
     run_times.entries[key] = entry._replace(learned_at=now)
     run_times.has_news = True
     while len(run_times.entries) > policy.max_entries:
-        run_times.entries.popitem(last=False)
+        del run_times.entries[next(iter(run_times.entries))]
 
 
 def _take_log(run_ms: float) -> float:
@@ -229,11 +230,11 @@
     """Remove the entries that are too old, or more than the policy permits."""
     entries = run_times.entries
     while entries:
-        oldest = next(iter(entries.values()))
-        is_old = now - oldest.learned_at > policy.max_age_s
+        oldest = next(iter(entries))
+        is_old = now - entries[oldest].learned_at > policy.max_age_s
         if not is_old and len(entries) <= policy.max_entries:
             return
-        entries.popitem(last=False)
+        del entries[oldest]
         run_times.has_news = True
 
 
@@ -275,8 +276,11 @@
         )
         if not _is_valid(entry):
             raise ValueError(f"invalid run times of step {number} in {queue!r}")
-        # The clocks of two instances differ.
-        entry = entry._replace(learned_at=min(now, entry.learned_at))
+        # The clocks of two instances differ, and the stored figures are rounded.
+        entry = entry._replace(
+            mean=min(MAX_LOG, max(MIN_LOG, entry.mean)),
+            learned_at=min(now, entry.learned_at),
+        )
         run_times.entries[str(queue), int(number)] = entry
     return run_times
 
@@ -286,7 +290,6 @@
     return (
         all(map(math.isfinite, entry))
         and entry.steps > 0
-        and 0 <= entry.mean <= math.log(MAX_RUN_MS)
         and all(amount >= 0 for amount in amounts)
     )
 
--- a/plantainyard/entry/inspection.py
+++ b/plantainyard/entry/inspection.py
@@ -12,6 +12,7 @@
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import Dispatcher, count_state
 from plantainyard.dispatch.model import Job, Task
+from plantainyard.dispatch.run_times import describe_run_times
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.peers import look_up_job
 from plantainyard.entry.responses import OK, send_response
@@ -53,6 +54,7 @@
     return {
         **count_state(state)._asdict(),
         "load": state.load._asdict(),
+        "run_times": describe_run_times(state.run_times, now),
         "evacuated": sorted(state.evacuated_domains),
         "renewed_s_ago": round(now - state.renewed_at, 3),
         "commit_out": state.commit_pending,
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -238,7 +238,10 @@
         self._refresh_evacuations()
         owned = list(self.owned.values())
         meters.owned.set(len(owned))
-        counts = [count_state(unit.context.dispatcher) for unit in owned]
+        dispatchers = [unit.context.dispatcher for unit in owned]
+        entries = sum(len(state.run_times.entries) for state in dispatchers)
+        meters.run_time_entries.set(entries)
+        counts = [count_state(state) for state in dispatchers]
         counts = counts or [EMPTY_COUNTS]
         meters.jobs.set(sum(count.jobs for count in counts))
         for gauge, rows in (
--- a/plantainyard/entry/meters.py
+++ b/plantainyard/entry/meters.py
@@ -35,6 +35,7 @@
     "plantainyard_jobs_open": "Jobs that haven't ended, as the owner sees them.",
     "plantainyard_tasks": "Tasks of open jobs at the owner, by phase.",
     "plantainyard_runners": "Runners at the owner, by state.",
+    "plantainyard_run_time_entries": "Queues' steps of which run times are learned.",
     "plantainyard_configuration_age_seconds": "Since the configuration was confirmed.",
     "plantainyard_configuration_version": "Version of the configuration in force.",
     "plantainyard_configuration_copied": "1 if an owner is asked for it, else 0.",
@@ -71,6 +72,7 @@
         self.jobs = self._build_gauge("plantainyard_jobs_open")
         self.tasks = self._build_gauge("plantainyard_tasks", "phase")
         self.runners = self._build_gauge("plantainyard_runners", "state")
+        self.run_time_entries = self._build_gauge("plantainyard_run_time_entries")
         self.configuration_age = self._build_gauge(
             "plantainyard_configuration_age_seconds"
         )
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -308,6 +308,7 @@
         The counters include all jobs, also those whose log lines are left out.
         """
         context = self.context
+        estimate = {"estimate": summary.estimate} if summary.estimate else {}
         context.log.write(
             "job_ended",
             job=summary.job_id,
@@ -316,6 +317,7 @@
             late_s=summary.lateness_s,
             task_s=summary.task_time_s,
             lost=summary.lost_runs,
+            **estimate,
         )
         for part, seconds in summary.task_time_s.items():
             context.meters.task_seconds.labels(part).inc(seconds)
