--- a/plantainyard/dispatch/queue.py
+++ b/plantainyard/dispatch/queue.py
@@ -163,11 +163,18 @@
     return tuple(paths.get(number, 0) for number in range(len(steps)))
 
 
-def find_allowed_time_s(
-    submission: Submission, estimates_ms: Sequence[float] = ()
-) -> float:
-    """Return the time that a job may take by estimates, in seconds."""
-    path_ms = max(find_critical_paths_ms(submission.steps, estimates_ms))
+def find_allowed_time_s(submission: Submission, path_ms: float | None = None) -> float:
+    """Return the time that a job may take, in seconds.
+
+    Parameters
+    ----------
+    submission : Submission
+        The job.
+    path_ms : float, optional
+        Estimated length of its longest chain of steps; as declared if left out.
+    """
+    if path_ms is None:
+        path_ms = max(find_critical_paths_ms(submission.steps))
     allowed_ms = submission.stretch * path_ms + submission.target_latency_ms
     return allowed_ms / 1000
 
@@ -175,7 +182,7 @@
 def set_deadlines(job: Job, accepted: float) -> None:
     """Set the times from which a job is late, and from which it is of no more use."""
     job.accepted_at = accepted
-    allowed_s = find_allowed_time_s(job.submission, job.estimates_ms)
+    allowed_s = find_allowed_time_s(job.submission, max(job.remaining_ms))
     job.deadline = accepted + allowed_s
     job.useful_until = accepted + LATE_FACTOR * allowed_s
 
--- a/plantainyard/entry/tests/test_instance.py
+++ b/plantainyard/entry/tests/test_instance.py
@@ -1,9 +1,22 @@
 """State of an instance: its configuration and the dumps of its state."""
 
+import io
 import json
+from types import SimpleNamespace
+from typing import Any
 from unittest.mock import Mock
 
-from plantainyard.entry.inspection import build_inspection_app, describe_job
+from prometheus_client import generate_latest
+
+from plantainyard.dispatch.events import JobSummary
+from plantainyard.dispatch.run_times import RunTimeEntry
+from plantainyard.entry.eventlog import EventLog
+from plantainyard.entry.inspection import (
+    build_inspection_app,
+    describe_job,
+    describe_state,
+)
+from plantainyard.entry.meters import Meters
 from plantainyard.entry.readers import poll_reader
 from plantainyard.entry.tests.harness import (
     BODY,
@@ -14,6 +27,7 @@
     run_instance,
     wait_until,
 )
+from plantainyard.entry.unit import UnitActor
 from standins.platform import RunnerState, StoreState
 
 
@@ -59,3 +73,33 @@
         (body,) = app({"PATH_INFO": "/state"}, Mock())
         assert json.loads(body)["owned"]["0"]["jobs"] == 1
         assert app({"PATH_INFO": "/metrics"}, Mock()) == [b"meters"]
+
+
+def test_learned_run_times_are_in_the_dump_and_the_gauge():
+    # Guards against estimates that mislead and that nobody can look up.
+    store = StoreState()
+    with run_instance(store, RunnerState("r0")) as instance:
+        own_units(instance, 5, 0)
+        entries = instance.owned[0].context.dispatcher.run_times.entries
+        assert describe_state(instance)["owned"][0]["run_times"] == []
+        entries["route", 2] = RunTimeEntry(3.0, 7.0, 0.25, 3.0, 0.81, 1.0)
+        (row,) = describe_state(instance)["owned"][0]["run_times"]
+        assert (row["queue"], row["step"]) == ("route", 2)
+        assert (row["spread"], row["declared_error"]) == (0.5, 0.9)
+        instance.refresh_meters()
+        text = generate_latest(instance.meters.registry).decode()
+        assert "plantainyard_run_time_entries 1.0" in text
+
+
+def test_the_log_says_which_estimate_decided_about_a_job():
+    # Guards against lateness that nobody can explain. Lines of deployments that don't
+    # learn run times are as before.
+    log = EventLog("edge-1", io.StringIO())
+    actor: Any = SimpleNamespace(context=SimpleNamespace(log=log, meters=Meters()))
+    estimate = {"declared_s": 0.1, "estimated_s": 0.9, "entries_age_s": 4.0}
+    without = JobSummary(JOB, "completed", 1.0, 0.5, {}, {})
+    for summary in (without, without._replace(estimate=estimate)):
+        UnitActor._record_job_end(actor, summary)
+    lines = [json.loads(log.lines.get_nowait() or "") for _ in range(2)]
+    assert "estimate" not in lines[0]
+    assert lines[1]["estimate"] == estimate
