Forecast queues' waits and reject jobs that can't end in time

Cause: in bursts of 2.5 times the usual rate all jobs are accepted, although many of them end after they are of any use.

Change: owners forecast the waits of each queue from the work ahead and the rate of completions; instances ask the owner of a job's unit before they store a submission and answer 429 with Retry-After if no unit can end it within three times its objective. Switched on by the table [admission].

--- a/plantainyard/dispatch/balancing.py
+++ b/plantainyard/dispatch/balancing.py
@@ -24,6 +24,7 @@
     "add_finite_demand",
     "count_slots",
     "find_less_utilized_unit",
+    "is_finite",
     "measure_finite_demand",
 ]
 
@@ -109,7 +110,7 @@
 
 def _find_largest_task(job: Job) -> int:
     """Return the size of the job's largest finite task."""
-    steps = [step for step in job.submission.steps if _is_finite(step)]
+    steps = [step for step in job.submission.steps if is_finite(step)]
     return max((step.resources.cpu for step in steps), default=0)
 
 
@@ -120,7 +121,7 @@
             sum(task.phase not in _NOT_HERE for task in step.tasks)
             * step.spec.resources.cpu
             for step in job.steps.values()
-            if _is_finite(step.spec)
+            if is_finite(step.spec)
         ),
         default=0,
     )
@@ -129,6 +130,6 @@
 _NOT_HERE = frozenset({Phase.DONE, Phase.HANDED_OVER})
 
 
-def _is_finite(step: Step) -> bool:
+def is_finite(step: Step) -> bool:
     """Return whether a step's tasks run to completion on reserved processors."""
     return not step.long_running and not step.backfill
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -27,6 +27,7 @@
     ReportReceived,
     Tick,
 )
+from plantainyard.dispatch.forecast import forecast_queues
 from plantainyard.dispatch.forwarding import (
     confirm_deliveries,
     confirm_forwarded,
@@ -214,7 +215,9 @@
 def _update_load(state: Dispatcher, now: float) -> None:
     if now - state.load_measured_at >= LOAD_INTERVAL_S:
         state.load = measure_load(state)._replace(
-            slots=count_slots(state, now), ending=measure_finite_demand(state, now)
+            slots=count_slots(state, now),
+            ending=measure_finite_demand(state, now),
+            queues=forecast_queues(state, now),
         )
         state.max_short_task_cpu = measure_max_short_task_cpu(state)
         state.load_measured_at = now
@@ -281,8 +284,9 @@
             limit_inheritance(runners, remaining_s, state.limits, now)
         case PolicyChanged(policy):
             state.limits = state.limits._replace(policy=policy)
-        case LoadsReceived(loads):
+        case LoadsReceived(loads, asked_at):
             state.other_loads = dict(loads)
+            state.other_loads_at = asked_at
         case InterferenceReceived(records):
             for record in records:
                 merge_interference(
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -160,9 +160,18 @@
 
 
 class LoadsReceived(NamedTuple):
-    """The owners of other units reported the loads of their units."""
+    """The owners of other units reported the loads of their units.
+
+    Attributes
+    ----------
+    loads : dict of int to Load
+        The loads by unit.
+    asked_at : float
+        When they were requested.
+    """
 
     loads: dict[int, Load]
+    asked_at: float = 0.0
 
 
 class InterferenceReceived(NamedTuple):
--- a/plantainyard/dispatch/load.py
+++ b/plantainyard/dispatch/load.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-__all__ = ["NO_RUNNERS_LOAD", "SLOT_SIZES", "Load"]
+__all__ = ["NO_RUNNERS_LOAD", "SLOT_SIZES", "WORK_SIZES", "Load", "QueueForecast"]
 
 SLOT_SIZES = (
     *(500, 1_000, 1_500, 2_000, 2_500, 3_000, 3_500, 4_000),
@@ -12,6 +12,42 @@
 """Task sizes for which slots are counted, in thousandths of a core; for larger tasks
 only the largest gap is considered."""
 
+WORK_SIZES = tuple(2.0**exponent for exponent in range(-6, 11))
+"""Sizes of jobs, in core-seconds, for which waiting times are forecast: small jobs are
+placed before large ones of the same priority."""
+
+
+class QueueForecast(NamedTuple):
+    """Forecast for the jobs of a queue that arrive now in a unit.
+
+    Attributes
+    ----------
+    queue : str
+        Name of the queue.
+    open_jobs : int
+        Number of its jobs that haven't ended.
+    wait_s : float
+        Time in seconds until a job of the queue's median size would start.
+    stretch_ratio : float
+        Time until such a job would end, relative to its objective.
+    backfill : bool
+        The forecast is for backfill jobs; otherwise for those on reserved processors.
+    waits_s : sequence of float
+        By `WORK_SIZES`, the time until a job of that size would start if only work that
+        can still be in time goes before it; empty if it would start at once.
+    late_waits_s : sequence of float
+        The same if work that is late but still of use goes before it as well, as it
+        does once the job itself is late.
+    """
+
+    queue: str
+    open_jobs: int
+    wait_s: float = 0.0
+    stretch_ratio: float = 0.0
+    backfill: bool = False
+    waits_s: Sequence[float] = ()
+    late_waits_s: Sequence[float] = ()
+
 
 class Load(NamedTuple):
     """Load of a unit, as shares of its usable processors unless stated otherwise.
@@ -35,6 +71,11 @@
     ending : int
         Thousandths of a core that finite tasks hold or wait for, as far as the results
         of their jobs are still of use.
+    queues : sequence of QueueForecast or None
+        Forecasts for the queues that have open jobs; None if they are unknown, as the
+        unit's owner doesn't compute them.
+    measured_s_ago : float
+        Age in seconds of the figures when the owner sent them.
     """
 
     reserved: float
@@ -44,6 +85,8 @@
     gap: int
     slots: Sequence[int] = ()
     ending: int = 0
+    queues: Sequence[QueueForecast] | None = None
+    measured_s_ago: float = 0.0
 
 
 NO_RUNNERS_LOAD = Load(1.0, 1.0, 1.0, 1.0, 0)
--- a/plantainyard/dispatch/queue.py
+++ b/plantainyard/dispatch/queue.py
@@ -12,6 +12,8 @@
 from plantainyard.dispatch.model import Job, Phase, StepRun
 
 __all__ = [
+    "CERTAIN_SHARE",
+    "LATE_FACTOR",
     "find_allowed_time_s",
     "find_critical_paths_ms",
     "find_deadline",
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -7,11 +7,13 @@
     OrderAnswered,
     OrderKind,
 )
+from plantainyard.dispatch.forecast import record_completion
 from plantainyard.dispatch.leases import record_clock
 from plantainyard.dispatch.model import Phase, Runner, StepRun, Task
 from plantainyard.dispatch.orders import release_task, send_pace, send_stop
 from plantainyard.dispatch.pacing import get_pace
 from plantainyard.dispatch.placing import release_resources
+from plantainyard.dispatch.queue import measure_remaining_work
 from plantainyard.dispatch.state import Dispatcher, mark_dirty, record_given_up
 from plantainyard.dispatch.timing import count_lost_run
 from plantainyard.dispatch.unanswered_starts import record_answer, record_seen_run
@@ -192,8 +194,10 @@
     ):
         runner.failure_score = 0.0
         task.incarnation = ""
+        earlier_work = measure_remaining_work(job)
         jobs.finish_task(state, task)
         _complete_tasks(state, task, task.run, now)
+        record_completion(state, job, earlier_work, now)
         return
     if outcome != "done":
         count_lost_run(job, outcome)
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -14,6 +14,7 @@
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.load import NO_RUNNERS_LOAD, Load
 from plantainyard.dispatch.model import Job, Runner, StepRun, Task
+from plantainyard.dispatch.throughput import Throughput
 
 __all__ = [
     "EMPTY_COUNTS",
@@ -141,6 +142,10 @@
         that time.
     other_loads : dict
         Loads of the other units; empty if there is only one unit.
+    other_loads_at : float
+        When these loads were requested.
+    throughput : Throughput
+        What the unit has completed in the last seconds; empty without `admission`.
     handed_over : dict
         Unit that each job was handed over to, by job.
     unconfirmed : set of str
@@ -212,6 +217,8 @@
     load_measured_at: float = 0.0
     max_short_task_cpu: int = 0
     other_loads: dict[int, Load] = field(default_factory=dict)
+    other_loads_at: float = 0.0
+    throughput: Throughput = field(default_factory=Throughput)
     handed_over: dict[str, int] = field(default_factory=dict)
     unconfirmed: set[str] = field(default_factory=set)
     delivered_at: dict[str, float] = field(default_factory=dict)
--- a/plantainyard/entry/caller_api.py
+++ b/plantainyard/entry/caller_api.py
@@ -17,9 +17,10 @@
 )
 from plantainyard.batch.values import FinalStates, Submission
 from plantainyard.clock import read_clock
+from plantainyard.entry.admission import ACCEPTED, Admission, decide_admission
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.lookups import count_pending_in, find_job
-from plantainyard.entry.peers import PendingCount
+from plantainyard.entry.peers import PendingCount, fetch_forecast, fetch_job
 from plantainyard.entry.responses import OK, send_json
 from plantainyard.entry.topics import INTAKE
 from plantainyard.entry.wall_clock import read_wall_clock_ms
@@ -62,6 +63,10 @@
 within that time.
 """
 
+LATE_APPEND_S = 12.0
+"""Time in seconds for which an append without an answer may still take effect; the
+platform carries such calls out 2 to 12 s late."""
+
 MAX_COUNT_THREADS = 12
 """Maximum number of units whose counts are read in parallel; there are never more."""
 
@@ -99,6 +104,7 @@
     QUEUE = "no such queue"
     JOB = "no such job"
     BODY = "wrong request"
+    NO_CAPACITY = "no capacity in time"
 
 
 _STALE_MESSAGE = "the configuration may be out of date"
@@ -185,12 +191,66 @@
         return _reject(decoded.err_value)
     value = encode_submission(decoded.ok_value)
     unit = instance.find_copy(job_id).unit
+    admission = _judge(instance, unit, decoded.ok_value)
+    if admission.cause:
+        return Response(
+            "429 Too Many Requests",
+            {"error": "not run: no capacity in time"},
+            admission.retry_after_s,
+            Reason.NO_CAPACITY,
+        )
     response = _store(instance, unit, make_submission_key(job_id), value)
     event = "accepted" if response.status == OK else "refused"
     instance.log.write(event, job=job_id, queue=queue.name, status=response.status)
     return response
 
 
+def _judge(instance: Instance, unit: int, submission: Submission) -> Admission:
+    """Decide whether a job is accepted; nothing of a rejected one is stored.
+
+    Notes
+    -----
+    Guards against a job that is reported as rejected but runs: it may have been
+    submitted before. The owner therefore looks its id up, including what the store has
+    received a moment ago, and without that answer the job is accepted. An append whose
+    outcome is unknown may take effect seconds later, so that nothing is rejected for
+    that time.
+    """
+    policy = instance.policy.admission
+    now = read_clock()
+    if policy is None or now < instance.unknown_until:
+        return ACCEPTED
+    job_id = submission.job_id
+    is_returning = instance.rejected.is_returning(job_id, now)
+    forecast = fetch_forecast(instance, unit, submission.queue)
+    admission = decide_admission(forecast, submission, policy, is_returning)
+    if forecast is None or not admission.cause:
+        instance.rejected.discard(job_id)
+        return ACCEPTED
+    known = fetch_job(instance, unit, job_id)
+    if known is None or known.state:
+        return ACCEPTED
+    instance.rejected.add(job_id, admission.retry_after_s, read_clock())
+    kind = "backfill" if submission.steps[0].backfill else "finite"
+    instance.meters.turned_away.labels(kind, admission.cause).inc()
+    instance.log.write(
+        "job_turned_away",
+        job=job_id,
+        queue=submission.queue,
+        unit=unit,
+        why=admission.cause,
+        wait_s=round(admission.wait_s, 3),
+        ratio=round(admission.ratio, 3),
+        bound=admission.bound,
+        open_jobs=forecast.open_jobs,
+        age_s=forecast.age_s,
+        own_age_s=forecast.own_age_s,
+        retry_after_s=admission.retry_after_s,
+        returning=is_returning,
+    )
+    return admission
+
+
 def _decode(body: bytes, job_id: str, queue: Queue) -> Result[Submission, str]:
     try:
         submission = decode_body(body, job_id, queue, int(read_wall_clock_ms()))
@@ -227,6 +287,7 @@
         pause_s *= 2
     if outcome_unknown:
         instance.log.write("answered_unknown", key=key)
+        instance.unknown_until = read_clock() + LATE_APPEND_S
         error = "the store did not answer; the outcome is not known"
         return Response(
             "504 Gateway Timeout",
--- a/plantainyard/entry/eventlog.py
+++ b/plantainyard/entry/eventlog.py
@@ -81,6 +81,7 @@
         "job_begun",
         "job_ended",
         "job_handed_over",
+        "job_turned_away",
         "layout_chosen",
         "leases_inherited",
         "left_out",
--- a/plantainyard/entry/inspection.py
+++ b/plantainyard/entry/inspection.py
@@ -11,6 +11,7 @@
 
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import Dispatcher, count_state
+from plantainyard.dispatch.forecast import find_forecast_age
 from plantainyard.dispatch.model import Job, Task
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.peers import look_up_job
@@ -35,6 +36,10 @@
             "versions": dict(instance.evacuations.versions),
             "read_s_ago": _count_since(instance.evacuations.read_at, now),
         },
+        "admission": {
+            "in_force": instance.policy.admission is not None,
+            "rejected_ids": instance.rejected.count(),
+        },
         "units": instance.layout.units,
         "owners": {u: o._asdict() for u, o in list(instance.layout.owners.items())},
         "owned": {
@@ -52,7 +57,9 @@
 def _describe_unit(state: Dispatcher, now: float) -> dict[str, Any]:
     return {
         **count_state(state)._asdict(),
-        "load": state.load._asdict(),
+        "load": state.load._replace(queues=None)._asdict(),
+        "forecasts": [row._asdict() for row in state.load.queues or ()],
+        "forecast_age_s": find_forecast_age(state, now),
         "evacuated": sorted(state.evacuated_domains),
         "renewed_s_ago": round(now - state.renewed_at, 3),
         "commit_out": state.commit_pending,
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -21,6 +21,8 @@
     SchedulingPolicy,
     count_state,
 )
+from plantainyard.dispatch.forecast import find_forecast_age
+from plantainyard.entry.admission import RejectedJobs
 from plantainyard.entry.copies import UnitCopy
 from plantainyard.entry.evacuations import Evacuations
 from plantainyard.entry.eventlog import EventLog
@@ -130,6 +132,11 @@
         Number of units, and their owners.
     evacuations : Evacuations
         The failure domains in which operators want nothing more to start.
+    rejected : RejectedJobs
+        The ids that admission has rejected here lately.
+    unknown_until : float
+        Until then, a submission that was answered without a known outcome may still be
+        stored.
     copies : list of UnitCopy
         Copies of all units, by unit; empty until the number of units is known.
     claims : dict
@@ -177,6 +184,8 @@
         self.store_answered_at = 0.0
         self.layout = Layout(log)
         self.evacuations = Evacuations()
+        self.rejected = RejectedJobs()
+        self.unknown_until = 0.0
         self.copies: list[UnitCopy] = []
         self.claims: dict[int, Claim] = {}
         self.owned: dict[int, OwnedUnit] = {}
@@ -237,6 +246,11 @@
             meters.configuration_version.set(self.configuration.version)
         self._refresh_evacuations()
         owned = list(self.owned.values())
+        now = read_clock()
+        ages = [find_forecast_age(unit.context.dispatcher, now) for unit in owned]
+        meters.forecast_age.set(
+            max((age for age in ages if age is not None), default=0)
+        )
         meters.owned.set(len(owned))
         counts = [count_state(unit.context.dispatcher) for unit in owned]
         counts = counts or [EMPTY_COUNTS]
--- a/plantainyard/entry/loads.py
+++ b/plantainyard/entry/loads.py
@@ -4,6 +4,7 @@
 what their owners have learned of the interference between tasks.
 """
 
+from plantainyard.clock import read_clock
 from plantainyard.dispatch import InterferenceReceived, LoadsReceived
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.peers import fetch_interference, fetch_load
@@ -30,11 +31,12 @@
         if not owned:
             continue
         _exchange_interference(instance, owned)
+        asked_at = read_clock()
         answers = ((c.unit, fetch_load(instance, c.unit)) for c in instance.copies)
         loads = {unit: load for unit, load in answers if load is not None}
         for unit in owned:
             others = {u: load for u, load in loads.items() if u != unit}
-            instance.send_event(unit, LoadsReceived(others))
+            instance.send_event(unit, LoadsReceived(others, asked_at))
 
 
 def _exchange_interference(instance: Instance, owned: list[int]) -> None:
--- a/plantainyard/entry/meters.py
+++ b/plantainyard/entry/meters.py
@@ -26,6 +26,8 @@
     "plantainyard_events": "Decisions and changes, by the event's name in the log.",
     "plantainyard_log_lost_lines": "Lines of the log that nobody took in time.",
     "plantainyard_refused": "Requests of callers turned away, by reason.",
+    "plantainyard_turned_away": "Jobs rejected by admission, by kind and reason.",
+    "plantainyard_forecast_age_seconds": "Oldest forecast figures that an owner has.",
     "plantainyard_call_seconds": "Calls to store, runners, peers by step and result.",
     "plantainyard_call_received_bytes": "Bytes of responses, also of incomplete ones.",
     "plantainyard_first_start_seconds": "From reading a job to its first start.",
@@ -51,6 +53,10 @@
         self.registry = CollectorRegistry()
         self.events = self._build_counter("plantainyard_events", "event")
         self.refused = self._build_counter("plantainyard_refused", "reason")
+        self.turned_away = self._build_counter(
+            "plantainyard_turned_away", "kind", "reason"
+        )
+        self.forecast_age = self._build_gauge("plantainyard_forecast_age_seconds")
         # Caches the labelled histograms, because the library's lookup costs more than
         # the observation itself.
         self._calls: dict[tuple[str, str], Histogram] = {}
--- a/plantainyard/entry/peer_calls.py
+++ b/plantainyard/entry/peer_calls.py
@@ -25,13 +25,19 @@
 
 
 def query_owner(
-    instance: Instance, unit: int, step: str, path: str, field: str, kind: type
+    instance: Instance,
+    unit: int,
+    step: str,
+    path: str,
+    field: str,
+    kind: type,
+    timeout_s: float = QUERY_TIMEOUT_S,
 ) -> dict[str, Any] | None:
     """Return an owner's answer if `field` is of type `kind`; log the reason if not."""
     owner = instance.layout.owners.get(unit)
     if owner is None or owner.address == instance.peer_address():
         return None
-    peer = build_instance_peer(instance, owner.address, QUERY_TIMEOUT_S)
+    peer = build_instance_peer(instance, owner.address, timeout_s)
     answer = call_json(peer, step, "GET", path)
     if isinstance(answer, Err):
         detail = answer.err_value.detail
--- a/plantainyard/entry/peers.py
+++ b/plantainyard/entry/peers.py
@@ -10,7 +10,8 @@
 from plantainyard.batch.pending import Pending, count_pending
 from plantainyard.batch.replica import describe_state
 from plantainyard.clock import read_clock
-from plantainyard.dispatch import Load, list_arrivals
+from plantainyard.dispatch import Dispatcher, Load, list_arrivals
+from plantainyard.dispatch.forecast import UnitForecast, combine_forecasts
 from plantainyard.entry.claims import OwnerReply, OwnerStatus
 from plantainyard.entry.configuration_exchange import (
     CONFIGURATION_PATH,
@@ -18,6 +19,12 @@
     send_configuration,
 )
 from plantainyard.entry.copies import UnitCopy
+from plantainyard.entry.forecasts import (
+    decode_forecast,
+    decode_queues,
+    encode_forecast,
+    encode_queues,
+)
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.layout import Owner
 from plantainyard.entry.peer_calls import (
@@ -36,6 +43,7 @@
     "PendingCount",
     "build_peer_app",
     "count_pending_in_copy",
+    "fetch_forecast",
     "fetch_interference",
     "fetch_job",
     "fetch_load",
@@ -45,6 +53,10 @@
     "look_up_job",
 ]
 
+FORECAST_TIMEOUT_S = 0.15
+"""Timeout in seconds of a query for a forecast. An answer between regions takes 30 ms;
+a submission that waits longer is accepted without it."""
+
 STATUS_TIMEOUT_S = 0.3
 """Timeout in seconds of an owner's status query. Only three consecutive queries without
 an answer have an effect."""
@@ -164,13 +176,38 @@
     """Return the load of a unit from its owner, or None if no owner answers."""
     owned = instance.owned.get(unit)
     if owned is not None:
-        return owned.context.dispatcher.load
+        return _get_load(owned.context.dispatcher)
     body = query_owner(instance, unit, "peer.load", f"/units/{unit}/load", "load", list)
     if body is None:
         return None
     try:
-        return Load(*body["load"], **body.get("room", {}))
-    except TypeError as error:
+        load = Load(*body["load"], **body.get("room", {}))
+        return load._replace(**decode_queues(body))
+    except (TypeError, ValueError) as error:
+        instance.log.write("peer_silent", unit=unit, why=repr(error))
+        return None
+
+
+def _get_load(state: Dispatcher) -> Load:
+    """Return the load of an owned unit with its age."""
+    age_s = read_clock() - state.load_measured_at
+    return state.load._replace(measured_s_ago=round(age_s, 3))
+
+
+def fetch_forecast(instance: Instance, unit: int, queue: str) -> UnitForecast | None:
+    """Return the forecast for a queue from a unit's owner, or None if it is unknown."""
+    owned = instance.owned.get(unit)
+    if owned is not None:
+        return combine_forecasts(owned.context.dispatcher, queue, read_clock())
+    path = f"/units/{unit}/forecast/{quote(queue)}"
+    body = query_owner(
+        instance, unit, "peer.forecast", path, "forecast", dict, FORECAST_TIMEOUT_S
+    )
+    if body is None:
+        return None
+    try:
+        return decode_forecast(body["forecast"])
+    except (TypeError, ValueError, KeyError) as error:
         instance.log.write("peer_silent", unit=unit, why=repr(error))
         return None
 
@@ -324,7 +361,7 @@
     figures = [load.reserved, load.backfill, load.waiting]
     figures += [load.waiting_backfill, load.gap]
     slot_fields = {"slots": list(load.slots), "ending": load.ending}
-    return {"load": figures, "room": slot_fields}
+    return {"load": figures, "room": slot_fields, **encode_queues(load)}
 
 
 def _answer(instance: Instance, path: str) -> dict[str, Any] | None:
@@ -347,6 +384,9 @@
     if topic == "pending" and rest:
         count = fetch_pending(instance, unit, "/".join(rest))
         return None if count is None else _encode_count(count)
+    if topic == "forecast" and rest:
+        forecast = fetch_forecast(instance, unit, "/".join(rest))
+        return None if forecast is None else {"forecast": encode_forecast(forecast)}
     if topic == "harms":
         return {"harms": fetch_interference(instance, unit).decode(errors="replace")}
     if topic == "load":
