Judge the health of runners relative to the siblings of their tasks

Two first failures without a success in between suspend a runner, also if the job fails everywhere, so that three hopeless jobs in a hundred suspend sound runners. Nothing compares run times: a runner that slows down by a factor of five looks as free as others and keeps receiving work.

With [health] in the policy, a failed run counts against its runner only as far as the step's siblings at other runners do better, and blame is withdrawn once the step fails elsewhere too. Progress and run times are compared with the step's other runners; a runner beyond slow_ratio in two tasks has a cost in the ranking, its checkpointed backfill work moves, and a probe task precedes trust. At most max_suspended_share of the answering runners are quarantined or avoided. Without the table every decision is as before. Events runner_slow and runner_trusted, the state `slow` of plantainyard_runners, and an entry in the state dump show it. The gauge of runners now lists states without runners: it kept its last value.

--- a/plantainyard/dispatch/__init__.py
+++ b/plantainyard/dispatch/__init__.py
@@ -32,6 +32,8 @@
     ReportReceived,
     RequestReport,
     RunGivenUp,
+    RunnerSlow,
+    RunnerTrusted,
     SendOrder,
     Tick,
 )
@@ -59,6 +61,8 @@
     "JobStarted",
     "GiveUpReason",
     "RunGivenUp",
+    "RunnerSlow",
+    "RunnerTrusted",
     "CancelRequested",
     "Commit",
     "Committed",
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -39,6 +39,7 @@
     plan_handovers,
     plan_task_handovers,
 )
+from plantainyard.dispatch.health import evaluate_health
 from plantainyard.dispatch.inherited_bounds import restore_bound
 from plantainyard.dispatch.interference import expire_unobserved
 from plantainyard.dispatch.jobs import (
@@ -167,6 +168,7 @@
         reports.expire_leases(state, now)
         maintain_unseen(state, now)
         maintain_unanswered(state, now)
+        state.actions += evaluate_health(state.health, state.runners, state.limits, now)
         _plan_moves(state, now)
         _update_times(state, now)
         _expire_interference(state, now)
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -16,6 +16,8 @@
     "JobStarted",
     "GiveUpReason",
     "RunGivenUp",
+    "RunnerSlow",
+    "RunnerTrusted",
     "CancelRequested",
     "Commit",
     "HandoversConfirmed",
@@ -308,6 +310,49 @@
     why: str
 
 
+class RunnerSlow(NamedTuple):
+    """Record that a runner is slower than others; see `health`.
+
+    Attributes
+    ----------
+    incarnation : str
+        The runner.
+    ratio : float
+        Smoothed factor by which its tasks take longer than their siblings elsewhere.
+    slow_tasks, tasks : float
+        Weight of the tasks beyond the ratio of the policy, and of all compared tasks.
+    age_s : float
+        Age of the newest comparison.
+    """
+
+    incarnation: str
+    ratio: float
+    slow_tasks: float
+    tasks: float
+    age_s: float
+
+
+class RunnerTrusted(NamedTuple):
+    """Record that a slow runner is used like others again.
+
+    Attributes
+    ----------
+    incarnation : str
+        The runner.
+    why : str
+        ``tasks`` if its tasks are as fast as others, ``probe`` if a probe task was.
+    ratio : float
+        Smoothed factor by which its tasks take longer now.
+    slow_s : float
+        Time for which it counted as slow.
+    """
+
+    incarnation: str
+    why: str
+    ratio: float
+    slow_s: float
+
+
 class HandoversConfirmed(NamedTuple):
     """Record that jobs that were handed over are known to their new units."""
 
@@ -362,6 +407,8 @@
 Action = (
     JobStarted
     | RunGivenUp
+    | RunnerSlow
+    | RunnerTrusted
     | Commit
     | HandoversConfirmed
     | Forward
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -312,6 +312,9 @@
     quarantined_until : float
         Until then the runner gets no tasks with limited attempts; zero if it isn't
         quarantined.
+    slowdown : float
+        Factor by which new tasks are expected to take longer there than elsewhere; 1
+        unless the runner is avoided as slow, see `health`.
     paces : dict
         Percentage of full speed by backfill image; images that are missing run at full
         speed.
@@ -365,6 +368,7 @@
     failure_score: float = 0.0
     leaves_at: float = 0.0
     quarantined_until: float = 0.0
+    slowdown: float = 1.0
     paces: dict[str, int] = field(default_factory=dict)
     sampled_at: float = 0.0
     over_target_since: float = 0.0
--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from plantainyard.batch.values import Resources
+from plantainyard.dispatch.health import record_move, record_start, should_move_off
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun, Task
 from plantainyard.dispatch.orders import pace_backfill, send_stop
 from plantainyard.dispatch.placing import (
@@ -19,6 +20,7 @@
     rank_places,
     refresh_places,
 )
+from plantainyard.dispatch.runs import quarantine_failing
 from plantainyard.dispatch.state import Dispatcher, mark_dirty
 from plantainyard.dispatch.timing import TimePart, explain_wait
 from plantainyard.dispatch.unanswered_starts import find_recipient
@@ -110,7 +112,7 @@
 
     Notes
     -----
-    Guards against three kinds of work without progress:
+    Guards against four kinds of work without progress:
 
     - A slowed backfill task holds its memory and finishes late, while it would run at
       full speed on a runner whose serving tasks aren't sensitive to its image.
@@ -119,25 +121,40 @@
       checkpoints loses nothing.
     - A task on a runner where tasks stall never ends; its runner is recorded as
       failing.
+    - A backfill task on a slow runner ends late, see `health`.
     """
     runners = list(state.runners.values())
-    candidates = [
+    running = [
         (runner, task)
         for runner in runners
         if runner.responsive and runner.entry is not None
         for task in runner.tasks.values()
-        if task.phase == Phase.RUNNING and _should_move(runner, task, now)
+        if task.phase == Phase.RUNNING
     ]
+    candidates = [pair for pair in running if _should_move(*pair, now)]
     for runner, task in candidates[:MAX_MOVES]:
         if _is_stalled(task, now):
             _record_stall(state, runner, task, now)
         others = [other for other in runners if other is not runner]
-        task.waiting_since = now
-        if (
-            choose_runner(task, others, state.limits, state.interference, now)
-            is not None
-        ):
-            send_stop(state, task, now)
+        _move_task(state, task, others, now)
+    held_up = [
+        task
+        for runner, task in running
+        if should_move_off(state.health, task, runner, now)
+    ]
+    trusted = [runner for runner in runners if runner.slowdown <= 1.0]
+    for task in held_up[:MAX_MOVES]:
+        _move_task(state, task, trusted, now)
+
+
+def _move_task(
+    state: Dispatcher, task: Task, runners: list[Runner], now: float
+) -> None:
+    """Stop a task if one of the given runners has a place for it."""
+    task.waiting_since = now
+    if choose_runner(task, runners, state.limits, state.interference, now) is not None:
+        record_move(state.health, task, now)
+        send_stop(state, task, now)
 
 
 def _should_move(runner: Runner, task: Task, now: float) -> bool:
@@ -176,8 +193,7 @@
     assert runner.entry is not None
     task.avoided_runners.add(runner.entry.runner)
     runner.failure_score += 1.0
-    if runner.failure_score >= state.limits.quarantine_after:
-        runner.quarantined_until = now + state.limits.quarantine_s
+    quarantine_failing(state, runner, now)
 
 
 def _list_ready_steps(job: Job) -> list[StepRun]:
@@ -395,6 +411,7 @@
     task.step.wait_reason = ""
     task.step.no_place_found = False
     reserve_resources(runner, task)
+    record_start(state.health, task, runner, now)
     if task.step.spec.backfill or task.step.spec.target_ms:
         # Slow the backfill tasks there before the new task adds to the interference.
         pace_backfill(state, runner, now)
--- a/plantainyard/dispatch/ranking.py
+++ b/plantainyard/dispatch/ranking.py
@@ -62,6 +62,10 @@
 """Weight of a pair below which it counts as harmless: a task that uses a tenth of the
 runner stretches the serving tasks' work by 7 %."""
 
+SLOW_COST = 400.0
+"""Cost of each task's run time that a slow runner adds to it: more than other
+preferences, and as much as the preferred rack if it takes 3.5 times as long."""
+
 FAILURE_COST = 50.0
 """Cost of a recent failure: a runner that failed lately is a greater risk than a fuller
 one."""
@@ -258,6 +262,8 @@
         runner.entry.rack == spec.preferred_rack and spec.preferred_rack != ""
     )
     score = RACK_BONUS if on_preferred_rack and limits.remote_factor > 1 else 0.0
+    if runner.slowdown > 1.0 and not spec.long_running:
+        score -= SLOW_COST * (runner.slowdown - 1.0)
     return score - FAILURE_COST * runner.failure_score
 
 
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -13,6 +13,7 @@
     RequestReport,
     SendOrder,
 )
+from plantainyard.dispatch.health import observe_progress
 from plantainyard.dispatch.interference import learn_from_sample
 from plantainyard.dispatch.leases import (
     count_earlier_calls,
@@ -201,6 +202,8 @@
     if task.phase == Phase.ORDERED:
         runs.mark_running(state, task)
         task.resolved_at = sent_at
+    if state.limits.policy.health and task.phase == Phase.RUNNING:
+        observe_progress(state.health, task, runner, now)
     return True
 
 
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -7,6 +7,11 @@
     OrderAnswered,
     OrderKind,
 )
+from plantainyard.dispatch.health import (
+    observe_end,
+    observe_failure,
+    suspend_failing,
+)
 from plantainyard.dispatch.leases import record_clock
 from plantainyard.dispatch.model import Phase, Runner, StepRun, Task
 from plantainyard.dispatch.orders import release_task, send_pace, send_stop
@@ -25,6 +30,7 @@
     "give_up_start",
     "mark_running",
     "mark_started",
+    "quarantine_failing",
     "requeue_task",
 ]
 
@@ -191,6 +197,8 @@
         and not job.final_state
     ):
         runner.failure_score = 0.0
+        if state.limits.policy.health:
+            observe_end(state.health, task, runner, now)
         task.incarnation = ""
         jobs.finish_task(state, task)
         _complete_tasks(state, task, task.run, now)
@@ -276,10 +284,20 @@
 
 def _record_failure(state: Dispatcher, task: Task, runner: Runner, now: float) -> None:
     is_first = task.failures == 0
+    if state.limits.policy.health:
+        observe_failure(state.health, task, runner, now)
+    else:
+        # A task that also failed elsewhere says little about this runner.
+        runner.failure_score += 1.0 if is_first else 0.25
     task.failures += 1
     if runner.entry is not None:
         task.avoided_runners.add(runner.entry.runner)
-    # A task that also failed elsewhere says little about this runner.
-    runner.failure_score += 1.0 if is_first else 0.25
-    if runner.failure_score >= state.limits.quarantine_after:
+    quarantine_failing(state, runner, now)
+
+
+def quarantine_failing(state: Dispatcher, runner: Runner, now: float) -> None:
+    """Quarantine a runner whose recent failures reach the threshold."""
+    if state.limits.policy.health:
+        suspend_failing(state.health, runner, state.limits, now)
+    elif runner.failure_score >= state.limits.quarantine_after:
         runner.quarantined_until = now + state.limits.quarantine_s
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -10,6 +10,7 @@
 from plantainyard.batch.values import Submission
 from plantainyard.dispatch.estimates import InterferenceModel
 from plantainyard.dispatch.events import Action, RunGivenUp
+from plantainyard.dispatch.health import Health
 from plantainyard.dispatch.leases import get_lease_end
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.load import NO_RUNNERS_LOAD, Load
@@ -30,6 +31,10 @@
 ]
 
 
+RUNNER_STATES = ("answering", "silent", "quarantined", "slow")
+"""States in which a runner counts, for metrics."""
+
+
 class Arrival(NamedTuple):
     """A job that was handed over to this unit.
 
@@ -159,6 +164,8 @@
         Jobs among these that were cancelled in the meantime.
     pending_cancels : set of str
         Jobs and tasks in other units whose cancellation isn't stored there yet.
+    health : Health
+        What is known about failing and slow runners.
     times_updated_at, moves_planned_at : float
         When the times of jobs were last updated; when moves of tasks to better places
         were last planned.
@@ -221,6 +228,7 @@
     committing_outgoing: dict[str, Submission] = field(default_factory=dict)
     cancelled_outgoing: set[str] = field(default_factory=set)
     pending_cancels: set[str] = field(default_factory=set)
+    health: Health = field(default_factory=Health)
     times_updated_at: float = 0.0
     moves_planned_at: float = 0.0
 
@@ -263,7 +271,8 @@
     tasks : dict
         Number of tasks of open jobs, by phase.
     runners : dict
-        Number of runners that are ``answering``, ``silent`` or ``quarantined``.
+        Number of runners that are ``answering``, ``silent``, ``quarantined`` or
+        ``slow``.
     """
 
     jobs: int
@@ -311,10 +320,14 @@
     runners = Counter(
         _get_runner_state(runner) for runner in list(state.runners.values())
     )
-    return Counts(len(jobs), dict(tasks), dict(runners))
+    # A state without runners is listed too, or its gauge would keep the last value.
+    by_state = dict.fromkeys(RUNNER_STATES, 0) | dict(runners)
+    return Counts(len(jobs), dict(tasks), by_state)
 
 
 def _get_runner_state(runner: Runner) -> str:
     if not runner.responsive:
         return "silent"
-    return "quarantined" if runner.quarantined_until else "answering"
+    if runner.quarantined_until:
+        return "quarantined"
+    return "slow" if runner.slowdown > 1.0 else "answering"
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -46,6 +46,8 @@
     ReportReceived,
     RequestReport,
     RunGivenUp,
+    RunnerSlow,
+    RunnerTrusted,
     SendOrder,
     Tick,
     list_lease_ends,
@@ -110,6 +112,7 @@
         self.losing_forwards = False
         self.summaries: list[JobSummary] = []
         self.given_up: list[RunGivenUp] = []
+        self.health_changes: list[tuple[float, RunnerSlow | RunnerTrusted]] = []
         self.owners = 0
         self.former_owners: list[World] = []
         self.change_owner()
@@ -243,6 +246,9 @@
         if isinstance(action, RunGivenUp):
             self.given_up.append(action)
             return []
+        if isinstance(action, RunnerSlow | RunnerTrusted):
+            self.health_changes.append((self.now, action))
+            return []
         if isinstance(action, HandoversConfirmed):
             mark_jobs_delivered(self.replica, action.job_ids)
             return []
--- a/plantainyard/entry/eventlog.py
+++ b/plantainyard/entry/eventlog.py
@@ -102,6 +102,8 @@
         "run_started",
         "runner_changed",
         "runner_silent",
+        "runner_slow",
+        "runner_trusted",
         "runs_held",
         "started",
         "stopped",
--- a/plantainyard/entry/inspection.py
+++ b/plantainyard/entry/inspection.py
@@ -57,6 +57,39 @@
         "renewed_s_ago": round(now - state.renewed_at, 3),
         "commit_out": state.commit_pending,
         "moved": len(state.handed_over),
+        "runner_health": _describe_health(state, now),
+    }
+
+
+def _describe_health(state: Dispatcher, now: float) -> dict[str, Any] | None:
+    """Return which runners are failing or slow, and why; None if that isn't judged."""
+    if state.limits.policy.health is None:
+        return None
+    health = state.health
+    return {
+        "max_avoided": health.max_avoided,
+        "avoided": sorted(health.avoided),
+        "steps": len(health.steps),
+        "failing": {
+            key: {
+                "score": round(found.blamed, 2),
+                "failures": len(found.failures),
+                "left_s": round(found.failing_until - now, 3),
+            }
+            for key, found in list(health.runners.items())
+            if found.failing_until
+        },
+        "slow": {
+            key: {
+                "ratio": round(found.ratio, 2),
+                "slow_s": round(now - found.slow_since, 3),
+                "evidence_s_ago": round(now - found.slow_at, 3),
+                "compared": len(found.evidence),
+                "probe": found.probe and [*found.probe[0], found.probe[1]],
+            }
+            for key, found in list(health.runners.items())
+            if found.is_slow
+        },
     }
 
 
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -38,6 +38,8 @@
     ReportReceived,
     RequestReport,
     RunGivenUp,
+    RunnerSlow,
+    RunnerTrusted,
     SendOrder,
     Tick,
     count_held_runs,
@@ -201,6 +203,14 @@
             why=action.why,
         )
 
+    def _log_runner_health(self, action: RunnerSlow | RunnerTrusted) -> None:
+        inputs = action._asdict()
+        fields = {"unit": self.context.unit, "runner": inputs.pop("incarnation")}
+        if isinstance(action, RunnerSlow):
+            self.context.log.write("runner_slow", **fields, **inputs)
+        else:
+            self.context.log.write("runner_trusted", **fields, **inputs)
+
     def _log_run_start(self, message: OrderAnswered, now: float) -> None:
         job = self.dispatcher.jobs.get(message.task.job_id)
         done = message.result.outcome == OrderOutcome.DONE
@@ -274,6 +284,8 @@
             self._record_job_start(action)
         elif isinstance(action, RunGivenUp):
             self._log_given_up_run(action)
+        elif isinstance(action, RunnerSlow | RunnerTrusted):
+            self._log_runner_health(action)
         elif isinstance(action, HandoversConfirmed):
             mark_jobs_delivered(self.context.replica, action.job_ids)
         elif isinstance(action, Forward):
--- a/standins/platform/runner.py
+++ b/standins/platform/runner.py
@@ -23,11 +23,14 @@
         Runs make no progress and don't end.
     refuses_starts : bool
         Start orders are refused without effect.
+    failing_tasks : tuple of str
+        Runs of tasks whose names begin so end as failed.
     """
 
     fails_all_runs: bool = False
     makes_no_progress: bool = False
     refuses_starts: bool = False
+    failing_tasks: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -137,10 +140,15 @@
             if run.stops_at is not None and now >= run.stops_at:
                 self._end(run, "stopped")
             elif now >= run.ends_at and run.stops_at is None:
-                self._end(run, "failed" if self.faults.fails_all_runs else "done")
+                self._end(run, "failed" if self._fails(run) else "done")
             elif lapsed:
                 self._end(run, "lapsed")
 
+    def _fails(self, run: Run) -> bool:
+        return self.faults.fails_all_runs or run.task.startswith(
+            self.faults.failing_tasks
+        )
+
     def _end(self, run: Run, outcome: str) -> None:
         del self.running[run.task]
         self.end_count += 1
