Reserve runners for large tasks, and move long-running ones for them

A large finite task waited for good because smaller ones took each gap, or because long-running tasks left gaps on many runners of which none was large enough.

With [room] in the scheduling policy, the owner reserves a runner for a task that found no place for 0.4 s: where finite tasks end soon, or where the fewest and smallest long-running tasks fit elsewhere now. Their resources are held at the new runner, and they are stopped only after the store has answered a commit that was requested after the decision. Without the policy nothing is reserved, held or moved.

--- a/plantainyard/dispatch/commits.py
+++ b/plantainyard/dispatch/commits.py
@@ -28,6 +28,7 @@
 )
 from plantainyard.dispatch.model import Job, Phase, StepRun
 from plantainyard.dispatch.queue import find_allowed_time_s
+from plantainyard.dispatch.room import begin_moves, stop_moved_tasks
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.timing import summarize_times
 from plantainyard.dispatch.unanswered_starts import list_recipients
@@ -74,6 +75,8 @@
     records += pop_delivery_records(state)
     records += _encode_interference(state, now)
     state.commit_pending = True
+    state.commit_requested_at = now
+    begin_moves(state)
     state.committing_last_ends = last_ends
     state.committing_ends = list(state.new_final_states)
     state.committing_outgoing = state.outgoing
@@ -195,6 +198,7 @@
     for task in state.committing_starts:
         if task.phase == Phase.STORING:
             orders.send_start(state, task, now)
+    stop_moved_tasks(state, now)
     state.committing_last_ends = {}
     state.committing_ends = []
     state.committing_starts = []
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -52,6 +52,7 @@
 from plantainyard.dispatch.placing import record_free_cpu
 from plantainyard.dispatch.planning import plan_moves, plan_starts
 from plantainyard.dispatch.restoring import restore_jobs
+from plantainyard.dispatch.room import plan_room
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.timing import add_elapsed_time
 from plantainyard.dispatch.unanswered_starts import maintain_unanswered
@@ -168,6 +169,7 @@
         maintain_unseen(state, now)
         maintain_unanswered(state, now)
         _plan_moves(state, now)
+        plan_room(state, now)
         _update_times(state, now)
         _expire_interference(state, now)
         _encode_for_others(state, now)
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -35,9 +35,13 @@
     "OrderKind",
     "OwnershipRenewed",
     "PolicyChanged",
+    "ReleaseReason",
     "RequestReport",
+    "RoomReleased",
+    "RoomReserved",
     "SendOrder",
     "JobSubmitted",
+    "TaskMovedForRoom",
     "Tick",
 ]
 
@@ -308,6 +312,120 @@
     why: str
 
 
+class RoomReserved(NamedTuple):
+    """Record that a runner was reserved for a task that couldn't be placed.
+
+    Attributes
+    ----------
+    task, runner : TaskKey, str
+        The waiting task, and the incarnation of the runner.
+    waited_s : float
+        Time for which it has waited.
+    wanted_cpu, free_cpu : int
+        Thousandths of a core that it needs, and that are unreserved at the runner.
+    moves : int
+        Number of long-running tasks that are to give way.
+    ready_s : float
+        Estimated time until the task fits.
+    report_age_s : float
+        Age of the runner's last report.
+    reserved : int
+        Number of reserved runners, with this one.
+    """
+
+    task: TaskKey
+    runner: str
+    waited_s: float
+    wanted_cpu: int
+    free_cpu: int
+    moves: int
+    ready_s: float
+    report_age_s: float
+    reserved: int
+
+
+class ReleaseReason:
+    """Reasons why a reservation ends.
+
+    Notes
+    -----
+    ``STARTED``
+        A task of its step was assigned there, or its own task elsewhere.
+    ``NOT_WAITING``
+        Its task no longer waits here: the job has ended or was handed over.
+    ``RUNNER``
+        The runner left, fell silent, drains, or is evacuated.
+    ``EXPIRED``
+        The longest time for a reservation has passed.
+    ``TOO_MANY``
+        The unit has fewer runners than before.
+    ``NO_MOVE``
+        A task that was to give way can't be moved any more, or the store didn't answer
+        in time.
+    ``SWITCHED_OFF``
+        The part was switched off.
+    """
+
+    STARTED = "started"
+    NOT_WAITING = "not waiting"
+    RUNNER = "runner not usable"
+    EXPIRED = "expired"
+    TOO_MANY = "too many reserved"
+    NO_MOVE = "can't be moved"
+    SWITCHED_OFF = "switched off"
+
+
+class RoomReleased(NamedTuple):
+    """Record that the reservation of a runner ended.
+
+    Attributes
+    ----------
+    task, runner : TaskKey, str
+        The task that it was meant for, and the incarnation of the runner.
+    why : str
+        One of `ReleaseReason`.
+    held_s : float
+        How long the runner was reserved.
+    free_cpu : int
+        Thousandths of a core that are unreserved at the runner.
+    """
+
+    task: TaskKey
+    runner: str
+    why: str
+    held_s: float
+    free_cpu: int
+
+
+class TaskMovedForRoom(NamedTuple):
+    """Record that a long-running task is stopped to make room for a large task.
+
+    Attributes
+    ----------
+    task, run : TaskKey, int
+        The run that is stopped.
+    source, target : str
+        Incarnations of its runner and of the one where resources are held for it.
+    cpu : int
+        Thousandths of a core that the task reserves.
+    room_for : TaskKey
+        The task that waits for the room.
+    decided_s_ago : float
+        Time since the decision; the store has answered in the meantime.
+    renewed_s_ago : float
+        Time since the last renewal of the ownership.
+    """
+
+    task: TaskKey
+    run: int
+    source: str
+    target: str
+    cpu: int
+    room_for: TaskKey
+    decided_s_ago: float
+    renewed_s_ago: float
+
+
 class HandoversConfirmed(NamedTuple):
     """Record that jobs that were handed over are known to their new units."""
 
@@ -362,6 +480,9 @@
 Action = (
     JobStarted
     | RunGivenUp
+    | RoomReserved
+    | RoomReleased
+    | TaskMovedForRoom
     | Commit
     | HandoversConfirmed
     | Forward
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -186,6 +186,8 @@
     wait_reason, wait_reason_at : str, float
         Why its tasks wait, one of `timing.TimePart` or empty, and when that was
         determined.
+    reserved_runners : int
+        Number of runners that are reserved for its tasks.
     """
 
     job: "Job"
@@ -197,6 +199,7 @@
     no_place_found: bool = False
     wait_reason: str = ""
     wait_reason_at: float = 0.0
+    reserved_runners: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -330,6 +333,8 @@
     spare_load : dict
         By backfill image, the load that additional tasks of it may add; cached for the
         images queried since `backfill_loads` and `serving_headroom` were updated.
+    reserved_for : StepRun or None
+        Step of a large task that the runner is reserved for; see `room`.
     """
 
     incarnation: str
@@ -375,3 +380,4 @@
     backfill_loads: dict[str, float] = field(default_factory=dict)
     serving_headroom: dict[str, float] = field(default_factory=dict)
     spare_load: dict[str, float] = field(default_factory=dict)
+    reserved_for: StepRun | None = None
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -16,10 +16,12 @@
     "can_start",
     "can_start_after_evacuation",
     "count_step_tasks",
+    "end_hold",
     "estimate_speed",
     "find_min_speed",
     "get_reserved_cpu",
     "has_capacity",
+    "hold_resources",
     "measure_unused_cpu",
     "record_free_cpu",
     "release_resources",
@@ -133,7 +135,23 @@
 
 def can_start(task: Task, runner: Runner, now: float) -> bool:
     """Return whether a task may start on the runner, capacity aside."""
-    return not runner.evacuated and can_start_after_evacuation(task, runner, now)
+    if runner.evacuated or not _is_open_to(task, runner):
+        return False
+    return can_start_after_evacuation(task, runner, now)
+
+
+def _is_open_to(task: Task, runner: Runner) -> bool:
+    """Return whether the runner isn't reserved for another step; see `room`.
+
+    Notes
+    -----
+    Interrupted long-running tasks may use any runner, as their users are without
+    service.
+    """
+    step = runner.reserved_for
+    if step is None or step is task.step:
+        return True
+    return task.step.spec.long_running and task.run > 0
 
 
 def can_start_after_evacuation(task: Task, runner: Runner, now: float) -> bool:
@@ -229,6 +247,16 @@
         _add_resources(runner, task, -1)
 
 
+def hold_resources(runner: Runner, task: Task) -> None:
+    """Hold resources for a task that is to start on the runner later."""
+    _add_resources(runner, task, 1)
+
+
+def end_hold(runner: Runner, task: Task) -> None:
+    """Release the resources that were held for a task."""
+    _add_resources(runner, task, -1)
+
+
 def _add_resources(runner: Runner, task: Task, sign: int) -> None:
     spec = task.step.spec
     cpu = sign * spec.resources.cpu
--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -19,6 +19,7 @@
     rank_places,
     refresh_places,
 )
+from plantainyard.dispatch.room import end_reservation_by_start, take_held_place
 from plantainyard.dispatch.state import Dispatcher, mark_dirty
 from plantainyard.dispatch.timing import TimePart, explain_wait
 from plantainyard.dispatch.unanswered_starts import find_recipient
@@ -229,8 +230,13 @@
         if task.unanswered:
             _place_at_recipient(state, task, assigned, now)
             continue
+        if task.key in state.room.moves and _place_as_held(state, task, assigned, now):
+            continue
         kind = _find_kind(state, task, now)
-        if _exceeds_unplaced(step.spec.resources, unplaced.get(kind, [])):
+        # A step with a reserved runner has a place that was closed to the others.
+        if not step.reserved_runners and _exceeds_unplaced(
+            step.spec.resources, unplaced.get(kind, [])
+        ):
             _leave_waiting(step, task, allowed, partial, now)
             return
         has_run = task.run > 0
@@ -264,6 +270,20 @@
     assigned.append(runner)
 
 
+def _place_as_held(
+    state: Dispatcher, task: Task, assigned: list[Runner], now: float
+) -> bool:
+    """Place a task that gave way where resources are held for it; see `room`."""
+    held = take_held_place(state, task)
+    idle = _is_fleet_idle(state)
+    runner = choose_runner(task, held, state.limits, state.interference, now, idle)
+    if runner is None:
+        return False
+    _assign(state, task, runner, task.run + 1, now)
+    assigned.append(runner)
+    return True
+
+
 def _leave_waiting(
     step: StepRun, task: Task, runners: list[Runner], partial: bool, now: float
 ) -> None:
@@ -400,3 +420,5 @@
         pace_backfill(state, runner, now)
     state.assigned.append(task)
     mark_dirty(state, task.step)
+    if state.room.reservations:
+        end_reservation_by_start(state, task, runner, now)
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -14,6 +14,7 @@
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.load import NO_RUNNERS_LOAD, Load
 from plantainyard.dispatch.model import Job, Runner, StepRun, Task
+from plantainyard.dispatch.reservations import Room
 
 __all__ = [
     "EMPTY_COUNTS",
@@ -76,6 +77,8 @@
         Tasks assigned since the last commit.
     commit_pending : bool
         Whether a commit is being stored; the next one waits for it.
+    commit_requested_at : float
+        When the last commit was requested.
     committing_last_ends, committing_ends, committing_starts
         Contents of that commit: the last end by runner incarnation, the jobs that end,
         and the tasks to start.
@@ -162,6 +165,8 @@
     times_updated_at, moves_planned_at : float
         When the times of jobs were last updated; when moves of tasks to better places
         were last planned.
+    room : Room
+        Runners reserved for large tasks, and tasks that give way to these.
     """
 
     limits: Limits
@@ -175,6 +180,7 @@
     new_final_states: dict[str, str] = field(default_factory=dict)
     assigned: list[Task] = field(default_factory=list)
     commit_pending: bool = False
+    commit_requested_at: float = 0.0
     committing_last_ends: dict[str, int] = field(default_factory=dict)
     committing_ends: list[str] = field(default_factory=list)
     committing_starts: list[Task] = field(default_factory=list)
@@ -223,6 +229,7 @@
     pending_cancels: set[str] = field(default_factory=set)
     times_updated_at: float = 0.0
     moves_planned_at: float = 0.0
+    room: Room = field(default_factory=Room)
 
 
 def mark_dirty(state: Dispatcher, step: StepRun) -> None:
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -45,8 +45,11 @@
     ReportFailed,
     ReportReceived,
     RequestReport,
+    RoomReleased,
+    RoomReserved,
     RunGivenUp,
     SendOrder,
+    TaskMovedForRoom,
     Tick,
     list_lease_ends,
     restore_dispatcher,
@@ -110,6 +113,9 @@
         self.losing_forwards = False
         self.summaries: list[JobSummary] = []
         self.given_up: list[RunGivenUp] = []
+        self.room_actions: list[
+            tuple[float, RoomReserved | RoomReleased | TaskMovedForRoom]
+        ] = []
         self.owners = 0
         self.former_owners: list[World] = []
         self.change_owner()
@@ -243,6 +249,9 @@
         if isinstance(action, RunGivenUp):
             self.given_up.append(action)
             return []
+        if isinstance(action, RoomReserved | RoomReleased | TaskMovedForRoom):
+            self.room_actions.append((self.now, action))
+            return []
         if isinstance(action, HandoversConfirmed):
             mark_jobs_delivered(self.replica, action.job_ids)
             return []
--- a/plantainyard/entry/inspection.py
+++ b/plantainyard/entry/inspection.py
@@ -12,6 +12,7 @@
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import Dispatcher, count_state
 from plantainyard.dispatch.model import Job, Task
+from plantainyard.dispatch.room import describe_room
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.peers import look_up_job
 from plantainyard.entry.responses import OK, send_response
@@ -57,6 +58,7 @@
         "renewed_s_ago": round(now - state.renewed_at, 3),
         "commit_out": state.commit_pending,
         "moved": len(state.handed_over),
+        "room": describe_room(state.room, now),
     }
 
 
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -241,6 +241,8 @@
         counts = [count_state(unit.context.dispatcher) for unit in owned]
         counts = counts or [EMPTY_COUNTS]
         meters.jobs.set(sum(count.jobs for count in counts))
+        rooms = [unit.context.dispatcher.room for unit in owned]
+        meters.room_reservations.set(sum(len(room.reservations) for room in rooms))
         for gauge, rows in (
             (meters.tasks, [count.tasks for count in counts]),
             (meters.runners, [count.runners for count in counts]),
--- a/plantainyard/entry/meters.py
+++ b/plantainyard/entry/meters.py
@@ -40,6 +40,8 @@
     "plantainyard_configuration_copied": "1 if an owner is asked for it, else 0.",
     "plantainyard_evacuated": "1 if this owner starts nothing in the domain, else 0.",
     "plantainyard_evacuations_age_seconds": "Since the evacuations were last read.",
+    "plantainyard_room_reservations": "Runners that are reserved for a large task.",
+    "plantainyard_room_moves": "Long-running tasks stopped to make room for others.",
 }
 """Names and help texts of all metrics; counters are exported with suffix `_total`."""
 
@@ -82,6 +84,8 @@
         )
         self.evacuated = self._build_gauge("plantainyard_evacuated", "domain")
         self.evacuations_age = self._build_gauge("plantainyard_evacuations_age_seconds")
+        self.room_reservations = self._build_gauge("plantainyard_room_reservations")
+        self.room_moves = self._build_counter("plantainyard_room_moves")
 
     def observe_call(self, observation: CallObservation) -> None:
         """Record the duration and the bytes of a call to store, runner or peer."""
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -37,8 +37,11 @@
     ReportFailed,
     ReportReceived,
     RequestReport,
+    RoomReleased,
+    RoomReserved,
     RunGivenUp,
     SendOrder,
+    TaskMovedForRoom,
     Tick,
     count_held_runs,
     list_lease_ends,
@@ -201,6 +204,16 @@
             why=action.why,
         )
 
+    def _log_reservation(self, action: RoomReserved) -> None:
+        self.context.log.write("room_reserved", **_name_task(action))
+
+    def _log_release(self, action: RoomReleased) -> None:
+        self.context.log.write("room_released", **_name_task(action))
+
+    def _record_move(self, action: TaskMovedForRoom) -> None:
+        self.context.meters.room_moves.inc()
+        self.context.log.write("task_moved_for_room", **_name_task(action))
+
     def _log_run_start(self, message: OrderAnswered, now: float) -> None:
         job = self.dispatcher.jobs.get(message.task.job_id)
         done = message.result.outcome == OrderOutcome.DONE
@@ -274,6 +287,12 @@
             self._record_job_start(action)
         elif isinstance(action, RunGivenUp):
             self._log_given_up_run(action)
+        elif isinstance(action, RoomReserved):
+            self._log_reservation(action)
+        elif isinstance(action, RoomReleased):
+            self._log_release(action)
+        elif isinstance(action, TaskMovedForRoom):
+            self._record_move(action)
         elif isinstance(action, HandoversConfirmed):
             mark_jobs_delivered(self.context.replica, action.job_ids)
         elif isinstance(action, Forward):
@@ -438,6 +457,15 @@
             self.actor_ref.tell(event)
 
 
+def _name_task(
+    action: RoomReserved | RoomReleased | TaskMovedForRoom,
+) -> dict[str, Any]:
+    """Return the fields of a log line, with the job and the task named apart."""
+    fields = action._asdict()
+    fields["task"] = action.task[1:]
+    return {"job": action.task.job_id, **fields}
+
+
 def _build_report_order(action: RequestReport) -> Order:
     """Return an order without a task, because a report covers the whole runner."""
     no_task = TaskKey("", 0, 0, 0)
