--- a/plantainyard/dispatch/commits.py
+++ b/plantainyard/dispatch/commits.py
@@ -29,6 +29,7 @@
 )
 from plantainyard.dispatch.measured_runs import summarize_estimate
 from plantainyard.dispatch.model import Job, Phase, StepRun
+from plantainyard.dispatch.room import begin_moves, stop_moved_tasks
 from plantainyard.dispatch.run_times import encode_run_times
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.timing import summarize_times
@@ -81,6 +82,8 @@
     records += _encode_interference(state, now)
     records += _encode_run_times(state, now)
     state.commit_pending = True
+    state.commit_requested_at = now
+    begin_moves(state)
     state.committing_last_ends = last_ends
     state.committing_ends = list(state.new_final_states)
     state.committing_outgoing = state.outgoing
@@ -211,6 +214,7 @@
     for task in state.committing_starts:
         if task.phase == Phase.STORING:
             orders.send_start(state, task, now)
+    stop_moved_tasks(state, now)
     state.committing_last_ends = {}
     state.committing_ends = []
     state.committing_starts = []
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -59,6 +59,7 @@
 from plantainyard.dispatch.placing import record_free_cpu
 from plantainyard.dispatch.planning import plan_moves, plan_starts
 from plantainyard.dispatch.restoring import restore_jobs
+from plantainyard.dispatch.room import plan_room
 from plantainyard.dispatch.run_times import decode_run_times
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.timing import add_elapsed_time
@@ -193,6 +194,7 @@
         maintain_unanswered(state, now)
         state.actions += evaluate_health(state.health, state.runners, state.limits, now)
         _plan_moves(state, now)
+        plan_room(state, now)
         _update_times(state, now)
         _expire_interference(state, now)
         update_estimates(
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -15,6 +15,7 @@
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.load import NO_RUNNERS_LOAD, Load
 from plantainyard.dispatch.model import Job, Runner, StepRun, Task
+from plantainyard.dispatch.reservations import Room
 from plantainyard.dispatch.run_times import RunTimes
 from plantainyard.dispatch.throughput import Throughput
 
@@ -83,6 +84,8 @@
         Tasks assigned since the last commit.
     commit_pending : bool
         Whether a commit is being stored; the next one waits for it.
+    commit_requested_at : float
+        When the last commit was requested.
     committing_last_ends, committing_ends, committing_starts
         Contents of that commit: the last end by runner incarnation, the jobs that end,
         and the tasks to start.
@@ -177,6 +180,8 @@
     times_updated_at, moves_planned_at : float
         When the times of jobs were last updated; when moves of tasks to better places
         were last planned.
+    room : Room
+        Runners reserved for large tasks, and tasks that give way to these.
     """
 
     limits: Limits
@@ -190,6 +195,7 @@
     new_final_states: dict[str, str] = field(default_factory=dict)
     assigned: list[Task] = field(default_factory=list)
     commit_pending: bool = False
+    commit_requested_at: float = 0.0
     committing_last_ends: dict[str, int] = field(default_factory=dict)
     committing_ends: list[str] = field(default_factory=list)
     committing_starts: list[Task] = field(default_factory=list)
@@ -242,6 +248,7 @@
     health: Health = field(default_factory=Health)
     times_updated_at: float = 0.0
     moves_planned_at: float = 0.0
+    room: Room = field(default_factory=Room)
 
 
 def mark_dirty(state: Dispatcher, step: StepRun) -> None:
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -45,10 +45,13 @@
     ReportFailed,
     ReportReceived,
     RequestReport,
+    RoomReleased,
+    RoomReserved,
     RunGivenUp,
     RunnerSlow,
     RunnerTrusted,
     SendOrder,
+    TaskMovedForRoom,
     Tick,
     list_lease_ends,
     restore_dispatcher,
@@ -113,6 +116,9 @@
         self.summaries: list[JobSummary] = []
         self.given_up: list[RunGivenUp] = []
         self.health_changes: list[tuple[float, RunnerSlow | RunnerTrusted]] = []
+        self.room_actions: list[
+            tuple[float, RoomReserved | RoomReleased | TaskMovedForRoom]
+        ] = []
         self.owners = 0
         self.former_owners: list[World] = []
         self.change_owner()
@@ -248,6 +254,8 @@
             return []
         if isinstance(action, RunnerSlow | RunnerTrusted):
             self.health_changes.append((self.now, action))
+        if isinstance(action, RoomReserved | RoomReleased | TaskMovedForRoom):
+            self.room_actions.append((self.now, action))
             return []
         if isinstance(action, HandoversConfirmed):
             mark_jobs_delivered(self.replica, action.job_ids)
--- a/plantainyard/entry/inspection.py
+++ b/plantainyard/entry/inspection.py
@@ -13,6 +13,7 @@
 from plantainyard.dispatch import Dispatcher, count_state
 from plantainyard.dispatch.forecast import find_forecast_age
 from plantainyard.dispatch.model import Job, Task
+from plantainyard.dispatch.room import describe_room
 from plantainyard.dispatch.run_times import describe_run_times
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.peers import look_up_job
@@ -66,6 +67,7 @@
         "renewed_s_ago": round(now - state.renewed_at, 3),
         "commit_out": state.commit_pending,
         "moved": len(state.handed_over),
+        "room": describe_room(state.room, now),
         "runner_health": _describe_health(state, now),
     }
 
