--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -254,6 +254,7 @@
             return []
         if isinstance(action, RunnerSlow | RunnerTrusted):
             self.health_changes.append((self.now, action))
+            return []
         if isinstance(action, RoomReserved | RoomReleased | TaskMovedForRoom):
             self.room_actions.append((self.now, action))
             return []
