Judge a submission by learned run times, not by its declared ones alone

An instance computes a job's objective and its longest chain from what the job declares. Where declared run times are off by a factor of e^0.9, a job of a second that declares a tenth would have an objective of half a second, and would be rejected after a wait that it can well bear.

The owner's answer to a query for a forecast now has what it has learned of the queue's steps, and the instance weighs the declared figures against it as the owner does. Answers of other versions don't have it; then the declared figures count.

--- a/plantainyard/dispatch/forecast.py
+++ b/plantainyard/dispatch/forecast.py
@@ -33,6 +33,7 @@
     LATE_FACTOR,
     measure_remaining_work,
 )
+from plantainyard.dispatch.run_times import RunTimePrior, list_priors
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.throughput import (
     AT_ONCE_S,
@@ -81,6 +82,8 @@
         which a unit has free slots.
     has_unused : bool
         Whether all work of some unit, with what waits, is less than its processors.
+    run_times : sequence of RunTimePrior
+        What this unit has learned of the run times of the queue's steps.
     """
 
     open_jobs: int
@@ -89,6 +92,7 @@
     own_age_s: float = 0.0
     free_size: int = 0
     has_unused: bool = False
+    run_times: Sequence[RunTimePrior] = ()
 
 
 class Expectation(NamedTuple):
@@ -455,6 +459,7 @@
         round(own_age_s, 3),
         max((_find_free_size(load) for load in loads), default=0),
         any(_has_unused_cpu(load) for load in loads),
+        list_priors(state.run_times, queue),
     )
 
 
--- a/plantainyard/dispatch/run_times.py
+++ b/plantainyard/dispatch/run_times.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "RunTimeEntry",
+    "RunTimePrior",
     "RunTimes",
     "StepKey",
     "decode_run_times",
@@ -28,6 +29,8 @@
     "estimate_ms",
     "expire_entries",
     "learn_run_time",
+    "list_priors",
+    "weigh_estimate",
 ]
 
 MIN_RUN_MS = 1.0
@@ -86,6 +89,26 @@
     learned_at: float = 0.0
 
 
+class RunTimePrior(NamedTuple):
+    """What another instance needs to know to estimate the run times of a step.
+
+    Attributes
+    ----------
+    step : int
+        Number of the step.
+    mean, variance : float
+        Mean of the logarithm of run times in milliseconds, and its variance for one
+        step.
+    declared_variance : float
+        Mean squared error of the logarithm of declared figures.
+    """
+
+    step: int
+    mean: float
+    variance: float
+    declared_variance: float
+
+
 @dataclass(slots=True, eq=False)
 class RunTimes:
     """What one owner has learned of run times.
@@ -196,15 +219,50 @@
     entry = run_times.entries.get((submission.queue, number))
     if entry is None or spec.long_running:
         return min(MAX_RUN_MS, max(MIN_RUN_MS, spec.estimate_ms))
-    if spec.estimate_ms <= 0:
-        return math.exp(entry.mean)
-    declared_weight = 1 / find_declared_variance(entry)
-    learned_weight = 1 / find_learned_variance(entry)
-    declared = _take_log(spec.estimate_ms)
-    weighed = declared_weight * declared + learned_weight * entry.mean
+    return weigh_estimate(spec.estimate_ms, _make_prior(number, entry))
+
+
+def weigh_estimate(declared_ms: float, prior: RunTimePrior) -> float:
+    """Return the run time estimated from a declared figure and what was learned.
+
+    Parameters
+    ----------
+    declared_ms : float
+        Declared run time in milliseconds; zero if there is none.
+    prior : RunTimePrior
+        What was learned of the step.
+
+    Examples
+    --------
+    >>> round(weigh_estimate(100.0, RunTimePrior(0, math.log(1_000), 0.25, 0.25)), 1)
+    316.2
+    """
+    if declared_ms <= 0:
+        return math.exp(prior.mean)
+    declared_weight = 1 / prior.declared_variance
+    learned_weight = 1 / prior.variance
+    weighed = declared_weight * _take_log(declared_ms) + learned_weight * prior.mean
     return math.exp(weighed / (declared_weight + learned_weight))
 
 
+def _make_prior(number: int, entry: RunTimeEntry) -> RunTimePrior:
+    return RunTimePrior(
+        number,
+        entry.mean,
+        find_learned_variance(entry),
+        find_declared_variance(entry),
+    )
+
+
+def list_priors(run_times: RunTimes, queue: str) -> tuple[RunTimePrior, ...]:
+    """Return what was learned of a queue's steps; may be called from any thread."""
+    return tuple(
+        RunTimePrior(number, *map(_round, _make_prior(number, entry)[1:]))
+        for (name, number), entry in list(run_times.entries.items())
+        if name == queue
+    )
+
+
 def find_learned_variance(entry: RunTimeEntry) -> float:
     """Return the variance of a step's run time around the learned mean.
 
--- a/plantainyard/entry/admission.py
+++ b/plantainyard/entry/admission.py
@@ -8,6 +8,7 @@
 import math
 import threading
 from collections import OrderedDict
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from plantainyard.batch.values import Submission
@@ -21,6 +22,7 @@
     find_allowed_time_s,
     find_critical_paths_ms,
 )
+from plantainyard.dispatch.run_times import RunTimePrior, weigh_estimate
 
 __all__ = [
     "ACCEPTED",
@@ -116,11 +118,12 @@
     row = _find_row(forecast, submission)
     if row is None or forecast.age_s > policy.max_age_s:
         return ACCEPTED
-    path_s = max(find_critical_paths_ms(submission.steps)) / 1000
-    allowed_s = find_allowed_time_s(submission)
-    wait_s, ratio = expect_end(
-        row.waits_s, row.late_waits_s, _measure_work(submission), path_s, allowed_s
-    )
+    estimates_ms = _estimate_run_times(submission, forecast.run_times)
+    path_ms = max(find_critical_paths_ms(submission.steps, estimates_ms))
+    path_s = path_ms / 1000
+    allowed_s = find_allowed_time_s(submission, path_ms)
+    work = _measure_work(submission, estimates_ms)
+    wait_s, ratio = expect_end(row.waits_s, row.late_waits_s, work, path_s, allowed_s)
     bound = LATE_FACTOR * (RETURNING_FACTOR if is_returning else 1.0)
     if ratio <= bound:
         return Admission(Cause.IN_TIME, 0, wait_s, ratio, bound)
@@ -145,11 +148,30 @@
     return None if has_capacity else next(rows, None)
 
 
-def _measure_work(submission: Submission) -> float:
+def _estimate_run_times(
+    submission: Submission, learned: Iterable[RunTimePrior]
+) -> tuple[float, ...]:
+    """Return the estimated run time of each step's tasks in milliseconds.
+
+    Notes
+    -----
+    Guards against a job that is rejected because its declared run time, and so the
+    objective that follows from it, is far too short.
+    """
+    priors = {prior.step: prior for prior in learned}
+    return tuple(
+        weigh_estimate(step.estimate_ms, priors[number])
+        if number in priors
+        else step.estimate_ms
+        for number, step in enumerate(submission.steps)
+    )
+
+
+def _measure_work(submission: Submission, estimates_ms: Sequence[float]) -> float:
     """Return the estimated work of a job in core-seconds."""
     return sum(
-        step.size * max(step.resources.cpu, 1) * step.estimate_ms / 1e6
-        for step in submission.steps
+        step.size * max(step.resources.cpu, 1) * estimate_ms / 1e6
+        for step, estimate_ms in zip(submission.steps, estimates_ms, strict=True)
     )
 
 
--- a/plantainyard/entry/forecasts.py
+++ b/plantainyard/entry/forecasts.py
@@ -4,10 +4,12 @@
 forecasts comes from a version, or an owner, that doesn't compute them.
 """
 
+import math
 from typing import Any
 
 from plantainyard.dispatch.forecast import UnitForecast
 from plantainyard.dispatch.load import Load, QueueForecast
+from plantainyard.dispatch.run_times import RunTimePrior
 
 __all__ = ["decode_forecast", "decode_queues", "encode_forecast", "encode_queues"]
 
@@ -59,9 +61,18 @@
         own_age_s=float(data["own_age_s"]),
         free_size=int(data["free_size"]),
         has_unused=bool(data["has_unused"]),
+        run_times=tuple(_decode_prior(row) for row in data.get("run_times", ())),
     )
 
 
+def _decode_prior(values: Any) -> RunTimePrior:
+    step, *figures = values
+    mean, variance, declared_variance = map(float, figures)
+    if not (math.isfinite(mean) and variance > 0 and declared_variance > 0):
+        raise ValueError(f"not a run time: {values!r}")
+    return RunTimePrior(int(step), mean, variance, declared_variance)
+
+
 def _encode_row(row: QueueForecast) -> dict[str, Any]:
     """Return the fields of a forecast that differ from their defaults."""
     defaults = QueueForecast(row.queue, row.open_jobs)._asdict()
