Cover the guards of the forecast by tests and skip jobs never rejected

Cause: three of sixteen deliberate faults in the forecast passed the tests: work placed at once that proved no capacity, a rate from the first second of a burst, and a rate not bounded by the cores in use. For scheduled and long-running jobs, a forecast was requested that can't matter.

Change: a test for each, below full load also with wrong estimates and jobs of several tasks; no request for jobs that are never rejected; the state dump lists forecasts once.

--- a/plantainyard/dispatch/tests/test_forecast.py
+++ b/plantainyard/dispatch/tests/test_forecast.py
@@ -29,7 +29,9 @@
     Throughput,
     WorkKind,
     find_rates,
+    get_placed_work,
     record_completed_work,
+    record_placed_work,
     update_saturation,
 )
 from plantainyard.entry.admission import (
@@ -47,6 +49,7 @@
 OBJECTIVE_S = 1.9
 USUAL_RATE = 13.0
 BURST_FACTOR = 2.5
+HIGH_RATE = 18.0
 KIND = WorkKind("s", False)
 
 
@@ -186,14 +189,18 @@
 
 @settings(max_examples=12, deadline=None)
 @given(
-    rates=st.lists(st.floats(1.0, USUAL_RATE), min_size=2, max_size=4),
+    rates=st.lists(st.floats(1.0, HIGH_RATE), min_size=2, max_size=4),
+    sizes=st.lists(st.integers(1, 6), min_size=4, max_size=4),
+    estimate_ms=st.integers(300, 2000),
     backfill=st.booleans(),
 )
-def test_below_full_load_nothing_is_rejected(rates, backfill):
-    # Guards against rejecting work for which there is capacity.
+def test_below_full_load_nothing_is_rejected(rates, sizes, estimate_ms, backfill):
+    # Guards against rejecting work for which there is capacity, also if estimates are
+    # wrong and jobs of different sizes meet.
     replay = Replay(backfill=backfill)
-    for rate in rates:
-        replay.arrive(2.5, rate)
+    for rate, size in zip(rates, sizes, strict=False):
+        replay.step = replay.step._replace(size=size, estimate_ms=estimate_ms)
+        replay.arrive(2.5, rate / size)
     assert replay.rejected == []
 
 
@@ -213,12 +220,34 @@
     return forecast
 
 
-def play_overload(seconds: float = 9.0, policy: SchedulingPolicy = POLICY) -> Replay:
-    replay = Replay(policy)
+def play_overload(
+    seconds: float = 9.0,
+    policy: SchedulingPolicy = POLICY,
+    backfill: bool = False,
+) -> Replay:
+    replay = Replay(policy, backfill)
     replay.arrive(seconds, 4 * USUAL_RATE)
     return replay
 
 
+def test_a_burst_of_backfill_jobs_rejects_some():
+    # Guards against a forecast for work on reserved processors only.
+    assert play_overload(backfill=True).rejected
+
+
+def test_large_jobs_are_rejected_before_small_ones():
+    # Guards against rejecting small jobs, which are placed first, for a backlog of
+    # large ones that they don't wait for.
+    replay = play_overload()
+    row = get_forecast(replay.world).lowest[0]
+    assert list(row.waits_s) == sorted(row.waits_s)
+    assert list(row.late_waits_s) == sorted(row.late_waits_s)
+    replay.rejected.clear()
+    replay.step = STEP._replace(estimate_ms=50)
+    replay.submit("1" * 16)
+    assert replay.rejected == []
+
+
 def test_without_the_policy_no_forecast_is_computed_or_published():
     replay = play_overload(4.0, SchedulingPolicy())
     state = replay.world.state
@@ -346,6 +375,62 @@
     assert rates.late_work == 0.0
 
 
+def complete_steadily(throughput: Throughput, begin: float, seconds: float) -> float:
+    """Complete ten tasks of a core-second each second while others wait."""
+    now = begin
+    for tick in range(round(seconds / TICK_S)):
+        now = begin + tick * TICK_S
+        record_completed_work(throughput, KIND, False, 1.0, now)
+        update_saturation(throughput, [KIND], [], now)
+    return now
+
+
+def test_a_rate_is_unknown_at_the_beginning_of_a_burst():
+    # Guards against the rate before a burst, of a unit that had less work.
+    throughput = Throughput()
+    now = complete_steadily(throughput, 100.0, 1.4)
+    assert find_rates(throughput, KIND, RunningWork(0.0, 0.0), now) is None
+
+
+def test_cores_in_use_bound_the_rate_until_earlier_tasks_have_ended():
+    # Guards against a forecast that is too long at the beginning of a burst: the tasks
+    # that end began before it, when fewer were running.
+    throughput = Throughput()
+    running = RunningWork(40.0, 3.0)
+    now = complete_steadily(throughput, 100.0, 6.0)
+    rates = find_rates(throughput, KIND, running, now)
+    assert rates is not None and rates.work == 40.0
+    now = complete_steadily(throughput, now + TICK_S, 4.0)
+    rates = find_rates(throughput, KIND, running, now)
+    assert rates is not None and rates.work < 14.0
+
+
+def test_work_that_was_placed_at_once_proves_capacity_up_to_its_size():
+    # Guards against rejecting jobs while others of their queue start at once.
+    replay = play_overload()
+    state, now = replay.world.state, replay.world.now
+    record_placed_work(state.throughput, "q", False, 1.0, now)
+    replay.world.run(0.5)
+    (row,) = get_forecast(replay.world).lowest
+    index = WORK_SIZES.index(1.0)
+    waits = (*row.waits_s[: index + 1], *row.late_waits_s[: index + 1])
+    assert set(waits) == {0.0}
+    assert min(row.waits_s[index + 1 :]) > 0
+    replay.arrive(1.0, 4 * USUAL_RATE)
+    assert get_forecast(replay.world).lowest[0].waits_s[index] > 0
+
+
+def test_placed_work_is_kept_by_size_and_time():
+    throughput = Throughput()
+    for at, work in ((100.0, 8.0), (100.5, 1.0), (100.6, 2.0)):
+        record_placed_work(throughput, "q", False, work, at)
+    assert get_placed_work(throughput, "q", False, 100.9) == 8.0
+    assert get_placed_work(throughput, "q", False, 101.5) == 2.0
+    assert get_placed_work(throughput, "q", False, 102.0) == 0.0
+    assert get_placed_work(throughput, "q", True, 100.9) == 0.0
+    assert len(throughput.placed["q", False]) == 2
+
+
 def test_a_rate_is_unknown_without_completions():
     throughput = Throughput()
     for tick in range(60):
--- a/plantainyard/entry/admission.py
+++ b/plantainyard/entry/admission.py
@@ -27,6 +27,7 @@
     "Admission",
     "Cause",
     "RejectedJobs",
+    "can_be_rejected",
     "choose_return_s",
     "decide_admission",
 ]
@@ -80,6 +81,12 @@
 ACCEPTED = Admission()
 
 
+def can_be_rejected(submission: Submission) -> bool:
+    """Return whether admission applies: not to scheduled and long-running jobs."""
+    has_long_running = any(step.long_running for step in submission.steps)
+    return not submission.times and not has_long_running
+
+
 def decide_admission(
     forecast: UnitForecast | None,
     submission: Submission,
@@ -105,8 +112,7 @@
     no more use. Rejects only if all units forecast that the job can't end within three
     times its objective and none has free capacity for it.
     """
-    has_long_running = any(step.long_running for step in submission.steps)
-    if forecast is None or submission.times or has_long_running:
+    if forecast is None or not can_be_rejected(submission):
         return ACCEPTED
     has_current_count = forecast.own_age_s <= policy.max_age_s
     if has_current_count and forecast.open_jobs > policy.max_open_jobs:
--- a/plantainyard/entry/caller_api.py
+++ b/plantainyard/entry/caller_api.py
@@ -17,7 +17,12 @@
 )
 from plantainyard.batch.values import FinalStates, Submission
 from plantainyard.clock import read_clock
-from plantainyard.entry.admission import ACCEPTED, Admission, decide_admission
+from plantainyard.entry.admission import (
+    ACCEPTED,
+    Admission,
+    can_be_rejected,
+    decide_admission,
+)
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.lookups import count_pending_in, find_job
 from plantainyard.entry.peers import PendingCount, fetch_forecast, fetch_job
@@ -218,7 +223,9 @@
     """
     policy = instance.policy.admission
     now = read_clock()
-    if policy is None or now < instance.unknown_until:
+    if policy is None or not can_be_rejected(submission):
+        return ACCEPTED
+    if now < instance.unknown_until:
         return ACCEPTED
     job_id = submission.job_id
     is_returning = instance.rejected.is_returning(job_id, now)
--- a/plantainyard/entry/inspection.py
+++ b/plantainyard/entry/inspection.py
@@ -57,7 +57,7 @@
 def _describe_unit(state: Dispatcher, now: float) -> dict[str, Any]:
     return {
         **count_state(state)._asdict(),
-        "load": state.load._replace(queues=None)._asdict(),
+        "load": {k: v for k, v in state.load._asdict().items() if k != "queues"},
         "forecasts": [row._asdict() for row in state.load.queues or ()],
         "forecast_age_s": find_forecast_age(state, now),
         "evacuated": sorted(state.evacuated_domains),
