--- a/plantainyard/entry/inspection.py
+++ b/plantainyard/entry/inspection.py
@@ -59,6 +59,7 @@
 def _describe_unit(state: Dispatcher, now: float) -> dict[str, Any]:
     return {
         **count_state(state)._asdict(),
+        "run_times": describe_run_times(state.run_times, now),
         "load": {k: v for k, v in state.load._asdict().items() if k != "queues"},
         "forecasts": [row._asdict() for row in state.load.queues or ()],
         "forecast_age_s": find_forecast_age(state, now),
