--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -442,6 +442,7 @@
     task.waiting_since = 0.0
     task.step.wait_reason = ""
     task.step.no_place_found = False
+    task.step.placed_at = now
     reserve_resources(runner, task)
     record_start(state.health, task, runner, now)
     if task.step.spec.backfill or task.step.spec.target_ms:
