--- a/plantainyard/entry/tests/test_admission.py
+++ b/plantainyard/entry/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import math
 from collections.abc import Callable, Iterator
 from typing import Any
 from unittest.mock import Mock
@@ -17,6 +18,7 @@
 from plantainyard.dispatch.forecast import UnitForecast
 from plantainyard.dispatch.load import SLOT_SIZES, WORK_SIZES, QueueForecast
 from plantainyard.dispatch.policy import AdmissionPolicy
+from plantainyard.dispatch.run_times import RunTimePrior
 from plantainyard.entry import caller_api, loads, peers
 from plantainyard.entry.admission import (
     MAX_REJECTED_JOBS,
@@ -84,6 +86,26 @@
     assert decide(make_forecast(5.1)) == Cause.NO_CAPACITY
 
 
+def test_a_job_with_a_far_too_short_declared_time_is_judged_by_learned_times():
+    # Guards against a rejection because of an objective that follows from a declared
+    # tenth of the run time: the wait of 4 s is within three real objectives.
+    steps = (STEP._replace(estimate_ms=100),)
+    learned = (RunTimePrior(0, math.log(1_000), 0.01, 0.8),)
+    assert decide(make_forecast(4.0), steps=steps) == Cause.NO_CAPACITY
+    assert decide(make_forecast(4.0, run_times=learned), steps=steps) == Cause.IN_TIME
+
+
+def test_learned_times_pass_between_instances():
+    # Guards against an answer with figures that can't be weighed.
+    forecast = make_forecast(4.0, run_times=(RunTimePrior(1, 6.9, 0.25, 0.8),))
+    body = json.loads(json.dumps(encode_forecast(forecast)))
+    assert decode_forecast(body).run_times == forecast.run_times
+    del body["run_times"]
+    assert decode_forecast(body).run_times == ()
+    with pytest.raises(ValueError, match="not a run time"):
+        decode_forecast({**body, "run_times": [[0, 6.9, 0.0, 0.8]]})
+
+
 def test_whoever_returns_is_admitted_before_others():
     # Guards against callers that return after their time and are rejected in favour of
     # those that have just arrived.
