Split the reservations for large tasks into modules

What is free at runners is in surveys.py, the choice of a runner in choices.py, the choice and checks of moves in moves.py, and the ends of reservations and moves in releases.py; the state dump is in reservations.py beside the state that it shows. In tests only imports change. No behaviour changes.

--- a/plantainyard/dispatch/reservations.py
+++ b/plantainyard/dispatch/reservations.py
@@ -1,7 +1,7 @@
 """State of the reservations for large tasks and of the moves that make room for them.
 
-It is in memory only; `room` decides about it, and `docs/design/room.md` gives the
-reasons.
+It is in memory only; `room` decides about it, the state dump shows it, and
+`docs/design/room.md` gives the reasons.
 """
 
 from dataclasses import dataclass, field
@@ -9,7 +9,7 @@
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.dispatch.model import Runner, Task
 
-__all__ = ["Move", "Reservation", "Room"]
+__all__ = ["Move", "Reservation", "Room", "describe_room"]
 
 
 @dataclass(slots=True, eq=False)
@@ -83,3 +83,28 @@
     committing: list[Move] = field(default_factory=list)
     moved_at: dict[TaskKey, float] = field(default_factory=dict)
     paused_until: dict[str, float] = field(default_factory=dict)
+
+
+def describe_room(room: Room, now: float) -> dict[str, list[dict[str, object]]]:
+    """Return the reservations and the moves that go on, for the state dump."""
+    return {
+        "reservations": [
+            {
+                "runner": runner,
+                "task": reservation.task.key,
+                "since_s": round(now - reservation.since, 3),
+            }
+            for runner, reservation in list(room.reservations.items())
+        ],
+        "moves": [
+            {
+                "task": key,
+                "from": move.source.incarnation,
+                "to": move.target.incarnation,
+                "for": move.reservation.task.key,
+                "decided_s_ago": round(now - move.decided_at, 3),
+                "stopped": move.stopped_at > 0,
+            }
+            for key, move in list(room.moves.items())
+        ],
+    }
--- a/plantainyard/dispatch/tests/test_room.py
+++ b/plantainyard/dispatch/tests/test_room.py
@@ -19,19 +19,19 @@
     TaskMovedForRoom,
     Tick,
 )
+from plantainyard.dispatch.choices import MAX_RESERVED_S
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun, Task
-from plantainyard.dispatch.placing import accepts_tasks, can_start
-from plantainyard.dispatch.planning import plan_starts
-from plantainyard.dispatch.policy import NO_POLICY, RoomPolicy
-from plantainyard.dispatch.room import (
-    MAX_RESERVED_S,
+from plantainyard.dispatch.moves import (
     MOVE_INTERVAL_S,
-    count_allowed,
-    describe_room,
-    estimate_remaining_s,
     list_movable_tasks,
     list_sufficient_moves,
 )
+from plantainyard.dispatch.placing import accepts_tasks, can_start
+from plantainyard.dispatch.planning import plan_starts
+from plantainyard.dispatch.policy import NO_POLICY, RoomPolicy
+from plantainyard.dispatch.reservations import describe_room
+from plantainyard.dispatch.room import count_allowed
+from plantainyard.dispatch.surveys import estimate_remaining_s
 from plantainyard.dispatch.tests.world import TICK_S, World, make_step
 from standins.platform.samples import SERVICE
 
