--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,7 +6,7 @@
 from absl import app, flags
 
 from soak.run import run_soak
-from soak.site import SiteSpec
+from soak.site import ALL_PARTS, SiteSpec
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer("seed", 1, "First seed.")
@@ -16,13 +16,20 @@
 flags.DEFINE_integer("runners", 4, "Number of runners.")
 flags.DEFINE_integer("reserves", 0, "Instances that own units only for want of others.")
 flags.DEFINE_integer("units", 0, "Parts of the fleet; 0 lets the instances choose.")
+flags.DEFINE_bool("policy", False, "Switch on all parts of the scheduling policy.")
 flags.DEFINE_string("logs", "", "Folder that keeps the logs of instances.")
 
 
 def main(_: list[str]) -> int:
     """Run the requested seeds and return 1 if any of them violated an invariant."""
     failed = 0
-    spec = SiteSpec(FLAGS.instances, FLAGS.runners, FLAGS.reserves, FLAGS.units)
+    spec = SiteSpec(
+        FLAGS.instances,
+        FLAGS.runners,
+        FLAGS.reserves,
+        FLAGS.units,
+        ALL_PARTS if FLAGS.policy else "",
+    )
     for seed in range(FLAGS.seed, FLAGS.seed + FLAGS.runs):
         folder = Path(FLAGS.logs) / str(seed) if FLAGS.logs else None
         if folder is not None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -21,7 +21,7 @@
 from standins.platform import RunnerState, StoreState, serve_platform
 from standins.platform.samples import make_configuration
 
-__all__ = ["Instance", "Site", "SiteSpec", "open_site"]
+__all__ = ["ALL_PARTS", "Instance", "Site", "SiteSpec", "open_site"]
 
 STOP_TIMEOUT_S = 15.0
 """Time for a process to end after SIGTERM; it is killed afterwards."""
@@ -72,9 +72,14 @@
         Address at which the instance reaches the store.
     cores : float
         Number of processors in its settings.
+    policy : Path
+        Its scheduling policy.
     """
 
-    def __init__(self, number: int, folder: Path, store: str, cores: float) -> None:
+    def __init__(
+        self, number: int, folder: Path, store: str, cores: float, policy: Path
+    ) -> None:
+        self.policy = policy
         ports = _find_ports(4)
         self.address = f"127.0.0.1:{ports[0]}"
         self.ready_address = f"127.0.0.1:{ports[1]}"
@@ -97,7 +102,12 @@
 
     def _start(self) -> "subprocess.Popen[bytes]":
         return subprocess.Popen(
-            [sys.executable, "-m", "plantainyard.entry"],
+            [
+                sys.executable,
+                "-m",
+                "plantainyard.entry",
+                f"--scheduling={self.policy}",
+            ],
             env={**os.environ, SETTINGS_VARIABLE: str(self.settings)},
             stdin=subprocess.DEVNULL,
             stdout=self.log,
@@ -184,6 +194,19 @@
     return f"store-{number}"
 
 
+ALL_PARTS = """
+[units]
+[run_times]
+[room]
+max_wait_s = 0.1
+max_reserved_share = 0.5
+[health]
+max_suspended_share = 0.5
+[admission]
+"""
+"""Scheduling policy with all parts, which take effect on sites of four runners."""
+
+
 class SiteSpec(NamedTuple):
     """Size of a site.
 
@@ -197,17 +220,22 @@
     units : int
         Number of units that the fleet is divided into; zero lets the instances
         choose.
+    scheduling : str
+        Text of the scheduling policy; empty to switch all its parts off.
     """
 
     instances: int = 3
     runners: int = 4
     reserves: int = 0
     units: int = 0
+    scheduling: str = ""
 
 
 @contextlib.contextmanager
 def open_site(folder: Path, spec: SiteSpec) -> Iterator[Site]:
     """Start a site, and stop exactly the processes that it started on exit."""
+    policy = folder / "scheduling.toml"
+    policy.write_text(spec.scheduling)
     store = StoreState(parts=PARTITIONS)
     states = [
         RunnerState(f"r{number}", domain=DOMAINS[number % len(DOMAINS)])
@@ -229,7 +257,11 @@
             address = site.open_relay(format_store_link(number), servers.store)
             is_reserve = number < spec.reserves
             instance = Instance(
-                number, folder, address, RESERVE_CORES if is_reserve else OWNER_CORES
+                number,
+                folder,
+                address,
+                RESERVE_CORES if is_reserve else OWNER_CORES,
+                policy,
             )
             stack.callback(instance.stop)
             site.instances.append(instance)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -4,7 +4,7 @@
 
 from soak.plan import FaultKind, make_plan
 from soak.run import run_soak, wait_until_ready
-from soak.site import SiteSpec, open_site
+from soak.site import ALL_PARTS, SiteSpec, open_site
 
 
 def test_a_plan_depends_on_its_seed_alone():
@@ -84,3 +84,13 @@
     outcome = run_soak(1, seconds=4.0, spec=SiteSpec(reserves=2, units=3))
     assert outcome.broken == []
     assert outcome.accepted > 0
+
+
+def test_promises_hold_with_all_parts_of_the_scheduling_policy():
+    # Guards against work that is lost or run twice because it was moved for a large
+    # task, rejected under load, or kept away from runners, while instances, the store
+    # and runners fail.
+    spec = SiteSpec(scheduling=ALL_PARTS)
+    outcome = run_soak(3, seconds=6.0, spec=spec)
+    assert outcome.broken == []
+    assert outcome.accepted > 0
