Split the health of runners into modules

`dispatch/health.py` had 662 lines and four jobs: the state, failing runners, slow runners, and the moves off these.

Each has its own module now: `health_state.py`, `failing_runners.py`, `slow_runners.py` and `slow_runner_moves.py`; `health.py` keeps the evaluation and the bound on avoided runners. In the tests only imports change.

--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 from plantainyard.batch.values import Resources
-from plantainyard.dispatch.health import record_move, record_start, should_move_off
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun, Task
 from plantainyard.dispatch.orders import pace_backfill, send_stop
 from plantainyard.dispatch.placing import (
@@ -22,6 +21,8 @@
 )
 from plantainyard.dispatch.room import end_reservation_by_start, take_held_place
 from plantainyard.dispatch.runs import quarantine_failing
+from plantainyard.dispatch.slow_runner_moves import record_move, should_move_off
+from plantainyard.dispatch.slow_runners import record_start
 from plantainyard.dispatch.state import Dispatcher, mark_dirty
 from plantainyard.dispatch.timing import TimePart, explain_wait
 from plantainyard.dispatch.unanswered_starts import find_recipient
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -7,12 +7,9 @@
     OrderAnswered,
     OrderKind,
 )
+from plantainyard.dispatch.failing_runners import observe_failure, suspend_failing
 from plantainyard.dispatch.forecast import record_completion
-from plantainyard.dispatch.health import (
-    observe_end,
-    observe_failure,
-    suspend_failing,
-)
+from plantainyard.dispatch.health import observe_end
 from plantainyard.dispatch.leases import record_clock
 from plantainyard.dispatch.measured_runs import measure_end
 from plantainyard.dispatch.model import Phase, Runner, StepRun, Task
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -10,7 +10,7 @@
 from plantainyard.batch.values import Submission
 from plantainyard.dispatch.estimates import InterferenceModel
 from plantainyard.dispatch.events import Action, RunGivenUp
-from plantainyard.dispatch.health import Health
+from plantainyard.dispatch.health_state import Health
 from plantainyard.dispatch.leases import get_lease_end
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.load import NO_RUNNERS_LOAD, Load
--- a/plantainyard/dispatch/tests/test_health.py
+++ b/plantainyard/dispatch/tests/test_health.py
@@ -13,24 +13,21 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.dispatch import PolicyChanged, RunnerSlow, RunnerTrusted, count_state
-from plantainyard.dispatch.health import (
+from plantainyard.dispatch.failing_runners import blame
+from plantainyard.dispatch.health import choose_avoided, evaluate_health
+from plantainyard.dispatch.health_state import Evidence, Health, RunnerHealth
+from plantainyard.dispatch.limits import Limits
+from plantainyard.dispatch.model import Runner
+from plantainyard.dispatch.policy import NO_POLICY, HealthPolicy, SchedulingPolicy
+from plantainyard.dispatch.rates import StepRecord, Track, compare_runs
+from plantainyard.dispatch.slow_runners import (
     BACKFILL_WEIGHT,
     EVIDENCE_S,
     MAX_EVIDENCE,
     PROBE_AFTER_S,
-    Evidence,
-    Health,
-    RunnerHealth,
-    blame,
-    choose_avoided,
-    evaluate_health,
     is_slow,
     measure_slowdown,
 )
-from plantainyard.dispatch.limits import Limits
-from plantainyard.dispatch.model import Runner
-from plantainyard.dispatch.policy import NO_POLICY, HealthPolicy, SchedulingPolicy
-from plantainyard.dispatch.rates import StepRecord, Track, compare_runs
 from plantainyard.dispatch.tests.test_pacing import make_runner
 from plantainyard.dispatch.tests.world import TICK_S, World, make_step
 
--- a/plantainyard/entry/tests/test_runner_health.py
+++ b/plantainyard/entry/tests/test_runner_health.py
@@ -9,7 +9,7 @@
     RunnerTrusted,
     SchedulingPolicy,
 )
-from plantainyard.dispatch.health import RunnerHealth
+from plantainyard.dispatch.health_state import RunnerHealth
 from plantainyard.dispatch.policy import HealthPolicy
 from plantainyard.entry.inspection import describe_state
 from plantainyard.entry.meters import Meters
