Split the forecast of waits into modules

`dispatch/forecast.py` had 527 lines and several jobs: the forecast for a unit's queues, the records that it is based on, the expected end of a single job, and the combination of the forecasts of all units.

`work_kinds.py`, `completions.py`, `expectations.py` and `unit_forecasts.py` have one of these each; `forecast.py` keeps the forecast for a unit's queues. In the tests only imports change.

Measured: ruff and mypy pass; `test_health`, `test_forecast`, `test_dispatcher`, `test_runner_health`, `test_admission` and `test_instance` pass (122 tests). The other tests were not run.

--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -1,6 +1,7 @@
 """Effects of the results of orders and of the ends of runs on tasks."""
 
 from plantainyard.dispatch import jobs
+from plantainyard.dispatch.completions import record_completion
 from plantainyard.dispatch.events import (
     GiveUpReason,
     JobStarted,
@@ -8,7 +9,6 @@
     OrderKind,
 )
 from plantainyard.dispatch.failing_runners import observe_failure, suspend_failing
-from plantainyard.dispatch.forecast import record_completion
 from plantainyard.dispatch.health import observe_end
 from plantainyard.dispatch.leases import record_clock
 from plantainyard.dispatch.measured_runs import measure_end
--- a/plantainyard/dispatch/tests/test_forecast.py
+++ b/plantainyard/dispatch/tests/test_forecast.py
@@ -9,13 +9,7 @@
 
 from plantainyard.batch.values import Submission
 from plantainyard.dispatch import LoadsReceived, PolicyChanged, SchedulingPolicy
-from plantainyard.dispatch.forecast import (
-    UnitForecast,
-    combine_forecasts,
-    expect_end,
-    find_forecast_age,
-    find_kind,
-)
+from plantainyard.dispatch.expectations import expect_end
 from plantainyard.dispatch.load import (
     NO_RUNNERS_LOAD,
     WORK_SIZES,
@@ -34,6 +28,12 @@
     record_placed_work,
     update_saturation,
 )
+from plantainyard.dispatch.unit_forecasts import (
+    UnitForecast,
+    combine_forecasts,
+    find_forecast_age,
+)
+from plantainyard.dispatch.work_kinds import find_kind
 from plantainyard.entry.admission import (
     Admission,
     Cause,
--- a/plantainyard/entry/admission.py
+++ b/plantainyard/entry/admission.py
@@ -13,7 +13,7 @@
 
 from plantainyard.batch.values import Submission
 from plantainyard.dispatch.balancing import is_finite
-from plantainyard.dispatch.forecast import UnitForecast, expect_end, find_kind
+from plantainyard.dispatch.expectations import expect_end
 from plantainyard.dispatch.load import QueueForecast
 from plantainyard.dispatch.policy import AdmissionPolicy
 from plantainyard.dispatch.queue import (
@@ -23,6 +23,8 @@
     find_critical_paths_ms,
 )
 from plantainyard.dispatch.run_times import RunTimePrior, weigh_estimate
+from plantainyard.dispatch.unit_forecasts import UnitForecast
+from plantainyard.dispatch.work_kinds import find_kind
 
 __all__ = [
     "ACCEPTED",
--- a/plantainyard/entry/forecasts.py
+++ b/plantainyard/entry/forecasts.py
@@ -7,9 +7,9 @@
 import math
 from typing import Any
 
-from plantainyard.dispatch.forecast import UnitForecast
 from plantainyard.dispatch.load import Load, QueueForecast
 from plantainyard.dispatch.run_times import RunTimePrior
+from plantainyard.dispatch.unit_forecasts import UnitForecast
 
 __all__ = ["decode_forecast", "decode_queues", "encode_forecast", "encode_queues"]
 
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -21,7 +21,7 @@
     SchedulingPolicy,
     count_state,
 )
-from plantainyard.dispatch.forecast import find_forecast_age
+from plantainyard.dispatch.unit_forecasts import find_forecast_age
 from plantainyard.entry.admission import RejectedJobs
 from plantainyard.entry.copies import UnitCopy
 from plantainyard.entry.evacuations import Evacuations
--- a/plantainyard/entry/peers.py
+++ b/plantainyard/entry/peers.py
@@ -11,7 +11,7 @@
 from plantainyard.batch.replica import describe_state
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import Dispatcher, Load, list_arrivals
-from plantainyard.dispatch.forecast import UnitForecast, combine_forecasts
+from plantainyard.dispatch.unit_forecasts import UnitForecast, combine_forecasts
 from plantainyard.entry.claims import OwnerReply, OwnerStatus
 from plantainyard.entry.configuration_exchange import (
     CONFIGURATION_PATH,
--- a/plantainyard/entry/tests/test_admission.py
+++ b/plantainyard/entry/tests/test_admission.py
@@ -15,10 +15,10 @@
 from plantainyard.batch.values import Resources, Step, Submission
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import Load, LoadsReceived, SchedulingPolicy
-from plantainyard.dispatch.forecast import UnitForecast
 from plantainyard.dispatch.load import SLOT_SIZES, WORK_SIZES, QueueForecast
 from plantainyard.dispatch.policy import AdmissionPolicy
 from plantainyard.dispatch.run_times import RunTimePrior
+from plantainyard.dispatch.unit_forecasts import UnitForecast
 from plantainyard.entry import caller_api, loads, peers
 from plantainyard.entry.admission import (
     MAX_REJECTED_JOBS,
