Replace declared run times and reserve runners only where it is called for

Learned run times now replace the declared ones of a queue once these prove to be off by a factor of two (min_error), which is beyond what the order of placement allows for. A task gets a reservation only if it needs 0.15 of the smallest runner's processors (min_task_share).

--- a/plantainyard/dispatch/measured_runs.py
+++ b/plantainyard/dispatch/measured_runs.py
@@ -16,6 +16,7 @@
     estimate_ms,
     expire_entries,
     learn_run_time,
+    replaces_declared,
 )
 
 __all__ = [
@@ -157,12 +158,19 @@
     if policy is None or job.final_state:
         return
     numbers = range(len(job.submission.steps))
-    estimates_ms = tuple(_estimate_step(run_times, job, number) for number in numbers)
+    estimates_ms = tuple(
+        _estimate_step(run_times, policy, job, number) for number in numbers
+    )
     if estimates_ms != job.estimates_ms:
         _set_estimates(job, estimates_ms)
 
 
-def _estimate_step(run_times: RunTimes, job: Job, number: int) -> float:
+def _estimate_step(
+    run_times: RunTimes, policy: RunTimePolicy, job: Job, number: int
+) -> float:
+    entry = run_times.entries.get((job.submission.queue, number))
+    if not replaces_declared(entry, policy):
+        return float(job.submission.steps[number].estimate_ms)
     measured = job.measured_ms.get(number)
     if measured:
         return sorted(measured.values())[len(measured) // 2]
--- a/plantainyard/dispatch/policy.py
+++ b/plantainyard/dispatch/policy.py
@@ -26,10 +26,15 @@
         Maximum number of queues' steps whose run times are kept.
     max_age_s : float
         Age in seconds above which an entry counts as unknown.
+    min_error : float
+        Mean squared error of the logarithm of a queue's declared run times from which
+        they are replaced. The order of placement allows for figures that are off by
+        half; 0.5 is a factor of two.
     """
 
     max_entries: int = 256
     max_age_s: float = 300.0
+    min_error: float = 0.5
 
 
 class RoomPolicy(NamedTuple):
@@ -40,6 +45,9 @@
     max_wait_s : float
         Time in seconds for which a task of an urgent queue waits for capacity before a
         runner is reserved for it.
+    min_task_share : float
+        Share of the processors of the unit's smallest runner from which a task is
+        large: smaller ones fit wherever one or two others end.
     max_reserved_share : float
         Maximum share of the unit's runners that are reserved at a time.
     max_stops_per_s : float
@@ -47,6 +55,7 @@
     """
 
     max_wait_s: float = 0.4
+    min_task_share: float = 0.15
     max_reserved_share: float = 0.2
     max_stops_per_s: float = 4.0
 
--- a/plantainyard/dispatch/room.py
+++ b/plantainyard/dispatch/room.py
@@ -87,7 +87,10 @@
     vacant = allowed - len(room.reservations)
     if vacant <= 0 or not knows_evacuations(state, now):
         return
-    overdue = list_overdue_tasks(state.jobs.values(), room, policy.max_wait_s, now)
+    min_cpu = find_min_cpu(policy, runners)
+    overdue = list_overdue_tasks(
+        state.jobs.values(), room, policy.max_wait_s, now, min_cpu
+    )
     if overdue:
         _reserve_runners(state, policy, overdue, vacant, runners, now)
 
@@ -103,8 +106,24 @@
     return math.floor(policy.max_reserved_share * runners + 1e-9)
 
 
+def find_min_cpu(policy: RoomPolicy, runners: Iterable[Runner]) -> float:
+    """Return the processor time from which a task is large, in thousandths of a core.
+
+    Examples
+    --------
+    >>> find_min_cpu(RoomPolicy(), [])
+    0.0
+    """
+    capacities = [r.entry.capacity.cpu for r in runners if r.entry is not None]
+    return policy.min_task_share * min(capacities, default=0)
+
+
 def list_overdue_tasks(
-    jobs: Iterable[Job], room: Room, max_wait_s: float, now: float
+    jobs: Iterable[Job],
+    room: Room,
+    max_wait_s: float,
+    now: float,
+    min_cpu: float = 0.0,
 ) -> list[Task]:
     """Return the finite tasks that get a reservation, the first one first.
 
@@ -124,6 +143,7 @@
         for step in job.steps.values()
         if step.no_place_found
         and now - step.placed_at >= max_wait_s
+        and step.spec.resources.cpu >= min_cpu
         and _can_get_room(step.spec)
     ]
     reserved = {reservation.task.key for reservation in room.reservations.values()}
--- a/plantainyard/dispatch/run_times.py
+++ b/plantainyard/dispatch/run_times.py
@@ -30,6 +30,7 @@
     "expire_entries",
     "learn_run_time",
     "list_priors",
+    "replaces_declared",
     "weigh_estimate",
 ]
 
@@ -206,6 +207,18 @@
     )
 
 
+def replaces_declared(entry: RunTimeEntry | None, policy: RunTimePolicy) -> bool:
+    """Return whether the declared run times of a step are too far off to be used.
+
+    Notes
+    -----
+    Guards against a queue that is served worse for better figures: the order of
+    placement allows for declared figures that are off by half, and puts off work that
+    is known to be late only as it becomes so.
+    """
+    return find_declared_variance(entry or RunTimeEntry()) >= policy.min_error
+
+
 def estimate_ms(run_times: RunTimes, submission: Submission, number: int) -> float:
     """Return the estimated run time of a step's tasks, in milliseconds.
 
@@ -254,12 +267,21 @@
     )
 
 
-def list_priors(run_times: RunTimes, queue: str) -> tuple[RunTimePrior, ...]:
-    """Return what was learned of a queue's steps; may be called from any thread."""
+def list_priors(
+    run_times: RunTimes, policy: RunTimePolicy | None, queue: str
+) -> tuple[RunTimePrior, ...]:
+    """Return what replaces the declared run times of a queue's steps.
+
+    Notes
+    -----
+    May be called from any thread.
+    """
+    if policy is None:
+        return ()
     return tuple(
         RunTimePrior(number, *map(_round, _make_prior(number, entry)[1:]))
         for (name, number), entry in list(run_times.entries.items())
-        if name == queue
+        if name == queue and replaces_declared(entry, policy)
     )
 
 
--- a/plantainyard/dispatch/tests/test_room.py
+++ b/plantainyard/dispatch/tests/test_room.py
@@ -29,8 +29,12 @@
 from plantainyard.dispatch.placing import accepts_tasks, can_start
 from plantainyard.dispatch.planning import plan_starts
 from plantainyard.dispatch.policy import NO_POLICY, RoomPolicy
-from plantainyard.dispatch.reservations import describe_room
-from plantainyard.dispatch.room import count_allowed
+from plantainyard.dispatch.reservations import Room, describe_room
+from plantainyard.dispatch.room import (
+    count_allowed,
+    find_min_cpu,
+    list_overdue_tasks,
+)
 from plantainyard.dispatch.surveys import estimate_remaining_s
 from plantainyard.dispatch.tests.world import TICK_S, World, make_step
 from standins.platform.samples import SERVICE
@@ -805,3 +809,23 @@
     (reservation,), (move,) = found["reservations"], found["moves"]
     assert reservation["task"] == move["for"] == TaskKey("large", 0, 0, 0)
     assert move["from"] == reservation["runner"] != move["to"]
+
+
+def test_small_tasks_get_no_reservation():
+    # Guards against runners that are closed to others for tasks that fit wherever one
+    # or two others end.
+    room, tasks = Room(), {}
+    for cpu in (6_000, 12_000):
+        world = World(2)
+        for runner in world.runners.values():
+            runner.durations = {"full": 30.0}
+        world.submit("full", make_step(2, CAPACITY, max_per_runner=1))
+        world.run(1.0)
+        world.submit(f"job{cpu}", make_step(1, cpu))
+        world.run(1.0)
+        jobs = world.state.jobs.values()
+        runners = world.state.runners.values()
+        min_cpu = find_min_cpu(DEFAULT_POLICY, runners)
+        tasks[cpu] = list_overdue_tasks(jobs, room, 0.4, world.now, min_cpu)
+    assert tasks[6_000] == []
+    assert [task.step.spec.resources.cpu for task in tasks[12_000]] == [12_000]
--- a/plantainyard/dispatch/tests/test_run_times.py
+++ b/plantainyard/dispatch/tests/test_run_times.py
@@ -41,10 +41,14 @@
     estimate_ms,
     expire_entries,
     learn_run_time,
+    list_priors,
+    replaces_declared,
 )
 from plantainyard.dispatch.tests.world import World, make_step
 
-POLICY = RunTimePolicy()
+POLICY = RunTimePolicy(min_error=0.0)
+"""Replaces declared figures however exact they are."""
+
 SWITCHED_ON = SchedulingPolicy(run_times=POLICY)
 ERROR = math.exp(0.9)
 """Factor by which the declared run times of one deployment are off."""
@@ -86,6 +90,21 @@
     task.pace = pace
 
 
+@pytest.mark.parametrize("factor, replaced", [(1.2, False), (1.6, False), (2.7, True)])
+def test_declared_figures_are_replaced_only_if_they_are_far_off(factor, replaced):
+    # Guards against queues whose declared run times are about right, and which are
+    # served worse if work is put off only as it becomes late.
+    run_times, policy = RunTimes(), RunTimePolicy()
+    for number in range(40):
+        declared = round(1_000 * factor ** (-1 if number % 2 else 1))
+        learn_run_time(run_times, policy, make_submission(declared), 0, 1_000.0, 0.0)
+    assert replaces_declared(run_times.entries["q", 0], policy) == replaced
+    job = make_job(make_submission(100))
+    estimate_job(run_times, policy, job)
+    assert (job.estimates_ms[0] > 200) == replaced
+    assert bool(list_priors(run_times, policy, "q")) == replaced
+
+
 def test_declared_figures_are_in_force_before_anything_is_learned():
     assert estimate_ms(RunTimes(), make_submission(700), 0) == 700
 
--- a/plantainyard/dispatch/unit_forecasts.py
+++ b/plantainyard/dispatch/unit_forecasts.py
@@ -74,7 +74,7 @@
         round(own_age_s, 3),
         max((_find_free_size(load) for load in loads), default=0),
         any(_has_unused_cpu(load) for load in loads),
-        list_priors(state.run_times, queue),
+        list_priors(state.run_times, state.limits.policy.run_times, queue),
     )
 
 
--- a/plantainyard/entry/policies.py
+++ b/plantainyard/entry/policies.py
@@ -47,6 +47,7 @@
     "max_open_jobs": _Range(low=1),
     "max_reserved_share": _Range(high=1.0),
     "max_suspended_share": _Range(high=1.0),
+    "min_task_share": _Range(high=1.0),
     "runners_per_unit": _Range(low=1),
     "slow_ratio": _Range(low=1.0),
 }
