Log the dispatcher's decisions in a module of their own

They are plain functions of the log now, in decision_log; the lines are the same.

Measured: the tests of the log lines, of units and of instances pass.

--- a/plantainyard/entry/tests/test_room_log.py
+++ b/plantainyard/entry/tests/test_room_log.py
@@ -2,8 +2,6 @@
 
 import io
 import json
-from types import SimpleNamespace
-from typing import Any, cast
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.dispatch import (
@@ -12,9 +10,9 @@
     RoomReserved,
     TaskMovedForRoom,
 )
+from plantainyard.entry.decision_log import record_decision
 from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.meters import Meters
-from plantainyard.entry.unit import UnitActor
 
 TASK = TaskKey("job-1", 0, 1, 2)
 
@@ -22,15 +20,13 @@
 def test_decisions_are_logged_with_their_inputs_and_moves_are_counted():
     # Guards against an interruption that operators can't trace to what it was for.
     log, meters = EventLog("a", io.StringIO()), Meters()
-    actor = cast(Any, SimpleNamespace(context=SimpleNamespace(log=log, meters=meters)))
     reserved = RoomReserved(TASK, "r0@1", 0.4, 9_000, 4_000, 1, 0.5, 0.1, 1)
     released = RoomReleased(TASK, "r0@1", ReleaseReason.STARTED, 0.6, 100)
     moved = TaskMovedForRoom(
         TaskKey("job-2", 0, 0, 0), 1, "r0@1", "r1@1", 5_000, TASK, 0.02, 0.3
     )
-    UnitActor._log_reservation(actor, reserved)
-    UnitActor._log_release(actor, released)
-    UnitActor._record_move(actor, moved)
+    for action in (reserved, released, moved):
+        record_decision(log, meters, 0, action)
     lines = [json.loads(log.lines.get_nowait() or "") for _ in range(3)]
     assert [line["event"] for line in lines] == [
         "room_reserved",
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -37,18 +37,13 @@
     ReportFailed,
     ReportReceived,
     RequestReport,
-    RoomReleased,
-    RoomReserved,
-    RunGivenUp,
-    RunnerSlow,
-    RunnerTrusted,
     SendOrder,
-    TaskMovedForRoom,
     Tick,
     count_held_runs,
     list_lease_ends,
     step,
 )
+from plantainyard.entry.decision_log import record_decision
 from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.meters import Meters
 from plantainyard.entry.topics import INTAKE, PRODUCER, PROGRESS
@@ -196,34 +191,6 @@
         unit = self.context.unit
         self.context.log.write("runs_held", unit=unit, **held._asdict())
 
-    def _log_given_up_run(self, action: RunGivenUp) -> None:
-        self.context.log.write(
-            "run_given_up",
-            job=action.task.job_id,
-            task=action.task[1:],
-            run=action.run,
-            runner=action.incarnation,
-            why=action.why,
-        )
-
-    def _log_runner_health(self, action: RunnerSlow | RunnerTrusted) -> None:
-        inputs = action._asdict()
-        fields = {"unit": self.context.unit, "runner": inputs.pop("incarnation")}
-        if isinstance(action, RunnerSlow):
-            self.context.log.write("runner_slow", **fields, **inputs)
-        else:
-            self.context.log.write("runner_trusted", **fields, **inputs)
-
-    def _log_reservation(self, action: RoomReserved) -> None:
-        self.context.log.write("room_reserved", **_name_task(action))
-
-    def _log_release(self, action: RoomReleased) -> None:
-        self.context.log.write("room_released", **_name_task(action))
-
-    def _record_move(self, action: TaskMovedForRoom) -> None:
-        self.context.meters.room_moves.inc()
-        self.context.log.write("task_moved_for_room", **_name_task(action))
-
     def _log_run_start(self, message: OrderAnswered, now: float) -> None:
         job = self.dispatcher.jobs.get(message.task.job_id)
         done = message.result.outcome == OrderOutcome.DONE
@@ -288,29 +255,22 @@
         self.context.step_down()
 
     def _perform(self, action: Action) -> None:
+        context = self.context
         if isinstance(action, Commit):
-            self.context.sequence += 1
-            self.commit_pool.submit(self._commit, action, self.context.sequence)
+            context.sequence += 1
+            self.commit_pool.submit(self._commit, action, context.sequence)
         elif isinstance(action, RequestReport):
             self._request_report(action)
         elif isinstance(action, JobStarted):
             self._record_job_start(action)
-        elif isinstance(action, RunGivenUp):
-            self._log_given_up_run(action)
-        elif isinstance(action, RunnerSlow | RunnerTrusted):
-            self._log_runner_health(action)
-        elif isinstance(action, RoomReserved):
-            self._log_reservation(action)
-        elif isinstance(action, RoomReleased):
-            self._log_release(action)
-        elif isinstance(action, TaskMovedForRoom):
-            self._record_move(action)
         elif isinstance(action, HandoversConfirmed):
-            mark_jobs_delivered(self.context.replica, action.job_ids)
+            mark_jobs_delivered(context.replica, action.job_ids)
         elif isinstance(action, Forward):
             self.forward_pool.submit(self._forward, action)
-        else:
+        elif isinstance(action, SendOrder):
             self._send_order(action)
+        else:
+            record_decision(context.log, context.meters, context.unit, action)
 
     def _commit(self, action: Commit, sequence: int) -> None:
         """Store records and apply them to the replica, which later ownerships share.
@@ -471,15 +431,6 @@
             self.actor_ref.tell(event)
 
 
-def _name_task(
-    action: RoomReserved | RoomReleased | TaskMovedForRoom,
-) -> dict[str, Any]:
-    """Return the fields of a log line, with the job and the task named apart."""
-    fields = action._asdict()
-    fields["task"] = action.task[1:]
-    return {"job": action.task.job_id, **fields}
-
-
 def _build_report_order(action: RequestReport) -> Order:
     """Return an order without a task, because a report covers the whole runner."""
     no_task = TaskKey("", 0, 0, 0)
