Wait for the thread of calls to be started before joining it

The first call creates the thread of the multiplexer under a lock and starts it; closing read the thread without the lock, in between. A process that stops right after its start could fail in the same way.

Closing now takes the lock. The new test, which holds the start back, fails without the change with the same error.

--- a/plantainyard/multiplexer.py
+++ b/plantainyard/multiplexer.py
@@ -109,11 +109,19 @@
         return results.get()
 
     def close(self) -> None:
-        """Stop the thread and close all connections; calls in progress fail."""
+        """Stop the thread and close all connections; calls in progress fail.
+
+        Notes
+        -----
+        Guards against a shutdown that fails while the first call starts the thread: it
+        is known before it has been started, and can't be joined until then.
+        """
         self._closing = True
         self._wake_sender.send(b"\0")
-        if self._thread is not None:
-            self._thread.join()
+        with self._start_lock:
+            thread = self._thread
+        if thread is not None:
+            thread.join()
         keys = list(self._selector.get_map().values())
         for key in keys:
             if key.data is not None:
--- a/plantainyard/tests/test_multiplexer.py
+++ b/plantainyard/tests/test_multiplexer.py
@@ -6,11 +6,14 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor, wait
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 from result import Result
 
+from plantainyard import multiplexer
 from plantainyard.connections import Call, Connection, build_request
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.multiplexer import Multiplexer
@@ -378,3 +381,29 @@
         while not ended.wait(0.02):
             assert time.monotonic() < deadline, "still open"
             assert Caller(multiplexer, busy).call().is_ok()
+
+
+def test_closing_waits_for_a_thread_that_is_being_started(monkeypatch):
+    # Guards against a shutdown that fails: the first call had created the thread, but
+    # not started it yet, when closing tried to join it.
+    starting, release = threading.Event(), threading.Event()
+
+    class SlowThread(threading.Thread):
+        def start(self) -> None:
+            starting.set()
+            release.wait(TIMEOUT_S)
+            super().start()
+
+    slow = SimpleNamespace(Thread=SlowThread, Lock=threading.Lock)
+    monkeypatch.setattr(multiplexer, "threading", slow)
+    client = Multiplexer()
+    call = Call("step", "peer", "127.0.0.1:1", b"", TIMEOUT_S, lambda _: None)
+    with ThreadPoolExecutor(2) as pool:
+        sent = pool.submit(client.send, call)
+        starting.wait(TIMEOUT_S)
+        closed = pool.submit(client.close)
+        # Without the guard, closing fails before the thread is started.
+        wait([closed], timeout=0.2)
+        release.set()
+        sent.result(TIMEOUT_S)
+        closed.result(TIMEOUT_S)
