--- a/review/harness.py
+++ b/review/harness.py
@@ -23,7 +23,7 @@
 import tomllib
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qsl
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -234,6 +234,24 @@
     return answer[0], json.dumps(answer[1]).encode()
 
 
+class NotedEnd(NamedTuple):
+    """An end of a run that its runner has listed, and that was taken note of.
+
+    Attributes
+    ----------
+    runner, task, run, outcome : str, str, int, str
+        The end.
+    at : float
+        When the run ended, in Unix seconds.
+    """
+
+    runner: str
+    task: str
+    run: int
+    outcome: str
+    at: float
+
+
 class Runner:
     """One runner, over all incarnations under its id."""
 
@@ -244,8 +262,8 @@
         self.store = store
         self.record = record
         self.sequence = 0
-        self.forgotten: list[list[Any]] = []
-        self.acknowledged = 0
+        self.noted_ends: list[NotedEnd] = []
+        self._ended_at: dict[tuple[str, int], float] = {}
         self._next_ping_at = 0.0
         self._known_ends = 0
 
@@ -278,7 +296,6 @@
         """Start again under the same id, with nothing of before."""
         self.state.restart(time.time())
         self._known_ends = 0
-        self.acknowledged = 0
         self.sequence = 0
         self._next_ping_at = time.monotonic() + first_ping_s
         self.server.regain_power()
@@ -294,6 +311,7 @@
         for end in self.state.ends:
             if end[0] > self._known_ends:
                 self._known_ends = end[0]
+                self._ended_at[end[1], end[2]] = time.time()
                 self.record.write(f"{self.state.runner} run ended {end}")
 
     async def handle(
@@ -324,12 +342,17 @@
         return status, json.dumps(answer).encode()
 
     def _note_forgotten(self, before: list[list[Any]], last_seen: int) -> None:
-        gone = [end for end in before if end[0] <= last_seen]
-        self.acknowledged = max(self.acknowledged, last_seen)
-        self.forgotten += gone
-        for end in gone:
-            text = f"{self.state.runner} end {end} taken note of by lastSeen"
-            self.record.write(f"{text} {last_seen}")
+        name = self.state.runner
+        has_lapsed = self.state.clock_ms(time.time()) > self.state.lease_until_ms
+        for end in before:
+            if end[0] > last_seen:
+                continue
+            how = "after the lease lapsed" if has_lapsed else "under its lease"
+            text = f"{name} forgets {end} by lastSeen {last_seen}, {how}"
+            self.record.write(text)
+            if not has_lapsed:
+                at = self._ended_at[end[1], end[2]]
+                self.noted_ends.append(NotedEnd(name, end[1], end[2], end[3], at))
 
     def _report(self, answer: dict[str, Any]) -> dict[str, Any]:
         rows = [[r.task, r.run, "", 100, 0] for r in self.state.running.values()]
@@ -392,13 +415,19 @@
         self.log.close()
 
 
+_used_ports: set[int] = set()
+
+
 def find_ports(count: int) -> list[int]:
-    """Return free ports below the range of outgoing connections."""
+    """Return free ports below the range of outgoing connections, each only once."""
     source = random.SystemRandom()
     with contextlib.ExitStack() as stack:
         found: list[int] = []
         while len(found) < count:
             port = source.randrange(12_000, 32_000)
+            if port in _used_ports:
+                continue
+            _used_ports.add(port)
             held = stack.enter_context(socket.socket())
             with contextlib.suppress(OSError):
                 held.bind(("127.0.0.1", port))
@@ -456,6 +485,15 @@
 
         return self.run(call_it())
 
+    def find_busiest_runner(self) -> Runner:
+        """Return the runner at which most runs began in the last seconds."""
+        since = time.time() - 3.0
+
+        def count(runner: Runner) -> int:
+            return sum(began_at > since for began_at, _, _ in runner.state.started)
+
+        return max(self.runners, key=count)
+
     def submit(self, job_id: str, body: dict[str, Any], number: int = 0) -> bool:
         """Submit a job, if need be at further instances; return if it was accepted."""
         for attempt in range(5):
@@ -523,7 +561,7 @@
     folder: Path, instances: int, runners: int, max_attempts: int = 3
 ) -> Iterator[Site]:
     """Start a deployment, and end all that was started on exit."""
-    record = Record(folder / "record.txt")
+    record = Record(Path(os.environ.get("RECORD", folder / "record.txt")))
     store = Store()
     store.state.put("keyed.op", "config", make_configuration(max_attempts))
     states = [Runner(f"i-{n:04x}", store, record) for n in range(runners)]
