--- a/review/harness.py
+++ b/review/harness.py
@@ -326,12 +326,13 @@
         born = self.state.incarnation_started_at
         before = list(self.state.ends)
         known = len(self.state.started)
+        has_lapsed = self.state.clock_ms(time.time()) > self.state.lease_until_ms
         status, answer = self.state.call(name, data, time.time())
         if len(self.state.started) > known:
             text = f"{self.state.runner} run begins {data['task']}/{data['run']}"
             self.record.write(f"{text} fence {data.get('fence', 0)}")
         if name == "hold" and status == 200:
-            self._note_forgotten(before, data.get("lastSeen", 0))
+            self._note_forgotten(before, data.get("lastSeen", 0), has_lapsed)
             deadline = time.monotonic() + data.get("waitMs", 0) / 1000
             while not self.state.ends and time.monotonic() < deadline:
                 await asyncio.sleep(0.005)
@@ -341,9 +342,10 @@
             answer = self._report(answer)
         return status, json.dumps(answer).encode()
 
-    def _note_forgotten(self, before: list[list[Any]], last_seen: int) -> None:
+    def _note_forgotten(
+        self, before: list[list[Any]], last_seen: int, has_lapsed: bool
+    ) -> None:
         name = self.state.runner
-        has_lapsed = self.state.clock_ms(time.time()) > self.state.lease_until_ms
         for end in before:
             if end[0] > last_seen:
                 continue
