--- a/review/harness.py
+++ b/review/harness.py
@@ -21,6 +21,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -592,3 +593,14 @@
 def has_trouble() -> bool:
     """Return whether the disruption is to take place."""
     return os.environ.get("TROUBLE", "1") != "0"
+
+
+def run_case(check: Callable[[Site], int], folder: Path, runners: int) -> int:
+    """Run a check on a deployment of three instances; return the exit status."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANT_RUN))
+    try:
+        with open_site(folder, 3, runners) as site:
+            return check(site)
+    except Exception:
+        traceback.print_exc()
+        return CANT_RUN
