--- a/review/1/check.py
+++ b/review/1/check.py
@@ -28,7 +28,7 @@
     """Write an entry with a field of another type, as another writer does."""
     entry = {
         "service": harness.SERVICE,
-        "address": "127.0.0.1:9",
+        "address": f"127.0.0.1:{harness.find_ports(1)[0]}",
         "zone": "addis-kality",
         "version": "v1",
         "slotCount": 8,
@@ -44,12 +44,13 @@
     site.record.write(f"another writer stores servers/i-stray {entry}")
 
 
-def run_jobs(site: harness.Site, first: int, wait_s: float) -> list[str]:
-    """Submit jobs, wait, and return those that aren't completed."""
+def run_jobs(site: harness.Site, first: int, wait_s: float) -> list[str] | None:
+    """Submit jobs, wait, and return those not completed; None if some were refused."""
     names = [f"{number:016x}" for number in range(first, first + JOBS)]
     accepted = [n for k, n in enumerate(names) if site.submit(n, make_body(), k)]
     if len(accepted) < JOBS:
         site.record.write(f"accepted only {accepted}")
+        return None
     deadline = time.monotonic() + wait_s
     open_jobs = accepted
     while open_jobs and time.monotonic() < deadline:
@@ -69,13 +70,15 @@
     if not site.wait_until_ready():
         site.record.write("the instances aren't ready")
         return harness.CANT_RUN
-    if run_jobs(site, 0x100, 15.0):
+    if run_jobs(site, 0x100, 15.0) != []:
         site.record.write("jobs without disruption weren't completed")
         return harness.CANT_RUN
     if harness.has_trouble():
         write_stray_entry(site)
     time.sleep(1.0)
     open_jobs = run_jobs(site, 0x200, FINISH_S)
+    if open_jobs is None:
+        return harness.CANT_RUN
     idle_since = time.monotonic()
     while open_jobs and time.monotonic() - idle_since < IDLE_S:
         time.sleep(0.1)
--- a/review/harness.py
+++ b/review/harness.py
@@ -31,11 +31,16 @@
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
 
 from standins.platform import RunnerState, StoreState  # noqa: E402
+from standins.platform.runner import Run  # noqa: E402
 
 HOST = "nony.example"
 PREFIX = "/jobs/"
 SERVICE = "tollgate"
 HEARTBEAT_S = 1.1
+PORTS = 190
+FIRST_PORT = 12_000 + os.getpid() % 100 * PORTS
+"""Each process has ports of its own, so that scripts can run side by side."""
+
 RECORD_BYTES = 262_144
 CALL_BYTES = 2_097_152
 CANT_RUN = 2
@@ -358,12 +363,21 @@
                 self.noted_ends.append(NotedEnd(name, end[1], end[2], end[3], at))
 
     def _report(self, answer: dict[str, Any]) -> dict[str, Any]:
-        rows = [[r.task, r.run, "", 100, 0] for r in self.state.running.values()]
+        now = time.time()
+        rows = [
+            [run.task, run.run, "", measure_percent(run, now), 0]
+            for run in self.state.running.values()
+        ]
         clock_ms = self.state.clock_ms(time.time())
         ends = list(self.state.ends)[:500]
         return {**answer, "clockMs": clock_ms, "running": rows, "endedRuns": ends}
 
 
+def measure_percent(run: Run, now: float) -> int:
+    """Return the progress of a run, which is below 100 until it has ended."""
+    return min(99, round(100 * (now - run.began_at) / (run.ends_at - run.began_at)))
+
+
 class Instance:
     """One instance as a process."""
 
@@ -427,7 +441,7 @@
     with contextlib.ExitStack() as stack:
         found: list[int] = []
         while len(found) < count:
-            port = source.randrange(12_000, 32_000)
+            port = FIRST_PORT + source.randrange(PORTS)
             if port in _used_ports:
                 continue
             _used_ports.add(port)
@@ -523,6 +537,9 @@
             if all(instance.is_ready() for instance in self.instances):
                 return True
             time.sleep(0.2)
+        for instance in self.instances:
+            lines = Path(instance.log.name).read_text(errors="replace").splitlines()
+            self.record.write(f"not ready, or another isn't: {lines[-4:]}")
         return False
 
 
