Read runners' entries of any content without failing

Cause: decode_entry tested the state's membership in a set outside of its try block; TypeError left the loop that reads the entries. Inside the block OverflowError and RecursionError weren't caught, either.

Change: plantainyard.decoding reads values from outside: a typed value or DecodeError, whatever the bytes are. Entries are read with it; numbers are limited, ids fit into a header, and addresses name an IP address and a port.

--- a/plantainyard/connections.py
+++ b/plantainyard/connections.py
@@ -15,7 +15,7 @@
 from plantainyard.errors import CallError
 from plantainyard.transport import HttpResponse
 
-__all__ = ["Call", "Connection", "ResultCallback", "build_request"]
+__all__ = ["MAX_PORT", "Call", "Connection", "ResultCallback", "build_request"]
 
 MAX_PORT = 65_535
 
--- /dev/null
+++ b/plantainyard/decoding.py
@@ -0,0 +1,190 @@
+"""Strict reading of values that come from outside the process.
+
+Whatever the bytes are, a decoder that reads them with these functions returns a typed
+value or raises `DecodeError`. Numbers are finite and limited, so that they can be
+calculated with, and texts can be encoded, so that they can be stored and sent on.
+"""
+
+import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+__all__ = [
+    "MAX_INTEGER",
+    "DecodeError",
+    "convert_errors",
+    "parse_decimal",
+    "parse_json",
+    "read_flag",
+    "read_integer",
+    "read_list",
+    "read_number",
+    "read_object",
+    "read_text",
+    "read_truncated",
+]
+
+MAX_INTEGER = 2**53 - 1
+"""Largest whole number that a floating-point number represents exactly, as do all its
+predecessors."""
+
+MAX_DETAIL = 200
+"""Maximum number of characters that are quoted from an error."""
+
+MAX_DIGITS = len(str(MAX_INTEGER))
+
+FAILURES = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+"""What the reading of a value of another form can raise. `RecursionError` is raised for
+values that are nested too deep."""
+
+
+class DecodeError(ValueError):
+    """A value from outside the process that can't be read."""
+
+
+@contextmanager
+def convert_errors(what: str) -> Iterator[None]:
+    """Raise `DecodeError` in place of each error that unusable values cause.
+
+    Parameters
+    ----------
+    what : str
+        What is being decoded, for the message.
+    """
+    try:
+        yield
+    except FAILURES as error:
+        raise DecodeError(f"{what}: {describe_failure(error)}") from None
+
+
+def describe_failure(error: BaseException) -> str:
+    """Return a short description of an error, whatever value it quotes."""
+    if isinstance(error, DecodeError):
+        return str(error)
+    return f"{type(error).__name__}: {error}"[:MAX_DETAIL]
+
+
+def _reject_constant(name: str) -> Any:
+    raise DecodeError(f"{name} isn't a number")
+
+
+_decoder = json.JSONDecoder(parse_constant=_reject_constant)
+
+
+def parse_json(data: bytes) -> Any:
+    """Return the value that UTF-8 encoded JSON describes.
+
+    Examples
+    --------
+    >>> parse_json(b'{"run": 2}')
+    {'run': 2}
+    >>> parse_json(b"[" * 100_000)
+    Traceback (most recent call last):
+    plantainyard.decoding.DecodeError: nested too deep
+    """
+    try:
+        return _decoder.decode(data.decode())
+    except RecursionError:
+        raise DecodeError("nested too deep") from None
+    except ValueError as error:
+        raise DecodeError(describe_failure(error)) from None
+
+
+def read_object(value: Any, name: str) -> dict[str, Any]:
+    """Return `value` if it is a JSON object."""
+    return _expect(value, name, dict, "an object")
+
+
+def read_list(value: Any, name: str) -> list[Any]:
+    """Return `value` if it is a JSON array."""
+    return _expect(value, name, list, "a list")
+
+
+def read_flag(value: Any, name: str) -> bool:
+    """Return `value` if it is a truth value."""
+    return _expect(value, name, bool, "true or false")
+
+
+def read_text(value: Any, name: str, max_length: int | None = None) -> str:
+    r"""Return `value` if it is a text that can be encoded.
+
+    Examples
+    --------
+    >>> read_text("\ud800", "zone")
+    Traceback (most recent call last):
+    plantainyard.decoding.DecodeError: zone is a text that can't be encoded
+    """
+    text: str = _expect(value, name, str, "a text")
+    if max_length is not None and len(text) > max_length:
+        raise DecodeError(f"{name} is longer than {max_length} characters")
+    if not text.isascii():
+        try:
+            text.encode()
+        except UnicodeEncodeError:
+            raise DecodeError(f"{name} is a text that can't be encoded") from None
+    return text
+
+
+def read_integer(value: Any, name: str, low: int = 0, high: int = MAX_INTEGER) -> int:
+    """Return `value` if it is a whole number from `low` to `high`.
+
+    Examples
+    --------
+    >>> read_integer(10**400, "count")
+    Traceback (most recent call last):
+    plantainyard.decoding.DecodeError: count is not from 0 to 9007199254740991
+    """
+    if type(value) is not int:
+        raise _build_type_error(value, name, "a whole number")
+    return _check_range(value, name, low, high)
+
+
+def read_number(
+    value: Any, name: str, low: float = -MAX_INTEGER, high: float = MAX_INTEGER
+) -> float:
+    """Return `value` as a float if it is a finite number from `low` to `high`."""
+    if type(value) is not int and type(value) is not float:
+        raise _build_type_error(value, name, "a number")
+    return float(_check_range(value, name, low, high))
+
+
+def read_truncated(value: Any, name: str, low: int = 0, high: int = MAX_INTEGER) -> int:
+    """Return `value` without its fraction if it is a number from `low` to `high`."""
+    return int(read_number(value, name, low, high))
+
+
+def parse_decimal(text: str) -> int | None:
+    r"""Return the number that a text of ASCII digits names, or None.
+
+    Examples
+    --------
+    >>> parse_decimal("17"), parse_decimal("\u00b2"), parse_decimal("9" * 5000)
+    (17, None, None)
+    """
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return int(text) if is_number else None
+
+
+def _check_range(value: Any, name: str, low: float, high: float) -> Any:
+    # The comparison is false for NaN, too.
+    if not low <= value <= high:
+        raise DecodeError(f"{name} is not from {low} to {high}")
+    return value
+
+
+def _expect(value: Any, name: str, kind: type, noun: str) -> Any:
+    if not isinstance(value, kind):
+        raise _build_type_error(value, name, noun)
+    return value
+
+
+def _build_type_error(value: Any, name: str, noun: str) -> DecodeError:
+    return DecodeError(f"{name} is not {noun} but of type {type(value).__name__}")
--- a/plantainyard/platform/entries.py
+++ b/plantainyard/platform/entries.py
@@ -1,14 +1,31 @@
 """Decoding of the entries that runners publish about themselves in the store."""
 
-import json
-from typing import NamedTuple
+from ipaddress import AddressValueError, IPv4Address
+from typing import Any, NamedTuple
 
 from plantainyard.batch import Resources
+from plantainyard.connections import MAX_PORT
+from plantainyard.decoding import (
+    MAX_INTEGER,
+    DecodeError,
+    convert_errors,
+    parse_decimal,
+    parse_json,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+    read_truncated,
+)
 
 __all__ = ["RunnerEntry", "decode_entry"]
 
 _STATES = frozenset({"ready", "draining"})
 
+MAX_NAME = 255
+"""Maximum length of the names of runners, machines, labels and the like; that of a key
+in the store."""
+
 
 class RunnerEntry(NamedTuple):
     """The newest entry of a runner.
@@ -72,41 +89,61 @@
         records with missing fields, other types or invalid text to the same topic.
     """
     try:
-        data = json.loads(value)
-        capacity = data["capacity"]
-        remaining_ms = data.get("remainingMs")
-        entry = RunnerEntry(
-            runner=runner,
-            started_at_ms=_read_int(data.get("born", 0)),
-            service=_read_str(data["service"]),
-            address=_read_str(data["address"]),
-            domain=_read_str(data["zone"]),
-            draining=data["state"] == "draining",
-            leaves_in_ms=None if remaining_ms is None else float(remaining_ms),
-            capacity=Resources(
-                _read_int(capacity.get("cpu", 0)),
-                _read_int(capacity.get("memMb", 0)),
-                _read_int(capacity.get("gpu", 0)),
-            ),
-            labels=tuple(_read_str(label) for label in data.get("labels", ())),
-            machine=_read_str(data.get("machine", "")),
-            clock_ms=_read_int(data.get("clockMs", 0)),
-            slow_for_ms=_read_int(data.get("coldLeftMs", 0)),
-        )
-    except (ValueError, TypeError, KeyError, AttributeError):
+        with convert_errors("entry"):
+            return _decode(_read_id(runner), read_object(parse_json(value), "entry"))
+    except DecodeError:
         return None
-    host, _, port = entry.address.rpartition(":")
-    usable = data["state"] in _STATES and host and port.isdigit()
-    return entry if usable else None
-
 
-def _read_int(value: object) -> int:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"expected a number, found {value!r}")
-    return int(value)
 
-
-def _read_str(value: object) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"expected a string, found {value!r}")
-    return value
+def _decode(runner: str, data: dict[str, Any]) -> RunnerEntry:
+    capacity = read_object(data["capacity"], "capacity")
+    remaining_ms = data.get("remainingMs")
+    state = read_text(data["state"], "state")
+    if state not in _STATES:
+        raise DecodeError("state is not one of those that are known")
+    return RunnerEntry(
+        runner=runner,
+        started_at_ms=read_truncated(data.get("born", 0), "born"),
+        service=read_text(data["service"], "service", MAX_NAME),
+        address=_read_address(data["address"]),
+        domain=read_text(data["zone"], "zone", MAX_NAME),
+        draining=state == "draining",
+        leaves_in_ms=(
+            None if remaining_ms is None else read_number(remaining_ms, "remainingMs")
+        ),
+        capacity=Resources(
+            read_truncated(capacity.get("cpu", 0), "cpu"),
+            read_truncated(capacity.get("memMb", 0), "memMb"),
+            read_truncated(capacity.get("gpu", 0), "gpu"),
+        ),
+        labels=tuple(
+            read_text(label, "label", MAX_NAME)
+            for label in read_list(data.get("labels", []), "labels")
+        ),
+        machine=read_text(data.get("machine", ""), "machine", MAX_NAME),
+        clock_ms=read_truncated(data.get("clockMs", 0), "clockMs"),
+        slow_for_ms=read_truncated(
+            data.get("coldLeftMs", 0), "coldLeftMs", -MAX_INTEGER
+        ),
+    )
+
+
+def _read_id(runner: str) -> str:
+    """Return the id of a runner, which is sent to it as the value of a header."""
+    is_usable = runner.isascii() and runner.isprintable() and runner.strip() == runner
+    if not runner or len(runner) > MAX_NAME or not is_usable:
+        raise DecodeError("the runner's id can't be sent in a header")
+    return runner
+
+
+def _read_address(value: Any) -> str:
+    """Return the address ``ip:port`` of a runner."""
+    address = read_text(value, "address", MAX_NAME)
+    host, _, port = address.rpartition(":")
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        raise DecodeError("address names no IP address") from None
+    if not 0 < (parse_decimal(port) or 0) <= MAX_PORT:
+        raise DecodeError("address names no port")
+    return address
