Read answers of the store and of runners of any content

Callers would see a runner that gets no work any more, or a unit that loses its owner: an answer with a list as its reason, with a number that isn't finite, or nested too deep raised an exception in the callback of the call. The multiplexer logs it and goes on, but the call's result never arrives, so that the report of that runner stays pending for good. Figures that were decoded and can't be calculated with (a clock of 400 digits) failed later, in the owner.

Change: all answers are decoded with plantainyard.decoding into typed values or one error. An unreadable item of a page leaves the others, as it did in a slice; a slice without a complete record is malformed, where the reader repeated the read without a pause; a checkpoint of over 1,024 characters isn't kept, as it would not fit into the record of its step.

--- a/plantainyard/decoding.py
+++ b/plantainyard/decoding.py
@@ -8,12 +8,15 @@
 import json
 from collections.abc import Iterator
 from contextlib import contextmanager
+from types import UnionType
 from typing import Any
 
 __all__ = [
+    "FAILURES",
     "MAX_INTEGER",
     "DecodeError",
     "convert_errors",
+    "describe_failure",
     "parse_decimal",
     "parse_json",
     "read_flag",
@@ -94,8 +97,12 @@
         return _decoder.decode(data.decode())
     except RecursionError:
         raise DecodeError("nested too deep") from None
-    except ValueError as error:
+    except (json.JSONDecodeError, UnicodeDecodeError) as error:
         raise DecodeError(describe_failure(error)) from None
+    except ValueError as error:
+        # The only other one is about a whole number of thousands of digits.
+        is_known = isinstance(error, DecodeError)
+        raise DecodeError(str(error) if is_known else "a number is too long") from None
 
 
 def read_object(value: Any, name: str) -> dict[str, Any]:
@@ -104,8 +111,8 @@
 
 
 def read_list(value: Any, name: str) -> list[Any]:
-    """Return `value` if it is a JSON array."""
-    return _expect(value, name, list, "a list")
+    """Return `value` as a list if it is a JSON array, or a tuple encoded as one."""
+    return list(_expect(value, name, list | tuple, "a list"))
 
 
 def read_flag(value: Any, name: str) -> bool:
@@ -122,15 +129,16 @@
     Traceback (most recent call last):
     plantainyard.decoding.DecodeError: zone is a text that can't be encoded
     """
-    text: str = _expect(value, name, str, "a text")
-    if max_length is not None and len(text) > max_length:
+    if not isinstance(value, str):
+        raise _build_type_error(value, name, "a text")
+    if max_length is not None and len(value) > max_length:
         raise DecodeError(f"{name} is longer than {max_length} characters")
-    if not text.isascii():
+    if not value.isascii():
         try:
-            text.encode()
+            value.encode()
         except UnicodeEncodeError:
             raise DecodeError(f"{name} is a text that can't be encoded") from None
-    return text
+    return value
 
 
 def read_integer(value: Any, name: str, low: int = 0, high: int = MAX_INTEGER) -> int:
@@ -144,7 +152,9 @@
     """
     if type(value) is not int:
         raise _build_type_error(value, name, "a whole number")
-    return _check_range(value, name, low, high)
+    if not low <= value <= high:
+        raise _build_range_error(name, low, high)
+    return value
 
 
 def read_number(
@@ -153,7 +163,10 @@
     """Return `value` as a float if it is a finite number from `low` to `high`."""
     if type(value) is not int and type(value) is not float:
         raise _build_type_error(value, name, "a number")
-    return float(_check_range(value, name, low, high))
+    # The comparison is false for NaN, too.
+    if not low <= value <= high:
+        raise _build_range_error(name, low, high)
+    return float(value)
 
 
 def read_truncated(value: Any, name: str, low: int = 0, high: int = MAX_INTEGER) -> int:
@@ -173,14 +186,11 @@
     return int(text) if is_number else None
 
 
-def _check_range(value: Any, name: str, low: float, high: float) -> Any:
-    # The comparison is false for NaN, too.
-    if not low <= value <= high:
-        raise DecodeError(f"{name} is not from {low} to {high}")
-    return value
+def _build_range_error(name: str, low: float, high: float) -> DecodeError:
+    return DecodeError(f"{name} is not from {low} to {high}")
 
 
-def _expect(value: Any, name: str, kind: type, noun: str) -> Any:
+def _expect(value: Any, name: str, kind: type | UnionType, noun: str) -> Any:
     if not isinstance(value, kind):
         raise _build_type_error(value, name, noun)
     return value
--- a/plantainyard/platform/bodies.py
+++ b/plantainyard/platform/bodies.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any
 
+from plantainyard.decoding import DecodeError, parse_json
 from plantainyard.transport import HttpResponse
 
 __all__ = ["encode_body", "read_object"]
@@ -28,7 +29,7 @@
     missing fields are left to the function that reads them.
     """
     try:
-        data = json.loads(response.body)
-    except ValueError:
+        data = parse_json(response.body)
+    except DecodeError:
         return {}
     return data if isinstance(data, dict) else {}
--- a/plantainyard/platform/runners.py
+++ b/plantainyard/platform/runners.py
@@ -9,6 +9,17 @@
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.clock import read_clock
 from plantainyard.connections import Call, ResultCallback, build_request
+from plantainyard.decoding import (
+    FAILURES,
+    MAX_INTEGER,
+    DecodeError,
+    describe_failure,
+    parse_decimal,
+    read_integer,
+    read_list,
+    read_text,
+    read_truncated,
+)
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.multiplexer import Multiplexer
 from plantainyard.platform.bodies import encode_body, read_object
@@ -118,6 +129,14 @@
     OrderOutcome.UNKNOWN: ErrorKind.LOST,
 }
 
+MAX_PERCENT = 100
+
+MAX_OUTCOME = 32
+"""Maximum length of the name of an outcome."""
+
+MAX_CHECKPOINT = 1_024
+"""Maximum length of a checkpoint; a limit that callers' documentation states."""
+
 MISDIRECTED_STATUS = 421
 """HTTP status with which a runner rejects an order for another incarnation."""
 
@@ -361,13 +380,15 @@
 def decode_result(response: HttpResponse) -> OrderResult:
     """Return the outcome of an order from the runner's response."""
     data = read_object(response)
-    clock = data.get("clockMs")
-    clock_ms = clock if isinstance(clock, int) else None
+    clock_ms = _read_clock_ms(data)
     if response.status == 200:
         return OrderResult(OrderOutcome.DONE, clock_ms)
     detail = f"status {response.status} {response.body[:100]!r}"
     if response.status == 409:
-        outcome = _OUTCOME_BY_REASON.get(data.get("reason", ""), OrderOutcome.REFUSED)
+        reason = data.get("reason")
+        outcome = _OUTCOME_BY_REASON.get(
+            reason if isinstance(reason, str) else "", OrderOutcome.REFUSED
+        )
         return OrderResult(outcome, clock_ms, detail)
     if response.status == MISDIRECTED_STATUS:
         return OrderResult(OrderOutcome.OTHER_INCARNATION, None, detail)
@@ -393,20 +414,65 @@
         return Err(CallError(kind, step, peer, result.detail))
     data = read_object(response)
     try:
-        running = [_decode_running(row) for row in data["running"]]
-        ended = [_decode_end(row) for row in data["endedRuns"]]
-        return Ok(RunnerReport(int(data["clockMs"]), data.get("born"), running, ended))
-    except (TypeError, KeyError, ValueError, IndexError) as error:
-        return Err(CallError(ErrorKind.MALFORMED, step, peer, repr(error)))
+        return Ok(_decode_report(data))
+    except FAILURES as error:
+        detail = describe_failure(error)
+        return Err(CallError(ErrorKind.MALFORMED, step, peer, detail))
+
+
+def _read_clock_ms(data: dict[str, Any]) -> int | None:
+    try:
+        return read_truncated(data["clockMs"], "clockMs")
+    except (DecodeError, KeyError):
+        return None
+
+
+def _decode_report(data: dict[str, Any]) -> RunnerReport:
+    born = data.get("born")
+    return RunnerReport(
+        clock_ms=read_truncated(data["clockMs"], "clockMs"),
+        started_at_ms=None if born is None else read_truncated(born, "born"),
+        running=[_decode_running(row) for row in read_list(data["running"], "running")],
+        ended=[_decode_end(row) for row in read_list(data["endedRuns"], "endedRuns")],
+    )
 
 
 def _decode_running(row: list[Any]) -> ReportedRun:
-    load = float(row[4]) if len(row) > 4 and row[4] is not None else None
-    return ReportedRun(parse_task(row[0]), row[1], row[2], row[3], load)
+    return ReportedRun(
+        parse_task(row[0]),
+        read_integer(row[1], "run"),
+        _read_checkpoint(row[2]),
+        read_truncated(row[3], "percent", 0, MAX_PERCENT),
+        _read_load(row[4]) if len(row) > 4 else None,
+    )
 
 
 def _decode_end(row: list[Any]) -> RunEnd:
-    return RunEnd(row[0], parse_task(row[1]), row[2], row[3], row[4])
+    return RunEnd(
+        read_integer(row[0], "number"),
+        parse_task(row[1]),
+        read_integer(row[2], "run"),
+        read_text(row[3], "outcome", MAX_OUTCOME),
+        _read_checkpoint(row[4]),
+    )
+
+
+def _read_checkpoint(value: Any) -> str:
+    """Return a checkpoint, or none in place of one that is too long to be stored.
+
+    Notes
+    -----
+    Guards against a step whose progress doesn't fit into a record. The task can still
+    be started from its beginning.
+    """
+    checkpoint = read_text(value, "checkpoint")
+    return checkpoint if len(checkpoint) <= MAX_CHECKPOINT else ""
+
+
+def _read_load(value: Any) -> float | None:
+    """Return a rough figure, or None if it can't be calculated with."""
+    is_number = type(value) is int or type(value) is float
+    return float(value) if is_number and 0 <= value <= MAX_INTEGER else None
 
 
 def format_task(task: TaskKey) -> str:
@@ -427,7 +493,12 @@
     Raises
     ------
     ValueError
-        If the name does not have that form.
+        If the name does not have that form. A name of another type raises TypeError or
+        AttributeError.
     """
-    job_id, occurrence, step, index = name.split(".")
-    return TaskKey(job_id, int(occurrence), int(step), int(index))
+    job_id, *place = name.split(".")
+    numbers = [parse_decimal(part) for part in place]
+    occurrence, step, index = numbers
+    if occurrence is None or step is None or index is None:
+        raise DecodeError("a task's name has another form")
+    return TaskKey(job_id, occurrence, step, index)
--- a/plantainyard/platform/store.py
+++ b/plantainyard/platform/store.py
@@ -10,6 +10,14 @@
 
 from plantainyard.clock import read_clock
 from plantainyard.connections import build_request
+from plantainyard.decoding import (
+    FAILURES,
+    DecodeError,
+    describe_failure,
+    read_integer,
+    read_list,
+    read_text,
+)
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.multiplexer import Multiplexer
 from plantainyard.platform.bodies import encode_body, read_object
@@ -348,17 +356,25 @@
 
 def _decode_append_result(response: HttpResponse) -> Result[AppendResult, CallError]:
     if response.status == 200:
-        return Ok(AppendResult(True, False, int(read_object(response).get("end", 0))))
+        return Ok(AppendResult(True, False, _read_end(response)))
     if response.status == 409 and read_object(response).get("reason") in (
         "fenced",
         "seq",
     ):
         return Ok(AppendResult(False, True, 0))
     if response.status == 412:
-        return Ok(AppendResult(False, False, int(read_object(response).get("end", 0))))
+        return Ok(AppendResult(False, False, _read_end(response)))
     return Err(_classify_error(response, "store.append"))
 
 
+def _read_end(response: HttpResponse) -> int:
+    """Return the end of a partition, or 0 if the response doesn't give it."""
+    try:
+        return read_integer(read_object(response).get("end", 0), "end")
+    except DecodeError:
+        return 0
+
+
 def _decode_slice(response: HttpResponse, offset: int) -> Result[Slice, CallError]:
     if response.status == GONE:
         return Ok(Slice([], offset, 0, dropped=True))
@@ -368,6 +384,10 @@
     if first > offset:
         return Ok(Slice([], offset, end, dropped=True))
     raw = _split_records(response.body)
+    if not raw and end > offset:
+        # To read on at the same offset would repeat the call without a pause.
+        detail = "no complete record"
+        return Err(CallError(ErrorKind.MALFORMED, "store.read", "store", detail))
     records = [record for data in raw if (record := _unpack_record(data))]
     return Ok(Slice(records, offset + len(raw), end))
 
@@ -390,20 +410,30 @@
         return Err(_classify_error(response, "store.newest"))
     data = read_object(response)
     try:
-        items = data["items"]
-        records = [
-            Record(item["key"], _decode_value(item), int(item.get("offset", 0)))
-            for item in items
-        ]
-        last_key = items[-1]["key"] if items else ""
-        return Ok(Page(records, last_key, bool(data.get("hasMore")), int(data["end"])))
-    except (ValueError, TypeError, KeyError) as error:
-        detail = f"{error!r}"
-        return Err(CallError(ErrorKind.MALFORMED, "store.newest", "store", detail))
+        items = read_list(data["items"], "items")
+        records = [record for item in items if (record := _decode_item(item))]
+        last_key = read_text(items[-1]["key"], "key") if items else ""
+        end = read_integer(data["end"], "end")
+        return Ok(Page(records, last_key, bool(data.get("hasMore")), end))
+    except FAILURES as error:
+        return Err(_describe_malformed(error, "store.newest"))
+
 
+def _decode_item(item: Any) -> Record | None:
+    """Return a record, or None if it can't be decoded, as with those of a slice."""
+    try:
+        return Record(
+            read_text(item["key"], "key"),
+            base64.b64decode(item.get("value") or ""),
+            read_integer(item.get("offset", 0), "offset"),
+        )
+    except FAILURES:
+        return None
 
-def _decode_value(item: dict[str, Any]) -> bytes:
-    return base64.b64decode(item.get("value") or "")
+
+def _describe_malformed(error: BaseException, step: str) -> CallError:
+    detail = describe_failure(error)
+    return CallError(ErrorKind.MALFORMED, step, "store", detail)
 
 
 def _decode_membership(response: HttpResponse) -> Result[Membership, CallError]:
@@ -411,11 +441,13 @@
         return Err(_classify_error(response, "store.join"))
     data = read_object(response)
     try:
-        rows = frozenset(Assignment(row[0], int(row[1])) for row in data["parts"])
-        return Ok(Membership(int(data["generation"]), rows))
-    except (ValueError, TypeError, KeyError, IndexError) as error:
-        detail = f"{error!r}"
-        return Err(CallError(ErrorKind.MALFORMED, "store.join", "store", detail))
+        rows = frozenset(
+            Assignment(read_text(row[0], "topic"), read_integer(row[1], "partition"))
+            for row in read_list(data["parts"], "parts")
+        )
+        return Ok(Membership(read_integer(data["generation"], "generation"), rows))
+    except FAILURES as error:
+        return Err(_describe_malformed(error, "store.join"))
 
 
 def _decode_partition_owners(
@@ -425,14 +457,18 @@
         return Err(_classify_error(response, "store.owners"))
     try:
         # The fourth column, a committed offset, is not used.
-        rows = read_object(response)["parts"]
+        rows = read_list(read_object(response)["parts"], "parts")
         owners = [
-            PartitionOwner(str(row[0]), int(row[1]), str(row[2] or "")) for row in rows
+            PartitionOwner(
+                read_text(row[0], "topic"),
+                read_integer(row[1], "partition"),
+                read_text(row[2] or "", "member"),
+            )
+            for row in rows
         ]
         return Ok(owners)
-    except (ValueError, TypeError, KeyError, IndexError) as error:
-        detail = f"{error!r}"
-        return Err(CallError(ErrorKind.MALFORMED, "store.owners", "store", detail))
+    except FAILURES as error:
+        return Err(_describe_malformed(error, "store.owners"))
 
 
 def _expect_ok(response: HttpResponse) -> Result[None, CallError]:
--- a/plantainyard/transport.py
+++ b/plantainyard/transport.py
@@ -23,6 +23,7 @@
 from urllib3.util import Url, parse_url
 
 from plantainyard.clock import read_clock
+from plantainyard.decoding import DecodeError, parse_json
 from plantainyard.errors import CallError, ErrorKind
 
 __all__ = [
@@ -329,8 +330,8 @@
     if not (200 <= response.status < 300 or response.status in accepted):
         return Err(_convert_status(peer, step, response))
     try:
-        body = json.loads(response.body)
-    except ValueError as error:
+        body = parse_json(response.body)
+    except DecodeError as error:
         return Err(CallError(ErrorKind.MALFORMED, step, peer.address, str(error)))
     if not isinstance(body, dict):
         return Err(
