Read configurations, evacuations and settings of any content

Callers would see 503 for good: an evacuation or a configuration that is nested too deep, or has a number that isn't finite, ended the thread that follows it. A version of 400 digits came into force and no later one could replace it, and NaN as the stretch of a queue went into each of its jobs. A settings file that isn't text, or holds a number of thousands of digits, ended the process at the next SIGHUP.

Change: all three are decoded into typed values with limits, or one error; the last valid one stays in force.

--- a/plantainyard/batch/checks.py
+++ b/plantainyard/batch/checks.py
@@ -1,24 +1,43 @@
 """Validation of submissions, independent of the state of the fleet."""
 
+from graphlib import CycleError, TopologicalSorter
+
+from plantainyard.batch.limits import (
+    MAX_OCCURRENCES,
+    MAX_SPEC_BYTES,
+    MAX_STEP_TASKS,
+    MAX_STEPS,
+    MAX_TASKS,
+)
 from plantainyard.batch.values import Step, Submission
 
-__all__ = ["MAX_SPEC_BYTES", "MAX_STEPS", "MAX_TASKS", "validate_submission"]
+__all__ = ["DEFAULT_RECORD_BYTES", "find_cycle", "validate_submission"]
 
-MAX_SPEC_BYTES = 4_000
-"""Maximum length of `spec` in bytes; the limit that the platform documents."""
+DEFAULT_RECORD_BYTES = 262_144
+"""Maximum size of a record in bytes if the platform's settings don't give it."""
 
-MAX_STEPS = 1_000
-"""Maximum number of steps in a job; bounds the work of validating one request.
+TASK_RECORD_BYTES = 200
+"""Size of the progress of one task in bytes that the limit of a step allows for: twice
+the usual one."""
 
-The limit is far above what callers use.
-"""
 
-MAX_TASKS = 100_000
-"""Maximum number of tasks over all steps of a job; bounds the memory of a request."""
+def validate_submission(
+    submission: Submission, record_bytes: int = DEFAULT_RECORD_BYTES
+) -> str:
+    """Return the reason for rejecting `submission`, or an empty string if it is valid.
 
+    Parameters
+    ----------
+    submission : Submission
+        The job.
+    record_bytes : int
+        Maximum size of a record of the store in bytes.
 
-def validate_submission(submission: Submission) -> str:
-    """Return the reason for rejecting `submission`, or an empty string if it is valid.
+    Notes
+    -----
+    Guards against a job that stops its unit for all others: one whose progress fits
+    into no record, or whose tasks take all memory or processor time of their owner. The
+    cost is proportional to the number of steps and dependencies.
 
     Examples
     --------
@@ -31,19 +50,26 @@
     steps = submission.steps
     if not 1 <= len(steps) <= MAX_STEPS:
         return f"a job has 1 to {MAX_STEPS} steps"
-    if sum(step.size for step in steps) > MAX_TASKS:
-        return f"a job has at most {MAX_TASKS} tasks"
+    if submission.times > MAX_OCCURRENCES:
+        return f"a job has at most {MAX_OCCURRENCES} occurrences"
+    max_size = min(MAX_STEP_TASKS, record_bytes // TASK_RECORD_BYTES)
     errors = (
         f"steps[{number}]: {error}"
         for number, step in enumerate(steps)
-        if (error := _validate_step(step, len(steps)))
+        if (error := _validate_step(step, len(steps), max_size))
     )
-    return next(errors, "") or _find_cycle(steps)
+    if error := next(errors, ""):
+        return error
+    if sum(step.size for step in steps) * max(1, submission.times) > MAX_TASKS:
+        return f"a job has at most {MAX_TASKS} tasks over all steps and occurrences"
+    return find_cycle(steps)
 
 
-def _validate_step(step: Step, step_count: int) -> str:
+def _validate_step(step: Step, step_count: int, max_size: int) -> str:
     if step.size < 1:
         return "count is below 1"
+    if step.size > max_size:
+        return f"a step has at most {max_size} tasks"
     if min(step.resources) < 0:
         return "a resource is below 0"
     if any(not 0 <= number < step_count for number in step.after):
@@ -51,21 +77,11 @@
     return ""
 
 
-def _find_cycle(steps: tuple[Step, ...]) -> str:
-    """Return an error message if the dependencies form a cycle, or an empty string.
-
-    Notes
-    -----
-    Repeatedly removes the steps that have no remaining predecessor. The worst-case cost
-    is the number of steps times the number of edges.
-    """
-    remaining = dict(enumerate(steps))
-    while remaining:
-        ready = [
-            n for n, step in remaining.items() if not remaining.keys() & set(step.after)
-        ]
-        if not ready:
-            return f"steps {sorted(remaining)} wait for each other"
-        for number in ready:
-            del remaining[number]
+def find_cycle(steps: tuple[Step, ...]) -> str:
+    """Return an error message if the dependencies form a cycle, or an empty string."""
+    sorter = TopologicalSorter({n: step.after for n, step in enumerate(steps)})
+    try:
+        sorter.prepare()
+    except CycleError as error:
+        return f"steps {sorted(set(error.args[1]))} wait for each other"
     return ""
--- /dev/null
+++ b/plantainyard/batch/limits.py
@@ -0,0 +1,40 @@
+"""Limits of jobs: what exceeds them is rejected when it is submitted.
+
+They bound what one job costs the owner of its unit in memory, in processor time and in
+the size of its records. `docs/callers.md` states them for callers.
+"""
+
+__all__ = [
+    "MAX_DURATION_MS",
+    "MAX_NAME",
+    "MAX_OCCURRENCES",
+    "MAX_SPEC_BYTES",
+    "MAX_STEPS",
+    "MAX_STEP_TASKS",
+    "MAX_STRETCH",
+    "MAX_TASKS",
+]
+
+MAX_SPEC_BYTES = 4_000
+"""Maximum length of `spec` in bytes; the limit that the platform documents."""
+
+MAX_STEPS = 1_000
+"""Maximum number of steps in a job."""
+
+MAX_STEP_TASKS = 1_000
+"""Maximum number of tasks in a step, whose progress is one record of the store."""
+
+MAX_TASKS = 10_000
+"""Maximum number of tasks over all steps and occurrences of a job."""
+
+MAX_OCCURRENCES = 10_000
+"""Maximum number of occurrences of a scheduled job."""
+
+MAX_NAME = 255
+"""Maximum length of the names of queues, services, labels, images and the like."""
+
+MAX_DURATION_MS = 366 * 24 * 3_600 * 1_000
+"""Maximum of durations in milliseconds: a year."""
+
+MAX_STRETCH = 1e6
+"""Maximum of a queue's factor between the length of a job and its objective."""
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -12,6 +12,7 @@
 
 from plantainyard.batch.records import RecordKind, decode_submission, parse_key
 from plantainyard.clock import read_clock
+from plantainyard.decoding import DecodeError
 from plantainyard.dispatch import (
     EMPTY_COUNTS,
     NO_POLICY,
@@ -284,8 +285,8 @@
         """Put a configuration in force unless it is unreadable or not newer."""
         try:
             configuration = decode_configuration(value)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
-            self.log.write("unreadable_entry", key=CONFIGURATION_KEY, why=repr(error))
+        except DecodeError as error:
+            self.log.write("unreadable_entry", key=CONFIGURATION_KEY, why=str(error))
             return
         current = self.configuration
         # The version in force never decreases while the process runs.
--- a/plantainyard/entry/policies.py
+++ b/plantainyard/entry/policies.py
@@ -6,12 +6,13 @@
 
 import math
 import re
-import tomllib
 from pathlib import Path
+from reprlib import repr as shorten
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
+from plantainyard.decoding import MAX_INTEGER
 from plantainyard.dispatch.policy import (
     NO_POLICY,
     AdmissionPolicy,
@@ -21,7 +22,7 @@
     SchedulingPolicy,
     UnitPolicy,
 )
-from plantainyard.platform.settings import SettingsFault
+from plantainyard.platform.settings import SettingsFault, parse_toml
 
 __all__ = ["list_parts", "load_policy", "parse_policy"]
 
@@ -80,7 +81,7 @@
         return Ok(NO_POLICY)
     try:
         text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
+    except (OSError, ValueError) as error:
         return Err(SettingsFault(path, 0, "", str(error)))
     return parse_policy(text, path)
 
@@ -95,15 +96,11 @@
     >>> parse_policy("[rooms]").err_value.detail
     'unknown table'
     """
+    parsed = parse_toml(text, path)
+    if isinstance(parsed, Err):
+        return parsed
     try:
-        data = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        match = re.search(r"line (\d+)", str(error))
-        return Err(
-            SettingsFault(path, int(match.group(1)) if match else 0, "", str(error))
-        )
-    try:
-        return Ok(_decode(data))
+        return Ok(_decode(parsed.ok_value))
     except _PolicyError as fault:
         line = _find_line(text, fault.key)
         return Err(SettingsFault(path, line, fault.key, fault.detail))
@@ -132,11 +129,11 @@
     allowed = (int,) if kind is int else (int, float)
     if isinstance(value, bool) or not isinstance(value, allowed):
         noun = "a whole number" if kind is int else "a number"
-        raise _PolicyError(full_key, f"expected {noun}, found {value!r}")
+        raise _PolicyError(full_key, f"expected {noun}, found {shorten(value)}")
     low, high = _RANGES.get(key, _Range())
-    if not (math.isfinite(value) and low <= value <= high):
+    if not (low <= value <= min(high, MAX_INTEGER)):
         limit = f"at least {low:g}" if high == math.inf else f"{low:g} to {high:g}"
-        raise _PolicyError(full_key, f"expected {limit}, found {value!r}")
+        raise _PolicyError(full_key, f"expected {limit}, found {shorten(value)}")
 
 
 def _find_line(text: str, key: str) -> int:
--- a/plantainyard/platform/configuration.py
+++ b/plantainyard/platform/configuration.py
@@ -1,8 +1,19 @@
 """Decoding of the operators' configuration that the platform publishes."""
 
-import json
 from typing import Any, NamedTuple
 
+from plantainyard.batch.limits import MAX_DURATION_MS, MAX_NAME, MAX_STRETCH
+from plantainyard.decoding import (
+    MAX_INTEGER,
+    convert_errors,
+    parse_json,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+    read_truncated,
+)
+
 __all__ = ["Configuration", "Queue", "decode_configuration", "find_queue"]
 
 DEFAULT_BODY_BYTES = 262_144
@@ -65,28 +76,37 @@
 
     Raises
     ------
-    ValueError, TypeError, KeyError, AttributeError
+    DecodeError
         If the record is not a valid configuration.
     """
-    data = json.loads(value)
-    return Configuration(
-        version=int(data["version"]),
-        queues=tuple(_decode_queue(route) for route in data["routes"]),
-        body_bytes=int(data.get("limits", {}).get("maxBodyBytes", DEFAULT_BODY_BYTES)),
-    )
+    with convert_errors("configuration"):
+        data = read_object(parse_json(value), "configuration")
+        limits = read_object(data.get("limits", {}), "limits")
+        body_bytes = limits.get("maxBodyBytes", DEFAULT_BODY_BYTES)
+        routes = read_list(data["routes"], "routes")
+        return Configuration(
+            version=read_truncated(data["version"], "version"),
+            queues=tuple(_decode_queue(route) for route in routes),
+            body_bytes=read_truncated(body_bytes, "maxBodyBytes", low=1),
+        )
 
 
 def _decode_queue(route: dict[str, Any]) -> Queue:
+    attempts = read_truncated(route.get("maxAttempts", 1), "maxAttempts")
+    latency_ms = route.get("targetLatencyMs", 0.0)
+    regions = read_list(route.get("allowedRegions") or [], "allowedRegions")
     return Queue(
-        name=route["name"],
-        host=route["host"].lower(),
-        prefix=route["pathPrefix"],
-        service=route["service"],
-        priority=int(route.get("priority", 0)),
-        max_attempts=max(1, int(route.get("maxAttempts", 1))),
-        stretch=float(route.get("stretch", 1.0)),
-        target_latency_ms=float(route.get("targetLatencyMs", 0.0)),
-        allowed_regions=tuple(map(str, route.get("allowedRegions") or ())),
+        name=read_text(route["name"], "name", MAX_NAME),
+        host=read_text(route["host"], "host").lower(),
+        prefix=read_text(route["pathPrefix"], "pathPrefix"),
+        service=read_text(route["service"], "service", MAX_NAME),
+        priority=read_truncated(route.get("priority", 0), "priority", -MAX_INTEGER),
+        max_attempts=max(1, attempts),
+        stretch=read_number(route.get("stretch", 1.0), "stretch", 0.0, MAX_STRETCH),
+        target_latency_ms=read_number(
+            latency_ms, "targetLatencyMs", 0.0, MAX_DURATION_MS
+        ),
+        allowed_regions=tuple(read_text(r, "allowedRegions") for r in regions),
     )
 
 
--- a/plantainyard/platform/entries.py
+++ b/plantainyard/platform/entries.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 from plantainyard.batch import Resources
+from plantainyard.batch.limits import MAX_NAME
 from plantainyard.connections import MAX_PORT
 from plantainyard.decoding import (
     MAX_INTEGER,
@@ -22,10 +23,6 @@
 
 _STATES = frozenset({"ready", "draining"})
 
-MAX_NAME = 255
-"""Maximum length of the names of runners, machines, labels and the like; that of a key
-in the store."""
-
 
 class RunnerEntry(NamedTuple):
     """The newest entry of a runner.
--- a/plantainyard/platform/evacuations.py
+++ b/plantainyard/platform/evacuations.py
@@ -1,9 +1,9 @@
 """Decoding of the operators' requests to evacuate failure domains."""
 
-import json
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from plantainyard.decoding import DecodeError, parse_json
 from plantainyard.platform.store import Record
 
 __all__ = [
@@ -78,7 +78,7 @@
     if not domain:
         return "names no failure domain"
     try:
-        body = json.loads(value)
-    except ValueError as error:
-        return repr(error)
+        body = parse_json(value)
+    except DecodeError as error:
+        return str(error)
     return "" if isinstance(body, dict) else "expected an object"
--- a/plantainyard/platform/settings.py
+++ b/plantainyard/platform/settings.py
@@ -4,16 +4,22 @@
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
+from reprlib import repr as shorten
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
+from plantainyard.batch.checks import DEFAULT_RECORD_BYTES
+from plantainyard.connections import MAX_PORT
+from plantainyard.decoding import DecodeError, describe_failure, read_number
+
 __all__ = [
     "SETTINGS_VARIABLE",
     "InstanceSettings",
     "SettingsFault",
     "load_instance_settings",
     "parse_instance_settings",
+    "parse_toml",
 ]
 
 SETTINGS_VARIABLE = "PLANTAINYARD_CONFIG"
@@ -21,6 +27,9 @@
 
 MS_IN_S = 1000.0
 
+DEFAULT_CALL_BYTES = 2_097_152
+"""Maximum size of the records of a call if the settings don't give it."""
+
 
 class SettingsFault(NamedTuple):
     """The reason why a settings file is invalid, with its location in the file."""
@@ -67,6 +76,8 @@
         Bandwidth of the instance's own link, in megabits per second.
     cores : float
         Processor capacity of the instance, in cores of standard speed.
+    record_bytes, call_bytes : int
+        Maximum size in bytes of a record of the store, and of all records of a call.
     domains : frozenset of str
         All failure domains; empty if the settings don't list them.
     evacuation_deadline_s : float or None
@@ -92,6 +103,8 @@
     remote_factor: float = 1.0
     link_mbps: float = 1000.0
     cores: float = 1.0
+    record_bytes: int = DEFAULT_RECORD_BYTES
+    call_bytes: int = DEFAULT_CALL_BYTES
     domains: frozenset[str] = frozenset()
     evacuation_deadline_s: float | None = None
 
@@ -105,8 +118,8 @@
         The settings, or a fault with file, line and key.
     """
     try:
-        text = path.read_text()
-    except OSError as error:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, ValueError) as error:
         return Err(SettingsFault(str(path), 0, "", str(error)))
     return parse_instance_settings(text, str(path))
 
@@ -115,19 +128,26 @@
     text: str, path: str = ""
 ) -> Result[InstanceSettings, SettingsFault]:
     """Decode the text of a settings file; unknown fields are ignored."""
+    parsed = parse_toml(text, path)
+    if isinstance(parsed, Err):
+        return parsed
     try:
-        data = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        match = re.search(r"line (\d+)", str(error))
-        line = int(match.group(1)) if match else 0
-        return Err(SettingsFault(path, line, "", str(error)))
-    try:
-        return Ok(_decode(data))
+        return Ok(_decode(parsed.ok_value))
     except _SettingError as fault:
         line = _find_line(text, fault.key)
         return Err(SettingsFault(path, line, fault.key, fault.detail))
 
 
+def parse_toml(text: str, path: str) -> Result[dict[str, Any], SettingsFault]:
+    """Return the tables of a TOML file, or the fault that makes it unreadable."""
+    try:
+        return Ok(tomllib.loads(text))
+    except (ValueError, RecursionError) as error:
+        why = describe_failure(error)
+        match = re.search(r"line (\d+)", why)
+        return Err(SettingsFault(path, int(match.group(1)) if match else 0, "", why))
+
+
 class _SettingError(Exception):
     """A key that is missing or has a value of the wrong type."""
 
@@ -139,12 +159,13 @@
 
 def _decode(data: Mapping[str, Any]) -> InstanceSettings:
     ports = _get(data, "internalPorts", list)
-    if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
+    if len(ports) != 2 or not all(_is_port(port) for port in ports):
         raise _SettingError("internalPorts", "expected a list of two port numbers")
     listen = _get(data, "listen", dict)
     platform = _get(data, "platform", dict)
-    bounds = data.get("bounds", {})
-    limits = data.get("limits", {})
+    bounds = _get(data, "bounds", dict) if "bounds" in data else {}
+    limits = _get(data, "limits", dict) if "limits" in data else {}
+    zones = _get(data, "zones", dict) if "zones" in data else {}
     # The unit depends on the key: names that end in S hold seconds, all other times
     # are in milliseconds.
     defaults = InstanceSettings._field_defaults
@@ -158,7 +179,13 @@
         peer_port=ports[0],
         metrics_port=ports[1],
         store_address=_get(platform, "address", str, "platform"),
-        store_partitions=int(_get_number(platform, "parts", 12)),
+        store_partitions=int(_get_number(platform, "parts", 12, low=1)),
+        record_bytes=int(
+            _get_number(platform, "recordBytes", defaults["record_bytes"], low=1)
+        ),
+        call_bytes=int(
+            _get_number(platform, "callBytes", defaults["call_bytes"], low=1)
+        ),
         shortest_ttl_s=_get_number(platform, "minTtlMs", 1000) / MS_IN_S,
         longest_lease_s=_get_number(bounds, "maxHoldMs", 10_000) / MS_IN_S,
         # The time until the last possible start of a run, plus the time until the last
@@ -173,7 +200,7 @@
         link_mbps=_get_number(limits, "linkMbps", 1000.0),
         # The instance's share of a core, times the speed factor of that core.
         cores=_get_number(limits, "cpuShare", 1.0) * _get_number(limits, "cores", 1.0),
-        domains=frozenset(data.get("zones", {})),
+        domains=frozenset(zones),
         evacuation_deadline_s=(
             _get_number(bounds, "evacuateMs", 0) / MS_IN_S
             if "evacuateMs" in bounds
@@ -188,15 +215,21 @@
         raise _SettingError(name, "is missing")
     value = data[key]
     if not isinstance(value, kind):
-        raise _SettingError(name, f"expected {kind.__name__}, found {value!r}")
+        raise _SettingError(name, f"expected {kind.__name__}, found {shorten(value)}")
     return value
 
 
-def _get_number(data: Mapping[str, Any], key: str, default: float) -> float:
-    value = data.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise _SettingError(key, f"expected a number, found {value!r}")
-    return float(value)
+def _is_port(value: Any) -> bool:
+    return type(value) is int and 0 < value <= MAX_PORT
+
+
+def _get_number(
+    data: Mapping[str, Any], key: str, default: float, low: float = 0.0
+) -> float:
+    try:
+        return read_number(data.get(key, default), key, low)
+    except DecodeError as error:
+        raise _SettingError(key, str(error)) from None
 
 
 def _find_line(text: str, key: str) -> int:
