Read records back from the store whatever they contain

Callers would see a unit without an owner: a record with a number that isn't finite, or nested too deep, failed in the owner that read it, and progress of a million digits took minutes to read. A submission under the key of another job, a state that isn't final, or a fencing token that no other can exceed was taken over.

Change: records are decoded field by field into typed values, or into one error, which is logged and leaves the last valid value. References between the parts of a submission are checked.

--- a/plantainyard/batch/records.py
+++ b/plantainyard/batch/records.py
@@ -5,8 +5,10 @@
 """
 
 import json
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from plantainyard.batch.checks import find_cycle
 from plantainyard.batch.values import (
     Resources,
     Step,
@@ -14,6 +16,20 @@
     Submission,
     TaskProgress,
 )
+from plantainyard.decoding import (
+    MAX_INTEGER,
+    DecodeError,
+    convert_errors,
+    parse_decimal,
+    parse_json,
+    read_flag,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+    read_truncated,
+)
 
 __all__ = [
     "CANCEL_VALUE",
@@ -72,6 +88,19 @@
 
 _DEFAULTS = Step(size=1)._asdict()
 
+MAX_STORED_TASKS = 100_000
+"""Maximum number of tasks of a stored step: earlier versions accepted so many."""
+
+PIECE_FIELDS = 3
+"""Number of figures that name a single task: occurrence, step and number."""
+
+_FIELD_READERS: dict[type, Callable[..., Any]] = {
+    str: read_text,
+    bool: read_flag,
+    int: read_truncated,
+    float: read_number,
+}
+
 
 def make_submission_key(job_id: str) -> str:
     """Return the key of a job's submission."""
@@ -108,7 +137,7 @@
 
     Raises
     ------
-    ValueError
+    DecodeError
         If the occurrence or the step in the key is not a number.
 
     Examples
@@ -117,8 +146,12 @@
     StoredKey(kind='p', job_id='5c0e', place=(0, 2))
     """
     kind, _, rest = key.partition("/")
-    job_id, *place = rest.split("/")
-    return StoredKey(kind, job_id, tuple(int(part) for part in place))
+    job_id, *parts = rest.split("/")
+    numbers = [parse_decimal(part) for part in parts]
+    place = tuple(number for number in numbers if number is not None)
+    if len(place) < len(parts):
+        raise DecodeError("the key names no occurrence or no step")
+    return StoredKey(kind, job_id, place)
 
 
 def encode_submission(submission: Submission) -> bytes:
@@ -133,13 +166,32 @@
 
     Raises
     ------
-    ValueError, TypeError, KeyError
+    DecodeError
         If the value is not an encoded submission.
     """
-    data = json.loads(value)
-    data["steps"] = tuple(_unpack_step(step) for step in data["steps"])
-    data["piece"] = tuple(data.get("piece", ()))
-    return Submission(**data)
+    with convert_errors("submission"):
+        data = read_object(parse_json(value), "submission")
+        steps = tuple(_unpack_step(s) for s in read_list(data["steps"], "steps"))
+        piece = _read_integers(data.get("piece", []), "piece")
+        submission = Submission(
+            **{**_read_fields(Submission, data), "steps": steps, "piece": piece}
+        )
+        _check_references(submission)
+        return submission
+
+
+def _check_references(submission: Submission) -> None:
+    """Raise `DecodeError` if a submission names a step or a task that it lacks."""
+    steps, piece = submission.steps, submission.piece
+    named = {number for step in steps for number in step.after}
+    if not steps or not named <= set(range(len(steps))):
+        raise DecodeError("a step is missing")
+    if cycle := find_cycle(steps):
+        raise DecodeError(cycle)
+    if not piece:
+        return
+    if len(piece) != PIECE_FIELDS or piece[1] >= len(steps):
+        raise DecodeError("piece names no task")
 
 
 def encode_progress(progress: StepProgress) -> bytes:
@@ -168,13 +220,59 @@
     >>> decode_progress(encode_progress(progress)) == progress
     True
     """
-    data = json.loads(value)
-    bits = int(data["done"], 16)
-    done = frozenset(n for n in range(bits.bit_length()) if bits >> n & 1)
-    tasks = {int(index): TaskProgress(*task) for index, task in data["tasks"].items()}
-    unseen = {int(k): float(left_s) for k, left_s in data.get("unseen", {}).items()}
-    sent = {int(k): str(runner) for k, runner in data.get("sent_to", {}).items()}
-    return StepProgress(done, tasks, bool(data.get("begun")), unseen, sent)
+    with convert_errors("progress"):
+        data = read_object(parse_json(value), "progress")
+        tasks = read_object(data["tasks"], "tasks")
+        unseen = read_object(data.get("unseen", {}), "unseen")
+        sent = read_object(data.get("sent_to", {}), "sent_to")
+        return StepProgress(
+            _unpack_done(read_text(data["done"], "done", MAX_STORED_TASKS)),
+            {_read_number(k): _unpack_task(task) for k, task in tasks.items()},
+            bool(data.get("begun")),
+            {_read_number(k): read_number(v, "unseen") for k, v in unseen.items()},
+            {_read_number(k): read_text(v, "sent_to") for k, v in sent.items()},
+        )
+
+
+def _unpack_done(digits: str) -> frozenset[int]:
+    bits = f"{int(digits, 16):b}"
+    return frozenset(n for n, bit in enumerate(reversed(bits)) if bit == "1")
+
+
+def _unpack_task(values: Any) -> TaskProgress:
+    run, runner, failures, checkpoint, *rest = read_list(values, "task")
+    unit = rest[0] if rest else None
+    return TaskProgress(
+        read_integer(run, "run"),
+        read_text(runner, "runner"),
+        read_integer(failures, "failures"),
+        read_text(checkpoint, "checkpoint"),
+        None if unit is None else read_integer(unit, "unit"),
+    )
+
+
+def _read_number(key: str) -> int:
+    number = parse_decimal(key)
+    if number is None:
+        raise DecodeError("a task has no number")
+    return number
+
+
+def _read_integers(value: Any, name: str) -> tuple[int, ...]:
+    return tuple(read_integer(item, name) for item in read_list(value, name))
+
+
+def _read_fields(kind: type, data: dict[str, Any]) -> dict[str, Any]:
+    """Return the fields of a named tuple that are single values, each of its type."""
+    fields = kind.__annotations__
+    if unknown := data.keys() - fields.keys():
+        raise DecodeError(f"unknown field {min(unknown)!r}")
+    limits = {"priority": {"low": -MAX_INTEGER}, "size": {"high": MAX_STORED_TASKS}}
+    return {
+        name: _FIELD_READERS[fields[name]](value, name, **limits.get(name, {}))
+        for name, value in data.items()
+        if fields[name] in _FIELD_READERS
+    }
 
 
 def _pack_step(step: Step) -> dict[str, Any]:
@@ -182,10 +280,11 @@
     return {k: v for k, v in data.items() if v != _DEFAULTS[k] or k == "size"}
 
 
-def _unpack_step(data: dict[str, Any]) -> Step:
-    resources = Resources(*data.get("resources", ()))
-    after = tuple(data.get("after", ()))
-    return Step(**{**data, "resources": resources, "after": after})
+def _unpack_step(data: Any) -> Step:
+    fields = _read_fields(Step, read_object(data, "step"))
+    resources = Resources(*_read_integers(data.get("resources", []), "resources"))
+    after = _read_integers(data.get("after", []), "after")
+    return Step(**{**fields, "resources": resources, "after": after})
 
 
 def _dump(data: Any) -> bytes:
--- a/plantainyard/batch/replica.py
+++ b/plantainyard/batch/replica.py
@@ -13,7 +13,20 @@
     decode_submission,
     parse_key,
 )
-from plantainyard.batch.values import JobState, StepProgress, Submission
+from plantainyard.batch.values import FinalStates, JobState, StepProgress, Submission
+from plantainyard.decoding import (
+    FAILURES,
+    DecodeError,
+    convert_errors,
+    describe_failure,
+    parse_decimal,
+    parse_json,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+)
 
 __all__ = [
     "BOUNDS_KEY",
@@ -50,6 +63,12 @@
 BOUNDS_KEY = "bounds"
 """Key of the bounds of leases at runners that a unit's owner can't reach."""
 
+MAX_FENCE = 2**52
+"""Largest fencing token that is read back; it leaves room for those of successors."""
+
+MAX_LOGGED_KEY = 100
+"""Maximum number of characters of a key in the log."""
+
 _logger = logging.getLogger(__name__)
 
 
@@ -189,8 +208,9 @@
             return ""
         parsed = parse_key(key)
         _apply_to_job(replica, parsed, value)
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        _logger.warning("unreadable record %s: %r", key, error)
+    except FAILURES as error:
+        why = describe_failure(error)
+        _logger.warning("unreadable record %s: %s", key[:MAX_LOGGED_KEY], why)
         return ""
     return parsed.job_id
 
@@ -210,8 +230,13 @@
     >>> decode_fences(encode_fences(fences)) == fences
     True
     """
-    data = json.loads(value)
-    return Fences(int(data["highest"]), frozenset(map(str, data["restarts"])))
+    with convert_errors("fences"):
+        data = read_object(parse_json(value), "fences")
+        restarts = read_list(data["restarts"], "restarts")
+        return Fences(
+            read_integer(data["highest"], "highest", high=MAX_FENCE),
+            frozenset(read_text(incarnation, "restarts") for incarnation in restarts),
+        )
 
 
 def encode_bounds(bounds: LeaseBounds) -> bytes:
@@ -231,13 +256,16 @@
     >>> decode_bounds(encode_bounds(bounds)) == bounds
     True
     """
-    data = json.loads(value)
-    starts_s = _decode_times(data["starts_s"]) if "starts_s" in data else None
-    return LeaseBounds(int(data["epoch"]), _decode_times(data["left_s"]), starts_s)
+    with convert_errors("bounds"):
+        data = read_object(parse_json(value), "bounds")
+        starts_s = _decode_times(data["starts_s"]) if "starts_s" in data else None
+        epoch = read_integer(data["epoch"], "epoch")
+        return LeaseBounds(epoch, _decode_times(data["left_s"]), starts_s)
 
 
-def _decode_times(data: dict[str, Any]) -> dict[str, float]:
-    return {str(name): float(left_s) for name, left_s in data.items()}
+def _decode_times(value: Any) -> dict[str, float]:
+    rows = read_object(value, "times").items()
+    return {read_text(k, "runner"): read_number(left_s, k) for k, left_s in rows}
 
 
 def _apply_to_job(replica: Replica, key: StoredKey, value: bytes) -> None:
@@ -248,13 +276,16 @@
         return
     view = replica.jobs.setdefault(key.job_id, JobView())
     if key.kind == RecordKind.SUBMISSION:
-        view.submission = decode_submission(value)
+        submission = decode_submission(value)
+        if submission.record_id != key.job_id:
+            raise DecodeError("the key and the submission name different jobs")
+        view.submission = submission
     elif key.kind == RecordKind.CANCEL:
         view.cancelled = bool(value)
     elif key.kind == RecordKind.END:
-        view.final_state = value.decode()
+        view.final_state = _decode_final_state(value)
     elif key.kind == RecordKind.HANDOVER:
-        view.handed_to = int(value) if value else None
+        view.handed_to = _decode_unit(value)
     elif key.kind == RecordKind.DELIVERY:
         view.delivered = bool(value)
     elif key.kind == RecordKind.PROGRESS:
@@ -268,6 +299,20 @@
             view.steps.pop((occurrence, step), None)
 
 
+def _decode_final_state(value: bytes) -> str:
+    state = value.decode()
+    if state and state not in FinalStates.ALL:
+        raise DecodeError("not a final state")
+    return state
+
+
+def _decode_unit(value: bytes) -> int | None:
+    unit = parse_decimal(value.decode())
+    if value and unit is None:
+        raise DecodeError("not a number of a unit")
+    return unit
+
+
 def describe_state(view: JobView) -> str:
     """Return the state of an accepted job as it is reported to callers.
 
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 import logging
 
 from plantainyard.batch.replica import NO_BOUNDS, LeaseBounds, Replica
+from plantainyard.decoding import DecodeError
 from plantainyard.dispatch import orders, reports, runs
 from plantainyard.dispatch.balancing import count_slots, measure_finite_demand
 from plantainyard.dispatch.commits import apply_commit, request_commit
@@ -152,7 +153,7 @@
         return
     try:
         state.run_times = decode_run_times(value, state.wall_offset_s, now)
-    except (ValueError, TypeError, OverflowError) as error:
+    except DecodeError as error:
         # The run times are learned again from ended tasks.
         _logger.warning("cannot decode the stored run times: %r", error)
         return
@@ -163,7 +164,7 @@
 def _decode_interference_record(value: bytes) -> InterferenceModel:
     try:
         return decode_interference(value)
-    except (ValueError, TypeError, AttributeError) as error:
+    except DecodeError as error:
         # The estimates are learnt again from reports.
         _logger.warning("cannot decode the stored interference model: %r", error)
         return InterferenceModel()
--- a/plantainyard/dispatch/run_times.py
+++ b/plantainyard/dispatch/run_times.py
@@ -15,6 +15,14 @@
 from typing import Any, NamedTuple
 
 from plantainyard.batch.values import Submission
+from plantainyard.decoding import (
+    convert_errors,
+    parse_json,
+    read_integer,
+    read_list,
+    read_number,
+    read_text,
+)
 from plantainyard.dispatch.model import Job
 from plantainyard.dispatch.policy import RunTimePolicy
 
@@ -345,12 +353,19 @@
 
     Raises
     ------
-    ValueError, TypeError, OverflowError
+    DecodeError
         If the bytes are not such a record.
     """
+    with convert_errors("run times"):
+        return _decode_entries(parse_json(value), wall_offset_s, now)
+
+
+def _decode_entries(rows: Any, wall_offset_s: float, now: float) -> RunTimes:
     run_times = RunTimes()
-    for queue, number, *values in json.loads(value):
-        steps, mean, variance, declared_steps, error, learned_at = map(float, values)
+    for queue, number, *values in read_list(rows, "run times"):
+        steps, mean, variance, declared_steps, error, learned_at = (
+            read_number(figure, "figure") for figure in values
+        )
         entry = RunTimeEntry(
             steps, mean, variance, declared_steps, error, learned_at - wall_offset_s
         )
@@ -361,7 +376,8 @@
             mean=min(MAX_LOG, max(MIN_LOG, entry.mean)),
             learned_at=min(now, entry.learned_at),
         )
-        run_times.entries[str(queue), int(number)] = entry
+        key = read_text(queue, "queue"), read_integer(number, "step")
+        run_times.entries[key] = entry
     return run_times
 
 
--- a/plantainyard/dispatch/weights.py
+++ b/plantainyard/dispatch/weights.py
@@ -6,6 +6,12 @@
 import json
 from collections.abc import Mapping
 
+from plantainyard.decoding import (
+    convert_errors,
+    parse_json,
+    read_number,
+    read_object,
+)
 from plantainyard.dispatch.estimates import Baseline, InterferenceModel, WeightEstimate
 
 __all__ = [
@@ -229,15 +235,19 @@
 
     Raises
     ------
-    ValueError, TypeError, AttributeError
+    DecodeError
         If the bytes are not such a record.
     """
     interference = InterferenceModel()
-    for serving, rows in json.loads(value).items():
-        estimate = WeightEstimate()
-        for image, (weight, variance) in rows.items():
-            estimate.weights[image] = float(weight)
-            estimate.covariance[image] = dict.fromkeys(rows, 0.0)
-            estimate.covariance[image][image] = float(variance)
-        interference.estimates[serving] = estimate
+    with convert_errors("interference"):
+        for serving, data in read_object(parse_json(value), "estimates").items():
+            rows = read_object(data, "weights")
+            estimate = WeightEstimate()
+            for image, (weight, variance) in rows.items():
+                estimate.weights[image] = read_number(weight, "weight", 0, MAX_WEIGHT)
+                estimate.covariance[image] = dict.fromkeys(rows, 0.0)
+                estimate.covariance[image][image] = read_number(
+                    variance, "variance", high=PRIOR_VARIANCE
+                )
+            interference.estimates[serving] = estimate
     return interference
--- a/plantainyard/entry/copies.py
+++ b/plantainyard/entry/copies.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from plantainyard.batch.replica import OWNER_KEY, Replica, apply_record
+from plantainyard.decoding import DecodeError
 from plantainyard.entry.layout import Owner, decode_owner
 from plantainyard.entry.readers import PartitionReader, poll_reader
 from plantainyard.entry.topics import INTAKE, PROGRESS
@@ -67,7 +68,7 @@
     def _record_owner(self, value: bytes) -> None:
         try:
             owner = decode_owner(value)
-        except (ValueError, TypeError, KeyError):
+        except DecodeError:
             owner = None
         if owner is None or owner != self.owner:
             self.previous_owner, self.owner = self.owner, owner
--- a/plantainyard/entry/layout.py
+++ b/plantainyard/entry/layout.py
@@ -13,6 +13,15 @@
 from result import Err
 
 from plantainyard.clock import read_clock
+from plantainyard.decoding import (
+    DecodeError,
+    convert_errors,
+    parse_decimal,
+    parse_json,
+    read_integer,
+    read_object,
+    read_text,
+)
 from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.readers import READ_TIMEOUT_S, PartitionReader, poll_reader
 from plantainyard.entry.topics import LAYOUT, OWNER_PREFIX, RUNNERS, UNITS_KEY
@@ -45,6 +54,9 @@
 """Number of runners per unit if there are no strong instances. Owners have half a core
 then."""
 
+MAX_UNITS = 1_000
+"""Maximum number of units that is read back."""
+
 SETTLE_S = 1.0
 """Time in seconds for which the number of runners must not have changed. All runners
 start within half a second of each other."""
@@ -89,12 +101,16 @@
 
     Raises
     ------
-    ValueError, TypeError, KeyError
+    DecodeError
         If the value is not an encoded owner.
     """
-    data = json.loads(value)
-    region = str(data.get("region", ""))
-    return Owner(int(data["epoch"]), str(data["address"]), region)
+    with convert_errors("owner"):
+        data = read_object(parse_json(value), "owner")
+        return Owner(
+            read_integer(data["epoch"], "epoch"),
+            read_text(data["address"], "address"),
+            read_text(data.get("region", ""), "region"),
+        )
 
 
 class Layout:
@@ -122,14 +138,16 @@
         """Apply a record; log and skip a record that can't be decoded."""
         try:
             if record.key == UNITS_KEY and not self.units:
-                self.units = int(json.loads(record.value)["units"])
+                self.units = _decode_units(record.value)
             elif record.key.startswith(OWNER_PREFIX):
                 self._apply_owner(record)
-        except (ValueError, TypeError, KeyError) as error:
-            self.log.write("unreadable_entry", key=record.key, why=repr(error))
+        except DecodeError as error:
+            self.log.write("unreadable_entry", key=record.key, why=str(error))
 
     def _apply_owner(self, record: Record) -> None:
-        unit = int(record.key.removeprefix(OWNER_PREFIX))
+        unit = parse_decimal(record.key.removeprefix(OWNER_PREFIX))
+        if unit is None:
+            raise DecodeError("the key names no unit")
         self.record_owner(unit, decode_owner(record.value))
 
     def record_owner(self, unit: int, owner: Owner) -> None:
@@ -140,6 +158,12 @@
             self.owners[unit] = owner
 
 
+def _decode_units(value: bytes) -> int:
+    with convert_errors("units"):
+        data = read_object(parse_json(value), "units")
+        return read_integer(data["units"], "units", 1, MAX_UNITS)
+
+
 def choose_unit_count(
     runners: int, max_units: int, strong: bool, strong_size: int = RUNNERS_PER_UNIT
 ) -> int:
