Reject jobs at the door that their unit can't serve

A text that can't be encoded gave 500. A job with a billion occurrences, or with a thousand steps that name each other, would have taken its owner's memory and processor time.

The length of the stored job and of a step's progress are limited by the size of the store's records.

--- a/plantainyard/dispatch/queue.py
+++ b/plantainyard/dispatch/queue.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Sequence
+from graphlib import TopologicalSorter
 from typing import NamedTuple
 
 from plantainyard.batch.values import Step, Submission
@@ -140,6 +141,10 @@
     estimates_ms : sequence of float
         Estimated run time of each step's tasks; those that were declared if empty.
 
+    Notes
+    -----
+    The cost is proportional to the number of steps and dependencies.
+
     Examples
     --------
     >>> from plantainyard.batch.values import Step
@@ -147,22 +152,21 @@
     >>> find_critical_paths_ms(steps)
     (12, 7)
     """
-    paths: dict[int, float] = {}
-    followers = {
-        number: [n for n, step in enumerate(steps) if number in step.after]
-        for number in range(len(steps))
-    }
-    remaining = set(followers)
-    while remaining:
-        ready = {n for n in remaining if not remaining.intersection(followers[n])}
-        if not ready:
-            break
-        for number in ready:
-            longest = max((paths[n] for n in followers[number]), default=0)
-            own = estimates_ms[number] if estimates_ms else steps[number].estimate_ms
-            paths[number] = own + longest
-        remaining -= ready
-    return tuple(paths.get(number, 0) for number in range(len(steps)))
+    # Time from the end of each step to the job's end.
+    rest = [0.0 if estimates_ms else 0] * len(steps)
+    paths: list[float] = [0] * len(steps)
+    for number in reversed(_sort_by_dependency(steps)):
+        own = estimates_ms[number] if estimates_ms else steps[number].estimate_ms
+        paths[number] = own + rest[number]
+        for earlier in steps[number].after:
+            rest[earlier] = max(rest[earlier], paths[number])
+    return tuple(paths)
+
+
+def _sort_by_dependency(steps: tuple[Step, ...]) -> tuple[int, ...]:
+    """Return the numbers of a job's steps, each after those that it waits for."""
+    sorter = TopologicalSorter({n: step.after for n, step in enumerate(steps)})
+    return tuple(sorter.static_order())
 
 
 def find_allowed_time_s(submission: Submission, path_ms: float | None = None) -> float:
--- a/plantainyard/entry/caller_api.py
+++ b/plantainyard/entry/caller_api.py
@@ -17,6 +17,7 @@
 )
 from plantainyard.batch.values import FinalStates, Submission
 from plantainyard.clock import read_clock
+from plantainyard.decoding import DecodeError
 from plantainyard.entry.admission import (
     ACCEPTED,
     Admission,
@@ -72,6 +73,10 @@
 """Time in seconds for which an append without an answer may still take effect; the
 platform carries such calls out 2 to 12 s late."""
 
+RECORD_ALLOWANCE = 1_024
+"""Bytes of a record that are left for its key, and for what a handover adds to a
+job."""
+
 MAX_COUNT_THREADS = 12
 """Maximum number of units whose counts are read in parallel; there are never more."""
 
@@ -190,11 +195,14 @@
             reason=Reason.BODY,
         )
     body = environ["wsgi.input"].read(length)
-    decoded = _decode(body, job_id, queue)
+    record_bytes = instance.settings.record_bytes
+    decoded = _decode(body, job_id, queue, record_bytes)
     if isinstance(decoded, Err):
         instance.log.write("refused", job=job_id, why=decoded.err_value)
         return _reject(decoded.err_value)
     value = encode_submission(decoded.ok_value)
+    if len(value) + RECORD_ALLOWANCE > record_bytes:
+        return _reject("the job is too long for a record of the store")
     unit = instance.find_copy(job_id).unit
     admission = _judge(instance, unit, decoded.ok_value)
     if admission.cause:
@@ -258,14 +266,14 @@
     return admission
 
 
-def _decode(body: bytes, job_id: str, queue: Queue) -> Result[Submission, str]:
+def _decode(
+    body: bytes, job_id: str, queue: Queue, record_bytes: int
+) -> Result[Submission, str]:
     try:
         submission = decode_body(body, job_id, queue, int(read_wall_clock_ms()))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        return Err(f"not a submission: {error}")
-    except RecursionError:
-        return Err("not a submission: nested too deep")
-    error_text = validate_submission(submission)
+    except DecodeError as error:
+        return Err(str(error))
+    error_text = validate_submission(submission, record_bytes)
     return Err(error_text) if error_text else Ok(submission)
 
 
--- a/plantainyard/platform/submissions.py
+++ b/plantainyard/platform/submissions.py
@@ -1,9 +1,19 @@
 """Decoding of the job submissions that callers send."""
 
-import json
 from typing import Any
 
 from plantainyard.batch import Resources, Step, Submission
+from plantainyard.batch.limits import MAX_DURATION_MS, MAX_NAME
+from plantainyard.decoding import (
+    convert_errors,
+    parse_json,
+    read_flag,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+)
 from plantainyard.platform.configuration import Queue
 
 __all__ = ["decode_body"]
@@ -27,63 +37,62 @@
 
     Raises
     ------
-    ValueError, TypeError, KeyError, AttributeError
-        If the body is not a valid submission; the message gives the reason.
+    DecodeError
+        If the body is not a submission; the message gives the reason.
     """
-    data = json.loads(body)
-    steps = data["steps"]
-    if not isinstance(steps, list):
-        raise TypeError("steps is not a list")
-    return Submission(
-        job_id=job_id,
-        queue=queue.name,
-        service=queue.service,
-        spec=_get_typed(data, "spec", str, ""),
-        steps=tuple(_decode_step(step) for step in steps),
-        priority=queue.priority,
-        max_attempts=queue.max_attempts,
-        stretch=queue.stretch,
-        target_latency_ms=queue.target_latency_ms,
-        times=_get_typed(data, "times", int, 0),
-        start_at_ms=_get_typed(data, "startAtMs", int, 0),
-        interval_ms=_get_typed(data, "intervalMs", int, 0),
-        accepted_at_ms=accepted_at_ms,
-    )
+    with convert_errors("not a submission"):
+        data = read_object(parse_json(body), "the body")
+        steps = read_list(data.get("steps"), "steps")
+        return Submission(
+            job_id=job_id,
+            queue=queue.name,
+            service=queue.service,
+            spec=read_text(data.get("spec", ""), "spec"),
+            steps=tuple(_decode_step(step, n) for n, step in enumerate(steps)),
+            priority=queue.priority,
+            max_attempts=queue.max_attempts,
+            stretch=queue.stretch,
+            target_latency_ms=queue.target_latency_ms,
+            times=read_integer(data.get("times", 0), "times"),
+            start_at_ms=read_integer(data.get("startAtMs", 0), "startAtMs"),
+            interval_ms=read_integer(
+                data.get("intervalMs", 0), "intervalMs", high=MAX_DURATION_MS
+            ),
+            accepted_at_ms=accepted_at_ms,
+        )
 
 
-def _decode_step(data: dict[str, Any]) -> Step:
-    after = data.get("after", ())
-    if not all(isinstance(number, int) for number in after):
-        raise TypeError("after is not a list of step numbers")
+def _decode_step(value: Any, number: int) -> Step:
+    data = read_object(value, f"steps[{number}]")
+    after = read_list(data.get("after", []), "after")
     return Step(
-        size=_get_typed(data, "count", int, 1),
+        size=read_integer(data.get("count", 1), "count"),
         resources=Resources(
-            _get_typed(data, "cpu", int, 0),
-            _get_typed(data, "memMb", int, 0),
-            _get_typed(data, "gpu", int, 0),
+            read_integer(data.get("cpu", 0), "cpu"),
+            read_integer(data.get("memMb", 0), "memMb"),
+            read_integer(data.get("gpu", 0), "gpu"),
+        ),
+        estimate_ms=int(_read_duration_ms(data, "estimateMs")),
+        # A step that is named twice is waited for once.
+        after=tuple(dict.fromkeys(read_integer(item, "after") for item in after)),
+        saves_progress=read_flag(data.get("savesProgress", False), "savesProgress"),
+        gang=read_flag(data.get("gang", False), "gang"),
+        same_rack=read_flag(data.get("sameRack", False), "sameRack"),
+        requires=read_text(data.get("requires", ""), "requires", MAX_NAME),
+        preferred_rack=read_text(
+            data.get("preferredRack", ""), "preferredRack", MAX_NAME
         ),
-        estimate_ms=int(_get_typed(data, "estimateMs", float, 0)),
-        after=tuple(after),
-        saves_progress=_get_typed(data, "savesProgress", bool, False),
-        gang=_get_typed(data, "gang", bool, False),
-        same_rack=_get_typed(data, "sameRack", bool, False),
-        requires=_get_typed(data, "requires", str, ""),
-        preferred_rack=_get_typed(data, "preferredRack", str, ""),
-        max_per_runner=_get_typed(data, "antiAffinity", int, 0),
-        speculative=_get_typed(data, "speculative", bool, False),
-        long_running=_get_typed(data, "longRunning", bool, False),
-        image=_get_typed(data, "image", str, ""),
-        target_ms=float(_get_typed(data, "targetMs", float, 0)),
+        max_per_runner=read_integer(data.get("antiAffinity", 0), "antiAffinity"),
+        speculative=read_flag(data.get("speculative", False), "speculative"),
+        long_running=read_flag(data.get("longRunning", False), "longRunning"),
+        image=read_text(data.get("image", ""), "image", MAX_NAME),
+        target_ms=_read_duration_ms(data, "targetMs"),
         # The wire name suggests a number, but the field is a flag: it says whether the
         # tasks' processor time is excluded from the runner's capacity.
         backfill=bool(data.get("fillCount", False)),
-        max_unavailable=_get_typed(data, "mayMiss", int, 0),
+        max_unavailable=read_integer(data.get("mayMiss", 0), "mayMiss"),
     )
 
 
-def _get_typed(data: dict[str, Any], key: str, kind: type, default: Any) -> Any:
-    value = data.get(key, default)
-    allowed = (int, float) if kind is float else kind
-    if kind is not bool and isinstance(value, bool) or not isinstance(value, allowed):
-        raise TypeError(f"{key} is not a {kind.__name__}")
-    return value
+def _read_duration_ms(data: dict[str, Any], key: str) -> float:
+    return read_number(data.get(key, 0), key, 0, MAX_DURATION_MS)
