Read answers and queries of other instances of any content

Callers would see a unit without an owner, or jobs that wait for no reason: the load, the counts and the status that another instance tells were used without a check of their types, so that a list in place of a number failed in the owner's actor or ended the thread that follows the group. Digits of other scripts in a path gave 500. The count of a queue with a name beyond ASCII left out the other units, as the path was not decoded.

Change: answers are decoded into typed values or logged as peer_silent; a job isn't followed to a unit that isn't there.

--- a/plantainyard/entry/configuration_exchange.py
+++ b/plantainyard/entry/configuration_exchange.py
@@ -7,6 +7,13 @@
 from result import Err, Ok, Result
 
 from plantainyard.clock import read_clock
+from plantainyard.decoding import (
+    FAILURES,
+    DecodeError,
+    describe_failure,
+    parse_decimal,
+    read_number,
+)
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.peer_calls import ROUNDING_S, build_instance_peer
 from plantainyard.entry.responses import OK, send_response
@@ -89,22 +96,30 @@
         return Err(CallError(ErrorKind.REFUSED, step, address, detail))
     try:
         return Ok(_decode_configuration_reply(response.headers, response.body))
-    except (ValueError, KeyError) as error:
-        return Err(CallError(ErrorKind.MALFORMED, step, address, repr(error)))
+    except FAILURES as error:
+        detail = describe_failure(error)
+        return Err(CallError(ErrorKind.MALFORMED, step, address, detail))
 
 
 def _decode_configuration_reply(
     headers: Mapping[str, str], body: bytes
 ) -> ConfigurationReply:
     return ConfigurationReply(
-        version=int(headers[VERSION_FIELD]),
+        version=_read_header(headers, VERSION_FIELD),
         # An age is never negative, so that no reply is newer than its query.
-        age_s=max(0.0, float(headers[AGE_FIELD])),
-        offset=int(headers[OFFSET_FIELD]),
+        age_s=max(0.0, read_number(float(headers[AGE_FIELD]), AGE_FIELD)),
+        offset=_read_header(headers, OFFSET_FIELD),
         value=body,
     )
 
 
+def _read_header(headers: Mapping[str, str], name: str) -> int:
+    number = parse_decimal(headers[name])
+    if number is None:
+        raise DecodeError(f"{name} is not a whole number")
+    return number
+
+
 def describe_configuration(
     instance: Instance, known_version: int
 ) -> ConfigurationReply | None:
--- a/plantainyard/entry/forecasts.py
+++ b/plantainyard/entry/forecasts.py
@@ -1,17 +1,71 @@
-"""Forecasts on the wire between instances, of this version and of others.
+"""Loads and forecasts on the wire between instances, of this version and of others.
 
 Unknown fields are ignored and missing ones have their defaults. A load without
 forecasts comes from a version, or an owner, that doesn't compute them.
 """
 
-import math
 from typing import Any
 
+from plantainyard.decoding import (
+    FAILURES,
+    convert_errors,
+    read_flag,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+)
 from plantainyard.dispatch.load import Load, QueueForecast
-from plantainyard.dispatch.run_times import RunTimePrior
+from plantainyard.dispatch.run_times import MAX_LOG, MIN_LOG, RunTimePrior
 from plantainyard.dispatch.unit_forecasts import UnitForecast
 
-__all__ = ["decode_forecast", "decode_queues", "encode_forecast", "encode_queues"]
+__all__ = [
+    "decode_forecast",
+    "decode_load",
+    "decode_queues",
+    "encode_forecast",
+    "encode_load",
+    "encode_queues",
+]
+
+MIN_VARIANCE = 1e-9
+"""Smallest variance with which a run time can be weighed."""
+
+
+def encode_load(load: Load) -> dict[str, Any]:
+    """Return the JSON form of a load.
+
+    Older versions decode only the five figures of the first field.
+    """
+    figures = [load.reserved, load.backfill, load.waiting]
+    figures += [load.waiting_backfill, load.gap]
+    slot_fields = {"slots": list(load.slots), "ending": load.ending}
+    return {"load": figures, "room": slot_fields, **encode_queues(load)}
+
+
+def decode_load(body: dict[str, Any]) -> Load:
+    """Decode the answer to a query for a load; see `encode_load`.
+
+    Raises
+    ------
+    ValueError, TypeError, LookupError
+        If it isn't a load.
+    """
+    figures = [read_number(v, "load", low=0.0) for v in read_list(body["load"], "load")]
+    reserved, backfill, waiting, waiting_backfill, gap = figures
+    room = read_object(body.get("room", {}), "room")
+    slots = read_list(room.get("slots", []), "slots")
+    return Load(
+        reserved,
+        backfill,
+        waiting,
+        waiting_backfill,
+        int(gap),
+        tuple(read_integer(number, "slots") for number in slots),
+        int(read_number(room.get("ending", 0), "ending", low=0.0)),
+        **decode_queues(body),
+    )
 
 
 def encode_queues(load: Load) -> dict[str, Any]:
@@ -33,9 +87,9 @@
     if body.get("queues") is None:
         return {}
     try:
-        rows = tuple(_decode_row(row) for row in body["queues"])
-        age_s = float(body.get("measured_s_ago", 0.0))
-    except (TypeError, ValueError):
+        rows = tuple(_decode_row(row) for row in read_list(body["queues"], "queues"))
+        age_s = read_number(body.get("measured_s_ago", 0.0), "measured_s_ago")
+    except FAILURES:
         return {}
     return {"queues": rows, "measured_s_ago": age_s}
 
@@ -46,31 +100,36 @@
     return {**forecast._asdict(), "lowest": rows}
 
 
-def decode_forecast(data: dict[str, Any]) -> UnitForecast:
+def decode_forecast(value: Any) -> UnitForecast:
     """Decode the answer to a query for a forecast.
 
     Raises
     ------
-    TypeError, ValueError, KeyError
+    ValueError, TypeError, LookupError
         If it isn't a forecast.
     """
+    data = read_object(value, "forecast")
+    run_times = read_list(data.get("run_times", []), "run_times")
     return UnitForecast(
-        open_jobs=int(data["open_jobs"]),
-        lowest=tuple(_decode_row(row) for row in data["lowest"]),
-        age_s=float(data["age_s"]),
-        own_age_s=float(data["own_age_s"]),
-        free_size=int(data["free_size"]),
-        has_unused=bool(data["has_unused"]),
-        run_times=tuple(_decode_prior(row) for row in data.get("run_times", ())),
+        open_jobs=read_integer(data["open_jobs"], "open_jobs"),
+        lowest=tuple(_decode_row(row) for row in read_list(data["lowest"], "lowest")),
+        age_s=read_number(data["age_s"], "age_s"),
+        own_age_s=read_number(data["own_age_s"], "own_age_s"),
+        free_size=read_integer(data["free_size"], "free_size"),
+        has_unused=read_flag(data["has_unused"], "has_unused"),
+        run_times=tuple(_decode_prior(row) for row in run_times),
     )
 
 
 def _decode_prior(values: Any) -> RunTimePrior:
-    step, *figures = values
-    mean, variance, declared_variance = map(float, figures)
-    if not (math.isfinite(mean) and variance > 0 and declared_variance > 0):
-        raise ValueError(f"not a run time: {values!r}")
-    return RunTimePrior(int(step), mean, variance, declared_variance)
+    with convert_errors("not a run time"):
+        step, mean, variance, declared_variance = read_list(values, "figures")
+        return RunTimePrior(
+            read_integer(step, "step"),
+            read_number(mean, "mean", MIN_LOG, MAX_LOG),
+            read_number(variance, "variance", MIN_VARIANCE),
+            read_number(declared_variance, "declared_variance", MIN_VARIANCE),
+        )
 
 
 def _encode_row(row: QueueForecast) -> dict[str, Any]:
@@ -83,16 +142,18 @@
     }
 
 
-def _decode_row(data: Any) -> QueueForecast:
-    if not isinstance(data, dict):
-        raise TypeError(f"not a forecast: {data!r}")
-    row = QueueForecast(**{k: v for k, v in data.items() if k in QueueForecast._fields})
+def _decode_row(value: Any) -> QueueForecast:
+    data = read_object(value, "forecast of a queue")
     return QueueForecast(
-        str(row.queue),
-        int(row.open_jobs),
-        float(row.wait_s),
-        float(row.stretch_ratio),
-        bool(row.backfill),
-        tuple(float(wait_s) for wait_s in row.waits_s),
-        tuple(float(wait_s) for wait_s in row.late_waits_s),
+        read_text(data["queue"], "queue"),
+        read_integer(data["open_jobs"], "open_jobs"),
+        read_number(data.get("wait_s", 0.0), "wait_s"),
+        read_number(data.get("stretch_ratio", 0.0), "stretch_ratio"),
+        read_flag(data.get("backfill", False), "backfill"),
+        _decode_waits(data.get("waits_s", [])),
+        _decode_waits(data.get("late_waits_s", [])),
     )
+
+
+def _decode_waits(values: Any) -> tuple[float, ...]:
+    return tuple(read_number(wait_s, "wait") for wait_s in read_list(values, "waits"))
--- a/plantainyard/entry/lookups.py
+++ b/plantainyard/entry/lookups.py
@@ -40,6 +40,8 @@
         found = lookup if lookup.state else found
         if lookup.moved is None:
             break
+        if lookup.moved >= len(instance.copies):
+            return Err("the job was handed over to a unit that isn't there")
         unit = lookup.moved
     return Ok((unit, found))
 
--- a/plantainyard/entry/peer_calls.py
+++ b/plantainyard/entry/peer_calls.py
@@ -1,13 +1,17 @@
 """Calls to other instances at their ports for peers."""
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from result import Err
 
+from plantainyard.decoding import DecodeError, convert_errors
 from plantainyard.entry.instance import Instance
 from plantainyard.transport import HttpPeer, build_peer, build_pool, call_json
 
-__all__ = ["ROUNDING_S", "build_instance_peer", "query_owner"]
+__all__ = ["ROUNDING_S", "build_instance_peer", "decode_answer", "query_owner"]
+
+_T = TypeVar("_T")
 
 QUERY_TIMEOUT_S = 0.4
 """Timeout in seconds of a query to an owner. An answer between regions takes 30 ms."""
@@ -49,3 +53,15 @@
         instance.log.write("peer_silent", unit=unit, address=owner.address, why=why)
         return None
     return body
+
+
+def decode_answer(
+    instance: Instance, unit: int, step: str, decode: Callable[[], _T]
+) -> _T | None:
+    """Return what `decode` returns, or log the reason why the answer is unusable."""
+    try:
+        with convert_errors(f"answer to {step}"):
+            return decode()
+    except DecodeError as error:
+        instance.log.write("peer_silent", unit=unit, why=str(error))
+        return None
--- a/plantainyard/entry/peers.py
+++ b/plantainyard/entry/peers.py
@@ -10,6 +10,15 @@
 from plantainyard.batch.pending import Pending, count_pending
 from plantainyard.batch.replica import describe_state
 from plantainyard.clock import read_clock
+from plantainyard.decoding import (
+    parse_decimal,
+    read_flag,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+)
 from plantainyard.dispatch import Dispatcher, Load, list_arrivals
 from plantainyard.dispatch.unit_forecasts import UnitForecast, combine_forecasts
 from plantainyard.entry.claims import OwnerReply, OwnerStatus
@@ -21,15 +30,16 @@
 from plantainyard.entry.copies import UnitCopy
 from plantainyard.entry.forecasts import (
     decode_forecast,
-    decode_queues,
+    decode_load,
     encode_forecast,
-    encode_queues,
+    encode_load,
 )
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.layout import Owner
 from plantainyard.entry.peer_calls import (
     ROUNDING_S,
     build_instance_peer,
+    decode_answer,
     query_owner,
 )
 from plantainyard.entry.readers import read_ahead
@@ -66,6 +76,9 @@
 read that waits a second and finds nothing proves only the state at its start, so the
 last read of a healthy owner is up to two seconds old, and older after a lost answer."""
 
+_COUNTS = ("waiting", "assigned")
+"""Fields of `Pending` that are numbers; the others are sets of jobs."""
+
 LEASES_TIMEOUT_S = 1.0
 """Timeout in seconds of a query for the leases of a predecessor. Nothing waits for the
 answer, and the predecessor may be behind a busy link."""
@@ -125,7 +138,8 @@
     if body is None:
         return None
     moved = body.get("moved")
-    return JobLookup(body["state"], moved if isinstance(moved, int) else None)
+    is_unit = type(moved) is int and 0 <= moved < len(instance.copies)
+    return JobLookup(body["state"], moved if is_unit else None)
 
 
 def fetch_pending(instance: Instance, unit: int, queue: str) -> PendingCount | None:
@@ -150,11 +164,7 @@
     body = query_owner(instance, unit, "peer.pending", path, "pending", dict)
     if body is None:
         return None
-    try:
-        return _decode_count(body)
-    except (TypeError, ValueError, KeyError) as error:
-        instance.log.write("peer_silent", unit=unit, why=repr(error))
-        return None
+    return decode_answer(instance, unit, "peer.pending", lambda: _decode_count(body))
 
 
 def _encode_count(count: PendingCount) -> dict[str, Any]:
@@ -164,12 +174,20 @@
 
 
 def _decode_count(body: dict[str, Any]) -> PendingCount:
+    rows = read_object(body["pending"], "pending")
     fields: dict[str, Any] = {
-        name: frozenset(value) if isinstance(value, list) else value
-        for name, value in body["pending"].items()
-        if name in Pending._fields
+        name: _decode_pending_field(name, rows[name])
+        for name in Pending._fields
+        if name in rows
     }
-    return PendingCount(Pending(**fields), float(body["age_s"]))
+    age_s = read_number(body["age_s"], "age_s", low=0.0)
+    return PendingCount(Pending(**fields), age_s)
+
+
+def _decode_pending_field(name: str, value: Any) -> int | frozenset[str]:
+    if name in _COUNTS:
+        return read_integer(value, name)
+    return frozenset(read_text(job, name) for job in read_list(value, name))
 
 
 def fetch_load(instance: Instance, unit: int) -> Load | None:
@@ -180,12 +198,7 @@
     body = query_owner(instance, unit, "peer.load", f"/units/{unit}/load", "load", list)
     if body is None:
         return None
-    try:
-        load = Load(*body["load"], **body.get("room", {}))
-        return load._replace(**decode_queues(body))
-    except TypeError as error:
-        instance.log.write("peer_silent", unit=unit, why=repr(error))
-        return None
+    return decode_answer(instance, unit, "peer.load", lambda: decode_load(body))
 
 
 def _get_load(state: Dispatcher) -> Load:
@@ -205,11 +218,9 @@
     )
     if body is None:
         return None
-    try:
-        return decode_forecast(body["forecast"])
-    except (TypeError, ValueError, KeyError) as error:
-        instance.log.write("peer_silent", unit=unit, why=repr(error))
-        return None
+    return decode_answer(
+        instance, unit, "peer.forecast", lambda: decode_forecast(body["forecast"])
+    )
 
 
 def fetch_interference(instance: Instance, unit: int) -> bytes:
@@ -221,7 +232,12 @@
     body = query_owner(
         instance, unit, "peer.harms", f"/units/{unit}/harms", "harms", str
     )
-    return b"" if body is None else str(body["harms"]).encode()
+    if body is None:
+        return b""
+    found = decode_answer(
+        instance, unit, "peer.harms", lambda: read_text(body["harms"], "harms")
+    )
+    return (found or "").encode()
 
 
 def fetch_owner_status(instance: Instance, unit: int) -> OwnerReply:
@@ -234,11 +250,21 @@
     answer = call_json(peer, "peer.owner", "GET", f"/units/{unit}/owner")
     if isinstance(answer, Err):
         return OwnerReply(answer.err_value.kind == ErrorKind.REFUSED)
-    try:
-        return OwnerReply(True, OwnerStatus(*answer.ok_value.body["owner"]))
-    except (TypeError, KeyError) as error:
-        instance.log.write("peer_silent", unit=unit, why=repr(error))
-        return OwnerReply(False)
+    body = answer.ok_value.body
+    status = decode_answer(
+        instance, unit, "peer.owner", lambda: _decode_status(body["owner"])
+    )
+    return OwnerReply(status is not None, status)
+
+
+def _decode_status(values: Any) -> OwnerStatus:
+    units, age_s, leaving, reserve = read_list(values, "owner")
+    return OwnerStatus(
+        read_integer(units, "units"),
+        read_number(age_s, "confirmation_age_s"),
+        read_flag(leaving, "leaving"),
+        read_flag(reserve, "reserve"),
+    )
 
 
 def _describe_claim(instance: Instance, unit: int) -> OwnerStatus | None:
@@ -276,12 +302,26 @@
         body = None if isinstance(answer, Err) else answer.ok_value.body
     if body is None:
         return None
-    try:
-        remaining_s = {str(k): float(v) for k, v in body["remaining_s"].items()}
-        return remaining_s if body["epoch"] == predecessor.epoch else None
-    except (TypeError, ValueError, KeyError, AttributeError) as error:
-        instance.log.write("peer_silent", unit=unit, why=repr(error))
+    answer_body = body
+    released = decode_answer(
+        instance, unit, "peer.leases", lambda: _decode_release(answer_body)
+    )
+    if released is None or released.epoch != predecessor.epoch:
         return None
+    return released.remaining_s
+
+
+class _Release(NamedTuple):
+    """The epoch of an ownership that has ended, and the leases that remain of it."""
+
+    epoch: int
+    remaining_s: dict[str, float]
+
+
+def _decode_release(body: dict[str, Any]) -> _Release:
+    rows = read_object(body["remaining_s"], "remaining_s")
+    remaining_s = {k: read_number(v, k, low=0.0) for k, v in rows.items()}
+    return _Release(read_integer(body["epoch"], "epoch"), remaining_s)
 
 
 def _describe_release(
@@ -341,10 +381,11 @@
     """Return the WSGI application of the port for other instances."""
 
     def serve(environ: WSGIEnvironment, start: StartResponse) -> Iterable[bytes]:
-        path = environ.get("PATH_INFO", "")
-        known_version = path.removeprefix(CONFIGURATION_PATH)
-        if known_version != path and known_version.isdigit():
-            reply = describe_configuration(instance, int(known_version))
+        path = _read_path(environ)
+        version_text = path.removeprefix(CONFIGURATION_PATH)
+        known_version = parse_decimal(version_text) if version_text != path else None
+        if known_version is not None:
+            reply = describe_configuration(instance, known_version)
             if reply is not None:
                 return send_configuration(start, reply)
         answer = _answer(instance, path)
@@ -353,28 +394,26 @@
     return serve
 
 
-def _encode_load(load: Load) -> dict[str, Any]:
-    """Return the JSON form of a load.
-
-    Older versions decode only the five figures of the first field.
-    """
-    figures = [load.reserved, load.backfill, load.waiting]
-    figures += [load.waiting_backfill, load.gap]
-    slot_fields = {"slots": list(load.slots), "ending": load.ending}
-    return {"load": figures, "room": slot_fields, **encode_queues(load)}
+def _read_path(environ: WSGIEnvironment) -> str:
+    """Return the path of a request, whose bytes the server passes on undecoded."""
+    raw: str = environ.get("PATH_INFO", "")
+    return raw.encode("latin-1", errors="replace").decode(errors="replace")
 
 
 def _answer(instance: Instance, path: str) -> dict[str, Any] | None:
     """Return the answer to a query about a unit, or None without an answer."""
     parts = path.strip("/").split("/")
-    if len(parts) < 3 or parts[0] != "units" or not parts[1].isdigit():
+    if len(parts) < 3 or parts[0] != "units":
+        return None
+    unit, topic, rest = parse_decimal(parts[1]), parts[2], parts[3:]
+    if unit is None:
         return None
-    unit, topic, rest = int(parts[1]), parts[2], parts[3:]
     if topic == "owner":
         status = _describe_claim(instance, unit)
         return None if status is None else {"owner": list(status)}
-    if topic == "leases" and len(rest) == 1 and rest[0].isdigit():
-        return _describe_release(instance, unit, int(rest[0]))
+    if topic == "leases" and len(rest) == 1:
+        epoch = parse_decimal(rest[0])
+        return None if epoch is None else _describe_release(instance, unit, epoch)
     # Only an owner has newer state than what other instances read from the store.
     if unit not in instance.owned:
         return None
@@ -391,5 +430,5 @@
         return {"harms": fetch_interference(instance, unit).decode(errors="replace")}
     if topic == "load":
         load = fetch_load(instance, unit)
-        return None if load is None else _encode_load(load)
+        return None if load is None else encode_load(load)
     return None
