Keep an instance's loops running whatever one record does

Callers would see jobs that wait, a configuration that is out of date, or an instance that never becomes ready: an exception ended the thread that follows the layout, the group, the configuration, the evacuations or the loads, or counts the runners before the first start, and nothing showed it. A record that could not be applied ended the reading of its topic at the same place each time. Stored progress of a step that its job doesn't have failed each takeover, and an evacuation ended when its record became unreadable.

Change: a record that fails when it is applied is left out with a warning; a loop that fails is logged (loop_failed) and begins again; progress is restored for the steps and tasks that are there; an unreadable evacuation leaves the last valid one in force until its record is removed.

--- a/plantainyard/dispatch/restoring.py
+++ b/plantainyard/dispatch/restoring.py
@@ -3,7 +3,7 @@
 from collections.abc import Set
 
 from plantainyard.batch.replica import JobView, Replica
-from plantainyard.batch.values import StepProgress
+from plantainyard.batch.values import StepProgress, Submission
 from plantainyard.dispatch.forwarding import (
     add_hop,
     build_task_submission,
@@ -81,6 +81,8 @@
     accepted_at = submission.accepted_at_ms / 1000 - state.wall_offset_s
     set_deadlines(job, min(now, accepted_at))
     for (occurrence, number), progress in view.steps.items():
+        if not _has_step(submission, occurrence, number):
+            continue
         if (occurrence, number) not in job.steps:
             open_occurrence(job, occurrence)
         step = job.steps[occurrence, number]
@@ -91,6 +93,13 @@
         end_if_finished(state, job)
 
 
+def _has_step(submission: Submission, occurrence: int, number: int) -> bool:
+    """Return whether stored progress is that of a step which the job has."""
+    if submission.piece:
+        return (occurrence, number) == submission.piece[:2]
+    return occurrence < max(1, submission.times) and number < len(submission.steps)
+
+
 def _restore_step(
     state: Dispatcher,
     step: StepRun,
@@ -104,6 +113,8 @@
             step.done_count += 1
     by_number = {task.key.number: task for task in step.tasks}
     for index, stored in progress.tasks.items():
+        if index not in by_number:
+            continue
         task = by_number[index]
         task.run = stored.run
         task.failures = stored.failures
@@ -115,7 +126,8 @@
             if index in progress.unseen_s:
                 restore_unseen(state, task, progress.unseen_s[index], now)
     for index, runner_id in progress.recipients.items():
-        restore_unanswered(state, by_number[index], runner_id, now)
+        if index in by_number:
+            restore_unanswered(state, by_number[index], runner_id, now)
     if step.spec.gang and progress.done:
         complete_gang(state, step, now)
 
--- a/plantainyard/entry/evacuations.py
+++ b/plantainyard/entry/evacuations.py
@@ -136,7 +136,8 @@
     """Put the evacuations of a complete reading in force, and log what changed."""
     known = instance.evacuations
     found, unreadable = decode_evacuations(records)
-    versions = {record.domain: record.version for record in found}
+    kept = _list_kept(known.versions, unreadable)
+    versions = kept | {record.domain: record.version for record in found}
     age_s = round(read_clock() - read_at, 3)
     for domain in versions.keys() - known.versions.keys():
         version = versions[domain]
@@ -158,6 +159,20 @@
         send_evacuations(instance, unit)
 
 
+def _list_kept(
+    versions: dict[str, int], unreadable: list[UnreadableRecord]
+) -> dict[str, int]:
+    """Return the evacuations in force whose newest record can't be read.
+
+    Notes
+    -----
+    Guards against work in a domain that operators still want to be empty: an evacuation
+    ends when its record is removed, not when another writer makes it unreadable.
+    """
+    domains = {record.key.removeprefix(EVACUATION_PREFIX) for record in unreadable}
+    return {k: version for k, version in versions.items() if k in domains}
+
+
 def _list_unknown(
     instance: "Instance", versions: dict[str, int]
 ) -> list[UnreadableRecord]:
--- a/plantainyard/entry/process.py
+++ b/plantainyard/entry/process.py
@@ -29,6 +29,7 @@
 )
 from plantainyard.entry.layout import RUNNERS_PER_UNIT, determine_layout
 from plantainyard.entry.loads import poll_loads
+from plantainyard.entry.loops import keep_running, start_loop
 from plantainyard.entry.meters import build_metrics_app
 from plantainyard.entry.ownership_manager import OwnershipManager
 from plantainyard.entry.peers import build_peer_app, fetch_owner_status
@@ -192,13 +193,10 @@
 
 def start_threads(instance: Instance, draining: threading.Event) -> None:
     """Start following the configuration and, until `draining`, claiming units."""
-    threads = (
-        (follow_configuration, (instance,)),
-        (follow_evacuations, (instance,)),
-        (_run_units, (instance, draining)),
-    )
-    for target, arguments in threads:
-        threading.Thread(target=target, args=arguments, daemon=True).start()
+    for loop in (follow_configuration, follow_evacuations):
+        start_loop(instance.log, instance.stopping, loop, instance)
+    arguments = (instance, draining)
+    threading.Thread(target=_run_units, args=arguments, daemon=True).start()
 
 
 def _follow_layout(instance: Instance, manager: OwnershipManager) -> None:
@@ -218,7 +216,10 @@
 
 def _run_units(instance: Instance, draining: threading.Event) -> None:
     """Wait for the layout, then follow it and own units as the group assigns them."""
-    determine_layout(
+    keep_running(
+        instance.log,
+        draining,
+        determine_layout,
         instance.store,
         instance.layout_reader,
         instance.layout,
@@ -232,13 +233,12 @@
         return
     instance.create_copies()
     manager = OwnershipManager(instance)
-    followers = (
-        (_follow_layout, (instance, manager)),
-        (poll_loads, (instance,)),
-    )
-    for target, arguments in followers:
-        threading.Thread(target=target, args=arguments, daemon=True).start()
-    follow_group(
+    start_loop(instance.log, instance.stopping, _follow_layout, instance, manager)
+    start_loop(instance.log, instance.stopping, poll_loads, instance)
+    keep_running(
+        instance.log,
+        draining,
+        follow_group,
         instance,
         manager.apply_assignment,
         lambda unit: fetch_owner_status(instance, unit).status is not None,
--- a/plantainyard/entry/readers.py
+++ b/plantainyard/entry/readers.py
@@ -1,14 +1,18 @@
 """Incremental reading of the records of a keyed topic's partition."""
 
+import logging
 import threading
 from collections.abc import Callable
 
 from result import Err, Ok, Result
 
 from plantainyard.clock import read_clock
+from plantainyard.decoding import describe_failure
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.platform.store import Page, Record, StoreCalls
 
+_logger = logging.getLogger(__name__)
+
 __all__ = [
     "READ_TIMEOUT_S",
     "RETRY_S",
@@ -160,7 +164,7 @@
             reader.offset = None
             continue
         for record in batch.records:
-            reader.on_record(record)
+            _pass_on(reader, record)
         count += len(batch.records)
         reader.offset = batch.next_offset
         if batch.next_offset >= batch.end:
@@ -171,6 +175,23 @@
         wait_s = 0.0
 
 
+def _pass_on(reader: PartitionReader, record: Record) -> None:
+    """Pass a record on; one that can't be applied must not end the reading.
+
+    Notes
+    -----
+    Guards against a topic that isn't read any more because of one record: the store
+    keeps it, so that each further attempt would fail at the same place.
+    """
+    try:
+        reader.on_record(record)
+    except Exception as error:
+        why = describe_failure(error)
+        _logger.warning(
+            "record %.100s of %s is left out: %s", record.key, reader.topic, why
+        )
+
+
 def load_newest(reader: PartitionReader) -> Result[int, CallError]:
     """Read the newest record of each key, and set the offset to continue from.
 
@@ -195,7 +216,7 @@
         if start is None:
             start = page.end
         for record in page.records:
-            reader.on_record(record)
+            _pass_on(reader, record)
         count += len(page.records)
         after = page.last_key
         if not page.more:
@@ -223,7 +244,7 @@
     if found.ok_value.dropped:
         return poll_reader(reader)
     for record in found.ok_value.records:
-        reader.on_record(record)
+        _pass_on(reader, record)
     return Ok(len(found.ok_value.records))
 
 
