Set aside alone the accepted jobs that can't be served

A commit larger than a call of the store would have been repeated in the same way, and an exception on the thread that stores commits left the owner waiting for it for good.

Change: a commit is stored in calls that fit. A record that fits into none is left out, and its job ends as failed. An unexpected exception is attributed to the job that the innermost frame worked on, and counted in the store, so that it doesn't matter which instances fail; after the second one the next owner ends the job before it restores the unit. Each such job has a line in the log (job_set_aside), a count (plantainyard_jobs_set_aside) and the state failed for its caller. A submission that the store refuses because of its size gets 400. An accepted submission that can't be read is shown as failed instead of unknown. UnitContext and the appends have modules of their own.

--- a/plantainyard/batch/checks.py
+++ b/plantainyard/batch/checks.py
@@ -16,6 +16,9 @@
 DEFAULT_RECORD_BYTES = 262_144
 """Maximum size of a record in bytes if the platform's settings don't give it."""
 
+MIN_TARGET_MS = 0.001
+"""Smallest target of a tail latency, in milliseconds; zero stands for none."""
+
 TASK_RECORD_BYTES = 200
 """Size of the progress of one task in bytes that the limit of a step allows for: twice
 the usual one."""
@@ -72,6 +75,8 @@
         return f"a step has at most {max_size} tasks"
     if min(step.resources) < 0:
         return "a resource is below 0"
+    if 0 < step.target_ms < MIN_TARGET_MS:
+        return f"targetMs is below {MIN_TARGET_MS}"
     if any(not 0 <= number < step_count for number in step.after):
         return "after names a step that isn't there"
     return ""
--- a/plantainyard/batch/records.py
+++ b/plantainyard/batch/records.py
@@ -43,6 +43,7 @@
     "make_cancel_key",
     "make_delivery_key",
     "make_end_key",
+    "make_failure_key",
     "make_handover_key",
     "make_progress_key",
     "make_submission_key",
@@ -66,6 +67,7 @@
     HANDOVER = "h"
     DELIVERY = "d"
     PROGRESS = "p"
+    FAILURE = "f"
 
 
 class StoredKey(NamedTuple):
@@ -127,6 +129,11 @@
     return f"{RecordKind.DELIVERY}/{job_id}"
 
 
+def make_failure_key(job_id: str) -> str:
+    """Return the key of the number of owners that a job has made fail."""
+    return f"{RecordKind.FAILURE}/{job_id}"
+
+
 def make_progress_key(job_id: str, occurrence: int, step: int) -> str:
     """Return the key of the progress of a step in one occurrence of a job."""
     return f"{RecordKind.PROGRESS}/{job_id}/{occurrence}/{step}"
--- a/plantainyard/batch/replica.py
+++ b/plantainyard/batch/replica.py
@@ -92,6 +92,10 @@
         That unit has the record of the job and has had the time to read it.
     started : bool
         A task of the job is known to have started.
+    failures : int
+        Number of ownerships of the unit that failed while they worked on the job.
+    unreadable : bool
+        The record of the job's submission can't be read, nor could an earlier one.
     """
 
     submission: Submission | None = None
@@ -101,6 +105,8 @@
     handed_to: int | None = None
     delivered: bool = False
     started: bool = False
+    failures: int = 0
+    unreadable: bool = False
 
 
 class Fences(NamedTuple):
@@ -276,16 +282,19 @@
         return
     view = replica.jobs.setdefault(key.job_id, JobView())
     if key.kind == RecordKind.SUBMISSION:
+        view.unreadable = view.submission is None
         submission = decode_submission(value)
         if submission.record_id != key.job_id:
             raise DecodeError("the key and the submission name different jobs")
-        view.submission = submission
+        view.submission, view.unreadable = submission, False
     elif key.kind == RecordKind.CANCEL:
         view.cancelled = bool(value)
     elif key.kind == RecordKind.END:
         view.final_state = _decode_final_state(value)
     elif key.kind == RecordKind.HANDOVER:
-        view.handed_to = _decode_unit(value)
+        view.handed_to = _decode_number(value)
+    elif key.kind == RecordKind.FAILURE:
+        view.failures = _decode_number(value) or 0
     elif key.kind == RecordKind.DELIVERY:
         view.delivered = bool(value)
     elif key.kind == RecordKind.PROGRESS:
@@ -306,11 +315,11 @@
     return state
 
 
-def _decode_unit(value: bytes) -> int | None:
-    unit = parse_decimal(value.decode())
-    if value and unit is None:
-        raise DecodeError("not a number of a unit")
-    return unit
+def _decode_number(value: bytes) -> int | None:
+    number = parse_decimal(value.decode())
+    if value and number is None:
+        raise DecodeError("not a whole number")
+    return number
 
 
 def describe_state(view: JobView) -> str:
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -48,6 +48,7 @@
     add_job,
     cancel_job,
     end_cancelled_jobs,
+    fail_job,
     open_due_occurrences,
 )
 from plantainyard.dispatch.leases import limit_inheritance
@@ -293,7 +294,9 @@
             reports.apply_missed_report(state, event, now)
         case OrderAnswered():
             runs.apply_order_result(state, event, now)
-        case Committed():
+        case Committed(too_large):
+            for job_id in too_large & state.jobs.keys():
+                fail_job(state, state.jobs[job_id], now)
             apply_commit(state, now)
         case OwnershipRenewed(sent_at):
             state.renewed_at = max(state.renewed_at, sent_at)
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -77,7 +77,15 @@
 
 
 class Committed(NamedTuple):
-    """The records of the last `Commit` were stored."""
+    """The records of the last `Commit` were stored.
+
+    Attributes
+    ----------
+    too_large : frozenset of str
+        Jobs with progress that fits into no record, and wasn't stored.
+    """
+
+    too_large: frozenset[str] = frozenset()
 
 
 class OrderAnswered(NamedTuple):
--- a/plantainyard/dispatch/jobs.py
+++ b/plantainyard/dispatch/jobs.py
@@ -19,6 +19,7 @@
     "cancel_job",
     "end_if_finished",
     "end_cancelled_jobs",
+    "fail_job",
     "finish_task",
     "open_due_occurrences",
     "open_occurrence",
@@ -106,7 +107,7 @@
 
 
 def fail_job(state: Dispatcher, job: Job, now: float) -> None:
-    """End a job as failed because a task has used up its attempts."""
+    """End a job as failed: a task has used up its attempts, or can't be stored."""
     if job.final_state or job.cancelled:
         return
     end_job(state, job, JobState.FAILED)
--- a/plantainyard/entry/caller_api.py
+++ b/plantainyard/entry/caller_api.py
@@ -117,6 +117,9 @@
     NO_CAPACITY = "no capacity in time"
 
 
+_NOT_STORED = (ErrorKind.REFUSED, ErrorKind.TOO_LARGE, ErrorKind.UNREACHABLE)
+"""Errors after which a record certainly isn't stored."""
+
 _STALE_MESSAGE = "the configuration may be out of date"
 _NO_SUCH_QUEUE = Response(
     "404 Not Found", {"error": "no such queue"}, reason=Reason.QUEUE
@@ -296,7 +299,9 @@
             return Response(OK, {})
         if isinstance(result, Err):
             kind = result.err_value.kind
-            outcome_unknown |= kind not in (ErrorKind.REFUSED, ErrorKind.UNREACHABLE)
+            if kind == ErrorKind.TOO_LARGE and not outcome_unknown:
+                return _reject("the job is too long for a record of the store")
+            outcome_unknown |= kind not in _NOT_STORED
         if read_clock() + pause_s > deadline or instance.stopping.wait(pause_s):
             break
         pause_s *= 2
--- a/plantainyard/entry/ownership_manager.py
+++ b/plantainyard/entry/ownership_manager.py
@@ -14,12 +14,14 @@
 
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import OwnershipRenewed
+from plantainyard.dispatch.failures import find_failed_job
 from plantainyard.entry.claims import (
     Candidate,
     ClaimReason,
     OwnerObservation,
     decide_claim,
 )
+from plantainyard.entry.context import UnitContext
 from plantainyard.entry.copies import UnitCopy, refresh_copy
 from plantainyard.entry.directory import RunnerDirectory
 from plantainyard.entry.evacuations import send_evacuations
@@ -34,6 +36,7 @@
 from plantainyard.entry.peers import fetch_owner_status
 from plantainyard.entry.readers import RETRY_S, PartitionReader, poll_reader
 from plantainyard.entry.reserves import is_strong
+from plantainyard.entry.set_aside import record_failure, set_aside_failed_jobs
 from plantainyard.entry.takeover import (
     choose_fence,
     fence_predecessors,
@@ -44,7 +47,7 @@
     send_open_jobs,
 )
 from plantainyard.entry.topics import RUNNERS
-from plantainyard.entry.unit import UnitActor, UnitContext, run_unit_actor
+from plantainyard.entry.unit import UnitActor, run_unit_actor
 
 __all__ = ["MAX_UNCONFIRMED_S", "OwnershipManager"]
 
@@ -208,28 +211,46 @@
         its claim would keep this instance from claiming the unit again and other
         instances from finding it vacant.
         """
+        context = self._build_context(copy, epoch)
         try:
-            self._own(copy, epoch)
+            self._own(copy, context)
         except Exception as error:
-            why = traceback.format_exception(error)[-3:]
-            self.instance.log.write("unit_failed", unit=copy.unit, why=why)
-            self._step_down(copy.unit, epoch)
+            self._handle_failure(context, error)
+
+    def _handle_failure(self, context: UnitContext, error: BaseException) -> None:
+        """Release a unit after an unexpected exception; remember the job at fault."""
+        job_id = find_failed_job(error)
+        why = traceback.format_exception(error)[-3:]
+        job = {"job": job_id} if job_id else {}
+        self.instance.log.write("unit_failed", unit=context.unit, why=why, **job)
+        try:
+            if job_id:
+                record_failure(context, job_id)
+        finally:
+            self._step_down(context.unit, context.epoch)
 
-    def _own(self, copy: UnitCopy, epoch: int) -> None:
-        """Take over a unit and serve it until the claim ends."""
+    def _build_context(self, copy: UnitCopy, epoch: int) -> UnitContext:
         unit, instance = copy.unit, self.instance
+        context = UnitContext(
+            unit,
+            epoch,
+            instance.store,
+            instance.runners,
+            copy.replica,
+            instance.log,
+            lambda: self._step_down(unit, epoch),
+            instance.meters,
+            on_released=lambda ends: self._record_release(unit, epoch, ends),
+            on_failure=lambda error: self._handle_failure(context, error),
+            record_bytes=instance.settings.record_bytes,
+            call_bytes=instance.settings.call_bytes,
+        )
+        return context
+
+    def _own(self, copy: UnitCopy, context: UnitContext) -> None:
+        """Take over a unit and serve it until the claim ends."""
+        unit, epoch, instance = copy.unit, context.epoch, self.instance
         with self._unit_locks[unit]:
-            context = UnitContext(
-                unit,
-                epoch,
-                instance.store,
-                instance.runners,
-                copy.replica,
-                instance.log,
-                lambda: self._step_down(unit, epoch),
-                instance.meters,
-                on_released=lambda ends: self._record_release(unit, epoch, ends),
-            )
             self.contexts[unit] = context
             if not self._is_claimed(unit, epoch):
                 return
@@ -248,7 +269,7 @@
             if not self._catch_up(copy, epoch):
                 return
             fence = choose_fence(context)
-            if fence is None:
+            if fence is None or not set_aside_failed_jobs(context):
                 return
             context.dispatcher = restore_unit(instance, copy, owner, fenced_at, fence)
             with run_unit_actor(context, context.dispatcher) as actor:
--- a/plantainyard/entry/peers.py
+++ b/plantainyard/entry/peers.py
@@ -9,6 +9,7 @@
 
 from plantainyard.batch.pending import Pending, count_pending
 from plantainyard.batch.replica import describe_state
+from plantainyard.batch.values import JobState
 from plantainyard.clock import read_clock
 from plantainyard.decoding import (
     parse_decimal,
@@ -123,6 +124,9 @@
 def look_up_job(copy: UnitCopy, job_id: str) -> JobLookup:
     """Return the state of a job according to a copy of its unit."""
     view = copy.replica.jobs.get(job_id)
+    if view is not None and view.unreadable:
+        # It was accepted, so that its caller must not be told that it is unknown.
+        return JobLookup(JobState.FAILED)
     if view is None or view.submission is None:
         return JobLookup("")
     moved = None if view.final_state else view.handed_to
--- a/plantainyard/entry/takeover.py
+++ b/plantainyard/entry/takeover.py
@@ -25,13 +25,15 @@
     choose_lease,
     restore_dispatcher,
 )
+from plantainyard.entry.appends import append_until_answered
+from plantainyard.entry.context import UnitContext
 from plantainyard.entry.copies import UnitCopy
 from plantainyard.entry.evacuations import choose_max_age_s
 from plantainyard.entry.instance import LONG_POLL_S, Instance, run_reader
 from plantainyard.entry.layout import Owner, encode_owner, find_unit
 from plantainyard.entry.peers import fetch_remaining_leases
 from plantainyard.entry.topics import PRODUCER, PROGRESS
-from plantainyard.entry.unit import UnitActor, UnitContext, append_until_answered
+from plantainyard.entry.unit import UnitActor
 from plantainyard.entry.wall_clock import read_wall_clock_ms
 from plantainyard.platform.store import Append, Record
 
--- a/plantainyard/entry/tests/test_ownership_manager.py
+++ b/plantainyard/entry/tests/test_ownership_manager.py
@@ -288,5 +288,5 @@
         context=context, actor_ref=Mock(), _record_job_end=Mock()
     )
     apply_record(replica, key, old)
-    UnitActor._commit(actor, Commit([Record(key, old)]), 1)
+    UnitActor._commit(actor, Commit([Record(key, old)]))
     assert replica.jobs[JOB].steps[0, 0].done == {0}
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -3,18 +3,20 @@
 import contextlib
 import queue
 import threading
-import traceback as tb
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
 from types import TracebackType
 from typing import Any
 
 import pykka
-from result import Err, Ok, Result
+from result import Ok, Result
 
+from plantainyard.batch.records import parse_key
 from plantainyard.batch.replica import (
-    Replica,
+    BOUNDS_KEY,
+    FENCES_KEY,
+    INTERFERENCE_KEY,
+    RUN_TIMES_KEY,
     apply_record,
     mark_job_started,
     mark_jobs_delivered,
@@ -31,7 +33,6 @@
     HandoversConfirmed,
     JobStarted,
     JobSummary,
-    Limits,
     OrderAnswered,
     OrderKind,
     ReportFailed,
@@ -43,19 +44,18 @@
     list_lease_ends,
     step,
 )
+from plantainyard.entry.appends import forward_records, store_records
+from plantainyard.entry.context import UnitContext
 from plantainyard.entry.decision_log import record_decision
-from plantainyard.entry.eventlog import EventLog
-from plantainyard.entry.meters import Meters
-from plantainyard.entry.topics import INTAKE, PRODUCER, PROGRESS
+from plantainyard.entry.set_aside import SetAsideReason, record_set_aside
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.platform.runners import (
     Order,
     OrderOutcome,
     OrderResult,
-    RunnerCalls,
     RunnerReport,
 )
-from plantainyard.platform.store import Append, StoreCalls
+from plantainyard.platform.store import Record
 
 __all__ = ["UnitActor", "UnitContext", "run_unit_actor"]
 
@@ -69,65 +69,10 @@
 """Timeout in seconds of a report, in addition to the wait that the request asks for;
 the same as for orders."""
 
-APPEND_TIMEOUT_S = 0.6
-"""Timeout in seconds of the first attempt of an append. The store answers a repeated
-append like the first, so that only the waiting time is lost."""
-
-SLOW_APPEND_TIMEOUT_S = 3.0
-"""Timeout in seconds of repeated appends, which leaves a slow store time to answer."""
-
-RETRY_S = 0.05
-"""Pause in seconds before an append is repeated."""
-
 HELD_RUNS_INTERVAL_S = 1.0
 """Time in seconds between log lines about the runs that a takeover holds."""
 
 
-@dataclass(slots=True, eq=False)
-class UnitContext:
-    """Dependencies and shared state of one ownership of a unit.
-
-    Attributes
-    ----------
-    unit, epoch : int
-        Number of the unit, and fencing token of the ownership.
-    store, runners : StoreCalls, RunnerCalls
-        Clients of the platform's store and of the runners.
-    replica : Replica
-        Copy of the unit's jobs; each record is applied once it is stored.
-    log : EventLog
-        Log for decisions.
-    step_down : callable
-        Called when a successor has fenced this ownership, or after a failure.
-    meters : Meters
-        Metrics for latencies and counts.
-    sequence : int
-        Sequence number of the last append to the unit's progress.
-    fences : dict
-        Fencing token of the last call to each runner, by the runner's id.
-    dispatcher : Dispatcher
-        The unit's state, read for gauges.
-    stopping : Event
-        Set when the unit is released.
-    on_released : callable
-        Called with the last lease end of each runner once nothing more is granted.
-    """
-
-    unit: int
-    epoch: int
-    store: StoreCalls
-    runners: RunnerCalls
-    replica: Replica
-    log: EventLog
-    step_down: Callable[[], None]
-    meters: Meters
-    sequence: int = 0
-    fences: dict[str, int] = field(default_factory=dict)
-    dispatcher: Dispatcher = field(default_factory=lambda: Dispatcher(Limits()))
-    stopping: threading.Event = field(default_factory=threading.Event)
-    on_released: Callable[[dict[str, float]], None] = lambda _: None
-
-
 class UnitActor(pykka.ThreadingActor):
     """Actor that runs a unit's dispatcher and carries out its actions.
 
@@ -250,15 +195,14 @@
         the group still assigns the unit to this instance. The next owner, on this or
         another instance, starts from the stored records.
         """
-        frames = tb.format_exception(exception_type, exception_value, traceback)
-        self.context.log.write("unit_failed", unit=self.context.unit, why=frames[-3:])
-        self.context.step_down()
+        if exception_value is not None:
+            # After the commit that is being stored, since appends are numbered.
+            self.commit_pool.submit(self.context.on_failure, exception_value)
 
     def _perform(self, action: Action) -> None:
         context = self.context
         if isinstance(action, Commit):
-            context.sequence += 1
-            self.commit_pool.submit(self._commit, action, context.sequence)
+            self.commit_pool.submit(self._commit, action)
         elif isinstance(action, RequestReport):
             self._request_report(action)
         elif isinstance(action, JobStarted):
@@ -272,24 +216,53 @@
         else:
             record_decision(context.log, context.meters, context.unit, action)
 
-    def _commit(self, action: Commit, sequence: int) -> None:
+    def _commit(self, action: Commit) -> None:
         """Store records and apply them to the replica, which later ownerships share.
 
         Notes
         -----
         Guards against overwriting newer progress with older: an answer may arrive after
         this ownership has ended and the instance owns the unit again in a later epoch.
+
+        Guards against a unit that is owned but not served: after an unexpected
+        exception here, the dispatcher would wait for the commit for good.
         """
         context = self.context
-        append = Append(
-            PROGRESS, context.unit, action.records, PRODUCER, context.epoch, sequence
-        )
-        if append_until_answered(context, append) and not context.stopping.is_set():
+        try:
+            too_large = store_records(context, action.records)
+            if too_large is None or context.stopping.is_set():
+                return
             for record in action.records:
-                apply_record(context.replica, record.key, record.value)
+                if record not in too_large:
+                    apply_record(context.replica, record.key, record.value)
             for summary in action.summaries:
                 self._record_job_end(summary)
-            self.actor_ref.tell(Committed())
+            jobs = self._report_too_large(too_large)
+        except Exception as error:
+            context.on_failure(error)
+            return
+        self.actor_ref.tell(Committed(jobs))
+
+    def _report_too_large(self, records: list[Record]) -> frozenset[str]:
+        """Log the records that weren't stored; return the jobs of which they are.
+
+        Notes
+        -----
+        Without the records of fencing tokens and bounds of leases no successor could
+        take over safely. What was learned is learned again.
+        """
+        context = self.context
+        jobs: set[str] = set()
+        for record in records:
+            if record.key in (FENCES_KEY, BOUNDS_KEY):
+                raise ValueError(f"record {record.key} is too large to be stored")
+            if record.key in (INTERFERENCE_KEY, RUN_TIMES_KEY):
+                context.log.write("record_too_large", key=record.key, size=record.size)
+                continue
+            jobs.add(parse_key(record.key).job_id)
+        for job_id in jobs:
+            record_set_aside(context, job_id, SetAsideReason.RECORD)
+        return frozenset(jobs)
 
     def _record_job_end(self, summary: JobSummary) -> None:
         """Log a job's end with a breakdown of its time, and update the metrics.
@@ -324,18 +297,13 @@
         stored may send the job, and a repeated append changes nothing.
         """
         context = self.context
-        append = Append(INTAKE, action.unit, action.records)
-        while not context.stopping.is_set():
-            answer = context.store.append(append, SLOW_APPEND_TIMEOUT_S)
-            if isinstance(answer, Ok):
-                keys = [record.key for record in action.records]
-                for key in keys:
-                    context.log.write("job_handed_over", key=key, unit=action.unit)
-                self._send_event(Forwarded(keys))
-                return
-            why = answer.err_value.detail
-            context.log.write("order_failed", kind="forward", why=why)
-            context.stopping.wait(RETRY_S)
+        try:
+            stored = forward_records(context, action.unit, action.records)
+        except Exception as error:
+            context.on_failure(error)
+            return
+        if stored:
+            self._send_event(Forwarded([record.key for record in action.records]))
 
     def _request_report(self, action: RequestReport) -> None:
         sent_at = read_clock()
@@ -445,32 +413,6 @@
     )
 
 
-def append_until_answered(context: UnitContext, append: Append) -> bool:
-    """Send an append until the store answers; return whether it was accepted.
-
-    Notes
-    -----
-    Guards against an append whose answer was lost, which may have taken effect or may
-    do so seconds later. A repeat with the same sequence number is stored only once. A
-    refused append means that a successor has fenced this ownership.
-    """
-    timeout_s = APPEND_TIMEOUT_S
-    while not context.stopping.is_set():
-        answer = context.store.append(append, timeout_s)
-        if isinstance(answer, Err):
-            timeout_s = SLOW_APPEND_TIMEOUT_S
-            context.log.write(
-                "order_failed", kind="append", why=answer.err_value.detail
-            )
-            context.stopping.wait(RETRY_S)
-            continue
-        if answer.ok_value.accepted:
-            return True
-        context.step_down()
-        return False
-    return False
-
-
 @contextlib.contextmanager
 def run_unit_actor(
     context: UnitContext, dispatcher: Dispatcher
--- a/plantainyard/errors.py
+++ b/plantainyard/errors.py
@@ -19,6 +19,9 @@
     ``REFUSED``
         The peer responded that it did not act; `CallError.retry_after_s` may say
         when to retry.
+    ``TOO_LARGE``
+        The peer did not act because of the size of the request, and will not act on a
+        repeat either.
     ``CONFLICT``
         The peer holds a newer version, epoch or fencing token than the one sent.
     ``OTHER_INCARNATION``
@@ -32,6 +35,7 @@
 
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
+    TOO_LARGE = "too large"
     CONFLICT = "conflict"
     OTHER_INCARNATION = "other life"
     MALFORMED = "malformed"
--- a/plantainyard/platform/store.py
+++ b/plantainyard/platform/store.py
@@ -52,6 +52,10 @@
 """HTTP status with which the store reports that records were dropped."""
 
 
+TOO_LARGE = 413
+"""HTTP status with which the store refuses a record or a call because of its size."""
+
+
 class Record(NamedTuple):
     """A record of a keyed topic; an empty value deletes the key.
 
@@ -67,6 +71,11 @@
     value: bytes
     offset: int = 0
 
+    @property
+    def size(self) -> int:
+        """Return the size in bytes that the store limits."""
+        return 1 + len(self.key.encode()) + len(self.value)
+
 
 class Append(NamedTuple):
     """Records to be appended atomically to one partition.
@@ -203,8 +212,9 @@
         Returns
         -------
         Result[AppendResult, CallError]
-            After ``REFUSED`` or ``UNREACHABLE`` the append has not taken effect and
-            never will; after ``LOST`` it may still take effect, even seconds later.
+            After ``REFUSED``, ``TOO_LARGE`` or ``UNREACHABLE`` the append has not taken
+            effect and never will; after ``LOST`` it may still take effect, even seconds
+            later.
         """
         query: dict[str, Any] = {"topic": append.topic, "part": append.partition}
         if append.producer:
@@ -482,5 +492,7 @@
 def _classify_error(response: HttpResponse, step: str) -> CallError:
     refused = 400 <= response.status < 500 or response.status == 503
     kind = ErrorKind.REFUSED if refused else ErrorKind.LOST
+    if response.status == TOO_LARGE:
+        kind = ErrorKind.TOO_LARGE
     text = response.body[:200].decode(errors="replace")
     return CallError(kind, step, "store", f"status {response.status} {text}".strip())
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -78,6 +78,8 @@
     ----------
     parts : int
         Number of partitions of each topic that isn't one of the platform's own.
+    record_bytes, call_bytes : int
+        Maximum size of a record, and of all records of an append.
     sent_bytes : Counter
         Bytes of records that reads have returned, by topic.
     """
@@ -87,6 +89,8 @@
     groups: dict[str, Group] = field(default_factory=dict)
     faults: StoreFaults = field(default_factory=StoreFaults)
     appends: int = 0
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
     sent_bytes: Counter[str] = field(default_factory=Counter)
 
     def put(self, topic: str, key: str, value: bytes, part: int = 0) -> None:
@@ -130,6 +134,9 @@
         if "at" in query and int(query["at"]) != end:
             return 412, {"end": end}
         records = _split(body)
+        longest = max(map(len, records), default=0)
+        if longest > self.record_bytes or len(body) > self.call_bytes:
+            return 413, {"error": "too large"}
         producer = query.get("producer", "")
         if producer:
             response = self._check_producer(partition, query, producer)
