Limit the images that are told apart on a runner

Found by reading: callers choose the names of images, and the cost of an update of the interference estimates is the square of their number. One accepted job of a thousand steps, each with an image of its own, would take all processor time of its unit's owner.

Change: the 32 images with the highest load are told apart on a runner, and the image that was unobserved the longest makes room for a new one.

Evidence: two tests of the limits, which the code before has none of.

--- a/plantainyard/dispatch/samples.py
+++ b/plantainyard/dispatch/samples.py
@@ -14,6 +14,7 @@
 from plantainyard.platform.runners import ReportedRun
 
 __all__ = [
+    "MAX_IMAGES",
     "QUIET_WEIGHT",
     "SMOOTHING_S",
     "Sample",
@@ -70,6 +71,11 @@
     loads: dict[str, float] = field(default_factory=dict)
 
 
+MAX_IMAGES = 32
+"""Maximum number of backfill images that are told apart on a runner, and beside a
+serving image; callers choose the names of images."""
+
+
 def read_sample(runner: Runner, running: Iterable[ReportedRun]) -> Sample:
     """Return the tail latencies and backfill loads in a runner's report."""
     sample = Sample(runner.incarnation)
@@ -86,9 +92,18 @@
         elif spec.backfill:
             load = sample.loads.get(spec.image, 0.0)
             sample.loads[spec.image] = load + _weigh_usage(task, row.load) / cpu
+    for image in _list_excess_images(sample.loads):
+        del sample.loads[image]
     return sample
 
 
+def _list_excess_images(loads: dict[str, float]) -> list[str]:
+    """Return the images with the lowest loads beyond `MAX_IMAGES`."""
+    if len(loads) <= MAX_IMAGES:
+        return []
+    return sorted(loads, key=lambda image: loads[image])[:-MAX_IMAGES]
+
+
 def _weigh_usage(task: Task, used: float) -> float:
     """Return the part of a backfill task's processor time that interferes.
 
--- a/plantainyard/dispatch/tests/test_interference.py
+++ b/plantainyard/dispatch/tests/test_interference.py
@@ -15,10 +15,17 @@
     learn_from_sample,
 )
 from plantainyard.dispatch.load import Load
-from plantainyard.dispatch.samples import SMOOTHING_S, Sample, Tail
+from plantainyard.dispatch.samples import (
+    MAX_IMAGES,
+    SMOOTHING_S,
+    Sample,
+    Tail,
+    _list_excess_images,
+)
 from plantainyard.dispatch.tests.world import World
 from plantainyard.dispatch.weights import (
     PRIOR_WEIGHT,
+    add_images,
     decode_interference,
     encode_interference,
     find_weight,
@@ -280,3 +287,24 @@
     world.run(1.0)
     received = decode_interference(world.state.encoded_interference)
     assert received.estimates["s"].weights == {"b": 3.0}
+
+
+def test_the_number_of_images_in_an_estimate_is_limited():
+    # Guards against an owner that does nothing but estimate weights, as callers choose
+    # the names of images.
+    estimate = WeightEstimate()
+    for number in range(100):
+        add_images(estimate, {f"i{number}": 0.5})
+    assert len(estimate.weights) == len(estimate.covariance) == MAX_IMAGES
+    assert {"i99"} <= estimate.weights.keys()
+    loads = {f"i{number}": 0.5 for number in range(MAX_IMAGES)}
+    add_images(estimate, loads)
+    assert estimate.weights.keys() == loads.keys()
+
+
+def test_the_number_of_images_in_a_sample_is_limited():
+    # Guards against the same, by the images of one runner.
+    loads = {f"i{number}": float(number) for number in range(100)}
+    excess = _list_excess_images(loads)
+    assert len(loads) - len(excess) == MAX_IMAGES
+    assert "i99" not in excess
--- a/plantainyard/dispatch/weights.py
+++ b/plantainyard/dispatch/weights.py
@@ -5,6 +5,7 @@
 
 import json
 from collections.abc import Mapping
+from itertools import islice
 
 from plantainyard.decoding import (
     convert_errors,
@@ -13,6 +14,7 @@
     read_object,
 )
 from plantainyard.dispatch.estimates import Baseline, InterferenceModel, WeightEstimate
+from plantainyard.dispatch.samples import MAX_IMAGES
 
 __all__ = [
     "IDLE_TAIL",
@@ -84,6 +86,7 @@
         if load <= 0:
             continue
         if image not in estimate.weights:
+            _make_room(estimate, loads)
             estimate.weights[image] = PRIOR_WEIGHT
             for row in estimate.covariance.values():
                 row[image] = 0.0
@@ -92,9 +95,24 @@
         estimate.unseen_s[image] = 0.0
 
 
+def _make_room(estimate: WeightEstimate, loads: Mapping[str, float]) -> None:
+    """Remove the other image that was unobserved the longest if there are too many.
+
+    Notes
+    -----
+    Guards against an owner that does nothing but estimate weights: an update costs the
+    square of the number of images, which callers choose.
+    """
+    others = [image for image in estimate.weights if image not in loads]
+    if len(estimate.weights) >= MAX_IMAGES and others:
+        longest = max(others, key=lambda image: estimate.unseen_s.get(image, 0.0))
+        remove_image(estimate, longest)
+
+
 def remove_image(estimate: WeightEstimate, image: str) -> None:
     """Remove an image, which counts as never observed from then on."""
-    del estimate.weights[image], estimate.covariance[image], estimate.unseen_s[image]
+    del estimate.weights[image], estimate.covariance[image]
+    estimate.unseen_s.pop(image, None)
     for row in estimate.covariance.values():
         del row[image]
 
@@ -241,7 +259,7 @@
     interference = InterferenceModel()
     with convert_errors("interference"):
         for serving, data in read_object(parse_json(value), "estimates").items():
-            rows = read_object(data, "weights")
+            rows = dict(islice(read_object(data, "weights").items(), MAX_IMAGES))
             estimate = WeightEstimate()
             for image, (weight, variance) in rows.items():
                 estimate.weights[image] = read_number(weight, "weight", 0, MAX_WEIGHT)
