Acknowledge no ends at a runner that may have started again

Cause: the request that followed, which finds out that another incarnation is there, carried the number of the last stored end of the incarnation before. The new one numbers its ends anew and discarded its own first ones, which nobody had read. A test in virtual time shows the same sequence: the end done is gone after the repeated request.

Change: after an unanswered request nothing is acknowledged until a report of the known incarnation has come. The runner lists its ends again, and those that were applied are passed over by their numbers, so that nothing is lost or counted twice.

--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -334,7 +334,7 @@
     state.actions.append(
         RequestReport(
             runner.entry,
-            runner.last_stored_end,
+            _get_acknowledged(runner),
             until_ms,
             wait_s,
             get_fence(state, runner),
@@ -342,6 +342,19 @@
     )
 
 
+def _get_acknowledged(runner: Runner) -> int:
+    """Return the number of the last end that the next request acknowledges.
+
+    Notes
+    -----
+    Guards against a second run of a task whose end nobody has read: a runner may have
+    started again since a request that went unanswered, and the new incarnation would
+    discard as many of its own ends, which it numbers anew. None is acknowledged until
+    an answer has shown which incarnation is there.
+    """
+    return 0 if runner.missed_reports else runner.last_stored_end
+
+
 def _update_paces(
     state: Dispatcher, runner: Runner, report: RunnerReport, now: float
 ) -> None:
--- a/plantainyard/dispatch/tests/test_restarted_runners.py
+++ b/plantainyard/dispatch/tests/test_restarted_runners.py
@@ -86,3 +86,54 @@
     world.run(0.3)
     exchange_reachable_runner(world, home)
     assert_runs_once_until_it_moves(world, home)
+
+
+def finish_unread(world: World) -> str:
+    """Let a new incarnation complete a task before its owner knows of it.
+
+    Returns
+    -------
+    str
+        The runner; the owner's request for a report has gone to the one before.
+    """
+    world.submit("before", make_step(2))
+    world.run(2.0)
+    assert world.final_state("before") == "completed"
+    world.run(1.0)
+    world.entries_published = False
+    world.runners["r0"].restart(world.now)
+    world.submit("a", make_step())
+    world.unreachable.add("r0")
+    assert len(world.list_running("a")) == 1
+    world.run(1.2)
+    assert [end[3] for end in world.runners["r0"].ends] == ["done"]
+    world.unreachable.clear()
+    return "r0"
+
+
+def test_unread_ends_of_a_new_incarnation_are_not_acknowledged():
+    # Guards against a second run of a task that is done: a runner is back under its id
+    # before its owner has missed anything but the request under way, and the next one
+    # carries the number of an end of before.
+    world = World(runners=1)
+    home = finish_unread(world)
+    world.run(0.5)
+    assert [end[3] for end in world.runners[home].ends] == ["done"]
+    world.entries_published = True
+    world.publish_entries()
+    world.run(2.0)
+    assert world.final_state("a") == "completed"
+    assert len(world.list_starts("a")) == 1
+
+
+def test_ends_are_acknowledged_again_after_an_unanswered_request():
+    # Guards against a runner that keeps the ends of all runs for good.
+    world = World(runners=1)
+    world.submit("a", make_step(2))
+    world.run(0.5)
+    world.unreachable.add("r0")
+    world.run(0.3)
+    world.unreachable.clear()
+    world.run(3.0)
+    assert world.final_state("a") == "completed"
+    assert world.runners["r0"].ends == []
