Let no late heartbeat replace the living incarnation of a runner

Cause: apply_entry took every entry with another start time for a newer incarnation. The runs seen at the living one counted as ended with it, and their tasks were started elsewhere.

Change: an entry of an incarnation that began earlier than the known one is kept in doubt. What decides about incarnations has a module of its own. Ids that contain an @, or begin like another one followed by an @, are told apart.

--- /dev/null
+++ b/plantainyard/dispatch/incarnations.py
@@ -0,0 +1,146 @@
+"""Incarnations of runners: which one is there, and what becomes of its predecessor."""
+
+import math
+
+from plantainyard.dispatch import orders, runs
+from plantainyard.dispatch.evacuations import mark_evacuated
+from plantainyard.dispatch.events import GiveUpReason
+from plantainyard.dispatch.leases import get_lease_end, move_start
+from plantainyard.dispatch.model import Phase, Runner
+from plantainyard.dispatch.placing import release_resources, reserve_resources
+from plantainyard.dispatch.state import Dispatcher, inherit_restart, record_given_up
+from plantainyard.platform.entries import RunnerEntry
+
+__all__ = ["apply_entry", "meet_other_incarnation", "settle_doubts"]
+
+DEFAULT_DRAIN_MS = 2_000
+"""Assumed time until a draining runner leaves if its entry doesn't state it."""
+
+
+def apply_entry(
+    state: Dispatcher, runner_id: str, entry: RunnerEntry | None, now: float
+) -> None:
+    """Apply a runner's entry, or its removal."""
+    newest = state.runners.get(state.newest_incarnations.get(runner_id, ""))
+    if entry is None:
+        if newest is not None and newest.registered:
+            newest.registered = False
+            newest.missing_since = now
+    elif newest is not None and entry.started_at_ms < newest.started_at_ms:
+        _doubt_entry(newest, entry, now)
+    else:
+        _put_in_force(state, entry, now)
+
+
+def _doubt_entry(newest: Runner, entry: RunnerEntry, now: float) -> None:
+    """Keep an entry of an incarnation that began before the newest one for later.
+
+    Notes
+    -----
+    Guards against two runs of each task of a runner that has started again: the store
+    may carry out the last heartbeat of the incarnation before seconds late, and that
+    one would be taken for a successor of the incarnation at work. A runner whose clock
+    was set back between two starts writes such an entry, too.
+    """
+    if newest.doubtful_entry is None:
+        newest.doubtful_since = now
+    newest.doubtful_entry = entry
+
+
+def settle_doubts(state: Dispatcher, now: float) -> None:
+    """Put a doubtful entry in force if nothing has come of the newest incarnation.
+
+    Notes
+    -----
+    A heartbeat or a report of that incarnation, which follow within a second or two,
+    removes the doubtful entry. The time is that for which a call of the runner to the
+    store may be late.
+    """
+    for runner in list(state.runners.values()):
+        entry = runner.doubtful_entry
+        if entry is not None and now - runner.doubtful_since > state.limits.late_call_s:
+            _put_in_force(state, entry, now)
+
+
+def _put_in_force(state: Dispatcher, entry: RunnerEntry, now: float) -> None:
+    """Make the incarnation of an entry the newest one of its runner."""
+    runner = state.runners.get(entry.incarnation)
+    if runner is None:
+        runner = Runner(entry.incarnation, entry)
+        state.runners[entry.incarnation] = runner
+    if not runner.fence:
+        runner.seen_at, runner.seen_clock_ms = now, entry.clock_ms
+        runner.fence = state.fence
+        inherit_restart(state, runner)
+    runner.entry = entry
+    runner.registered = True
+    runner.doubtful_entry = None
+    mark_evacuated(state, runner)
+    if entry.draining and not runner.leaves_at:
+        leaves_in_ms = (
+            DEFAULT_DRAIN_MS if entry.leaves_in_ms is None else entry.leaves_in_ms
+        )
+        runner.leaves_at = now + leaves_in_ms / 1000
+    state.newest_incarnations[entry.runner] = entry.incarnation
+    for other in list(state.runners.values()):
+        if other.runner_id == entry.runner and other is not runner:
+            _replace_incarnation(state, other, runner, now)
+
+
+def _replace_incarnation(
+    state: Dispatcher, old: Runner, new: Runner, now: float
+) -> None:
+    """Remove an incarnation of a runner that has restarted, and resolve its tasks.
+
+    Notes
+    -----
+    Guards against two runs of one task: an order that was addressed to the old
+    incarnation may be carried out by the new one, which has the same id and address,
+    and its answer doesn't distinguish them. A run has certainly ended with the old
+    incarnation only if this owner sent its start exactly once and a report of the old
+    incarnation has listed the run. Any other run that was sent is stopped at the new
+    incarnation. Calls to the new incarnation carry a higher fencing token, so that its
+    first report shows whether such a run is there; a copy of the start that arrives
+    later is refused.
+    """
+    for task in list(old.tasks.values()):
+        has_ended = task.seen_in_report and task.starts_sent == 1
+        if has_ended or task.phase == Phase.STORING:
+            record_given_up(state, task, GiveUpReason.RUNNER_REPLACED)
+            runs.requeue_task(state, task)
+            continue
+        release_resources(old, task)
+        task.resolved_at = now
+        move_start(task, new, state.limits)
+        task.incarnation = new.incarnation
+        reserve_resources(new, task)
+        orders.send_stop(state, task, now)
+    new.lease_bound = max(new.lease_bound, get_lease_end(old))
+    new.grant_limit = min(new.grant_limit, old.grant_limit)
+    new.earlier_calls_end = math.inf
+    if old.entry is not None:
+        new.fence = max(new.fence, old.fence + 1)
+        state.wanted_fence = max(state.wanted_fence, new.fence)
+    del state.runners[old.incarnation]
+
+
+def meet_other_incarnation(
+    state: Dispatcher, runner: Runner, started_at_ms: int, now: float
+) -> None:
+    """Wait for the entry of an incarnation that answered in place of the newest one.
+
+    Notes
+    -----
+    The entry arrives through the store, and the old incarnation is then removed. Until
+    then no ends are acknowledged to the new incarnation: it numbers its ends from the
+    start, and an acknowledgement of the old incarnation's ends would make it discard as
+    many of its own that were never applied. An entry that was in doubt is that of the
+    incarnation which answers.
+    """
+    entry = runner.doubtful_entry
+    if entry is not None and entry.started_at_ms == started_at_ms:
+        _put_in_force(state, entry, now)
+        return
+    runner.last_end = runner.last_stored_end = 0
+    runner.responsive = False
+    runner.next_report_at = now + state.limits.report_retry_s
--- a/plantainyard/dispatch/leases.py
+++ b/plantainyard/dispatch/leases.py
@@ -135,7 +135,7 @@
     """Return the last lease end of each runner, by its id over all incarnations."""
     ends: dict[str, float] = {}
     for runner in runners:
-        runner_id = runner.incarnation.partition("@")[0]
+        runner_id = runner.runner_id
         ends[runner_id] = max(
             ends.get(runner_id, 0.0),
             get_lease_end(runner),
@@ -227,7 +227,7 @@
     has forgotten a runner that has left, and a lease there may not have ended.
     """
     for runner in runners:
-        left_s = remaining_s.get(runner.incarnation.partition("@")[0])
+        left_s = remaining_s.get(runner.runner_id)
         if left_s is None:
             bound = _find_end_of_any_lease(limits, now)
         else:
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -7,7 +7,7 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import Step, Submission
-from plantainyard.platform.entries import RunnerEntry
+from plantainyard.platform.entries import RunnerEntry, split_incarnation
 
 __all__ = ["Job", "Phase", "Runner", "StepRun", "Task", "UnansweredStart"]
 
@@ -359,6 +359,9 @@
         images queried since `backfill_loads` and `serving_headroom` were updated.
     reserved_for : StepRun or None
         Step of a large task that the runner is reserved for; see `room`.
+    doubtful_entry, doubtful_since : RunnerEntry or None, float
+        Entry of an incarnation that began earlier and may be there all the same, and
+        since when there is one; see `incarnations`.
     """
 
     incarnation: str
@@ -406,3 +409,15 @@
     serving_headroom: dict[str, float] = field(default_factory=dict)
     spare_load: dict[str, float] = field(default_factory=dict)
     reserved_for: StepRun | None = None
+    doubtful_entry: RunnerEntry | None = None
+    doubtful_since: float = 0.0
+
+    @property
+    def runner_id(self) -> str:
+        """Return the id of the runner over all its incarnations."""
+        return split_incarnation(self.incarnation)[0]
+
+    @property
+    def started_at_ms(self) -> int:
+        """Return the start of the incarnation in Unix milliseconds by its clock."""
+        return split_incarnation(self.incarnation)[1]
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -1,10 +1,9 @@
-"""Handling of runners' entries and reports: presence, active runs and ended runs."""
+"""Handling of runners' reports: presence, active runs and ended runs."""
 
 import math
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.dispatch import orders, runs
-from plantainyard.dispatch.evacuations import mark_evacuated
 from plantainyard.dispatch.events import (
     GiveUpReason,
     OrderKind,
@@ -14,41 +13,36 @@
     SendOrder,
 )
 from plantainyard.dispatch.health import observe_progress
+from plantainyard.dispatch.incarnations import meet_other_incarnation
 from plantainyard.dispatch.interference import learn_from_sample
 from plantainyard.dispatch.leases import (
     count_earlier_calls,
     end_inheritance,
-    get_lease_end,
     grant_lease,
     has_lease_expired,
     has_run_expired,
     has_start_expired,
     is_gone,
-    move_start,
     record_clock,
 )
 from plantainyard.dispatch.measured_runs import measure_progress
 from plantainyard.dispatch.model import Phase, Runner
 from plantainyard.dispatch.pacing import has_backfill_tasks, has_serving_tasks
-from plantainyard.dispatch.placing import release_resources, reserve_resources
 from plantainyard.dispatch.samples import read_sample
 from plantainyard.dispatch.state import (
     Dispatcher,
     get_fence,
-    inherit_restart,
     record_given_up,
 )
 from plantainyard.dispatch.unanswered_starts import (
     forget_run,
     record_seen_run,
 )
-from plantainyard.platform.entries import RunnerEntry
 from plantainyard.platform.runners import ReportedRun, RunnerReport
 
 __all__ = [
     "request_reports",
     "expire_leases",
-    "apply_entry",
     "apply_report",
     "apply_missed_report",
 ]
@@ -56,82 +50,10 @@
 MAX_LISTED_ENDS = 500
 """Maximum number of ends in one report; a report with this many may be incomplete."""
 
-DEFAULT_DRAIN_MS = 2_000
-"""Assumed time until a draining runner leaves if its entry doesn't state it."""
-
 SILENT_AFTER_MISSES = 2
 """Number of successive missed reports after which a runner counts as silent."""
 
 
-def apply_entry(
-    state: Dispatcher, runner_id: str, entry: RunnerEntry | None, now: float
-) -> None:
-    """Apply a runner's entry, or its removal."""
-    newest = state.runners.get(state.newest_incarnations.get(runner_id, ""))
-    if entry is None:
-        if newest is not None and newest.registered:
-            newest.registered = False
-            newest.missing_since = now
-        return
-    runner = state.runners.get(entry.incarnation)
-    if runner is None:
-        runner = Runner(entry.incarnation, entry)
-        state.runners[entry.incarnation] = runner
-    if not runner.fence:
-        runner.seen_at, runner.seen_clock_ms = now, entry.clock_ms
-        runner.fence = state.fence
-        inherit_restart(state, runner)
-    runner.entry = entry
-    runner.registered = True
-    mark_evacuated(state, runner)
-    if entry.draining and not runner.leaves_at:
-        leaves_in_ms = (
-            DEFAULT_DRAIN_MS if entry.leaves_in_ms is None else entry.leaves_in_ms
-        )
-        runner.leaves_at = now + leaves_in_ms / 1000
-    state.newest_incarnations[runner_id] = entry.incarnation
-    for incarnation in [k for k in state.runners if k.startswith(f"{runner_id}@")]:
-        if incarnation != entry.incarnation:
-            _replace_incarnation(state, state.runners[incarnation], runner, now)
-
-
-def _replace_incarnation(
-    state: Dispatcher, old: Runner, new: Runner, now: float
-) -> None:
-    """Remove an incarnation of a runner that has restarted, and resolve its tasks.
-
-    Notes
-    -----
-    Guards against two runs of one task: an order that was addressed to the old
-    incarnation may be carried out by the new one, which has the same id and address,
-    and its answer doesn't distinguish them. A run has certainly ended with the old
-    incarnation only if this owner sent its start exactly once and a report of the old
-    incarnation has listed the run. Any other run that was sent is stopped at the new
-    incarnation. Calls to the new incarnation carry a higher fencing token, so that its
-    first report shows whether such a run is there; a copy of the start that arrives
-    later is refused.
-    """
-    for task in list(old.tasks.values()):
-        has_ended = task.seen_in_report and task.starts_sent == 1
-        if has_ended or task.phase == Phase.STORING:
-            record_given_up(state, task, GiveUpReason.RUNNER_REPLACED)
-            runs.requeue_task(state, task)
-            continue
-        release_resources(old, task)
-        task.resolved_at = now
-        move_start(task, new, state.limits)
-        task.incarnation = new.incarnation
-        reserve_resources(new, task)
-        orders.send_stop(state, task, now)
-    new.lease_bound = max(new.lease_bound, get_lease_end(old))
-    new.grant_limit = min(new.grant_limit, old.grant_limit)
-    new.earlier_calls_end = math.inf
-    if old.entry is not None:
-        new.fence = max(new.fence, old.fence + 1)
-        state.wanted_fence = max(state.wanted_fence, new.fence)
-    del state.runners[old.incarnation]
-
-
 def apply_report(state: Dispatcher, event: ReportReceived, now: float) -> None:
     """Apply a runner's report of its active and ended runs."""
     runner = state.runners.get(event.incarnation)
@@ -143,8 +65,9 @@
         report.started_at_ms is not None
         and report.started_at_ms != runner.entry.started_at_ms
     ):
-        _await_new_entry(state, runner, now)
+        meet_other_incarnation(state, runner, report.started_at_ms, now)
         return
+    runner.doubtful_entry = None
     record_clock(runner, report.clock_ms, now)
     end_inheritance(runner, state.limits, now)
     if runner.earlier_calls_end == math.inf:
@@ -234,21 +157,6 @@
             runs.give_up_start(state, task, runner)
 
 
-def _await_new_entry(state: Dispatcher, runner: Runner, now: float) -> None:
-    """Wait for the entry of a new incarnation that answered in place of the old one.
-
-    Notes
-    -----
-    The entry arrives through the store, and the old incarnation is then removed. Until
-    then no ends are acknowledged to the new incarnation: it numbers its ends from the
-    start, and an acknowledgement of the old incarnation's ends would make it discard as
-    many of its own that were never applied.
-    """
-    runner.last_end = runner.last_stored_end = 0
-    runner.responsive = False
-    runner.next_report_at = now + state.limits.report_retry_s
-
-
 def apply_missed_report(state: Dispatcher, event: ReportFailed, now: float) -> None:
     """Count a missed report; the runner is silent after `SILENT_AFTER_MISSES`.
 
--- a/plantainyard/dispatch/restoring.py
+++ b/plantainyard/dispatch/restoring.py
@@ -25,6 +25,7 @@
 from plantainyard.dispatch.state import Dispatcher, inherit_restart
 from plantainyard.dispatch.unanswered_starts import restore_unanswered
 from plantainyard.dispatch.unseen_runs import restore_unseen
+from plantainyard.platform.entries import split_incarnation
 
 __all__ = ["restore_jobs"]
 
@@ -150,12 +151,13 @@
     task.phase = Phase.ORDERED
     task.incarnation = incarnation
     task.resolved_at = now
-    restore_unanswered(state, task, incarnation.partition("@")[0], now)
+    runner_id = split_incarnation(incarnation)[0]
+    restore_unanswered(state, task, runner_id, now)
     runner = state.runners.get(incarnation)
     if runner is None:
         runner = Runner(incarnation, None, missing_since=now)
         inherit_lease(runner, state.limits, now)
         inherit_restart(state, runner)
         state.runners[incarnation] = runner
-        state.newest_incarnations[incarnation.partition("@")[0]] = incarnation
+        state.newest_incarnations[runner_id] = incarnation
     reserve_resources(runner, task)
--- a/plantainyard/dispatch/tests/test_restarted_runners.py
+++ b/plantainyard/dispatch/tests/test_restarted_runners.py
@@ -1,7 +1,12 @@
 """Tests of leases at runners that start again under their id, in virtual time."""
 
+import json
+
+from plantainyard.dispatch import EntryChanged
 from plantainyard.dispatch.tests.test_takeovers import start_long_running
 from plantainyard.dispatch.tests.world import World, make_step
+from plantainyard.platform.entries import RunnerEntry, decode_entry
+from standins.platform import RunnerState
 
 OLD_AGE_S = 3.0
 """Time for which the first incarnation runs the task, so that its clock is ahead."""
@@ -137,3 +142,97 @@
     world.run(3.0)
     assert world.final_state("a") == "completed"
     assert world.runners["r0"].ends == []
+
+
+def decode_current_entry(world: World, name: str) -> RunnerEntry:
+    data = json.dumps(world.runners[name].build_entry(world.now)).encode()
+    entry = decode_entry(name, data)
+    assert entry is not None
+    return entry
+
+
+def run_at_second_incarnation(world: World) -> tuple[str, RunnerEntry]:
+    """Let a task run at the second incarnation of a runner.
+
+    Returns
+    -------
+    tuple of str and RunnerEntry
+        The runner, and the entry of its first incarnation.
+    """
+    firsts = {name: decode_current_entry(world, name) for name in world.runners}
+    world.run(1.0)
+    for runner in world.runners.values():
+        runner.restart(world.now)
+    world.publish_entries()
+    home = start_long_running(world)
+    world.run(1.0)
+    return home, firsts[home]
+
+
+def test_a_late_heartbeat_of_an_earlier_incarnation_replaces_nothing():
+    # Guards against two runs of each task of a runner: the store carries out the last
+    # heartbeat of the incarnation before after the first of the one at work.
+    world = World(runners=2)
+    home, first = run_at_second_incarnation(world)
+    starts = len(world.list_starts("a"))
+    world.send_event(EntryChanged(home, first))
+    for _ in range(200):
+        world.run(0.1)
+        assert len(world.list_running("a")) == 1
+    assert len(world.list_starts("a")) == starts
+
+
+def test_a_late_heartbeat_replaces_nothing_while_the_runner_does_not_answer():
+    # Guards against the same beside a cut of the runner: its next heartbeat shows which
+    # incarnation is there.
+    world = World(runners=2)
+    home, first = run_at_second_incarnation(world)
+    world.unreachable.add(home)
+    world.send_event(EntryChanged(home, first))
+    world.run(1.0)
+    world.send_event(EntryChanged(home, decode_current_entry(world, home)))
+    world.unreachable.clear()
+    for _ in range(150):
+        world.run(0.1)
+        assert len(world.list_running("a")) == 1
+
+
+def test_an_incarnation_whose_clock_was_set_back_is_used_once_it_answers():
+    # Guards against a runner that is never used again after a step of its clock.
+    world = World(runners=1)
+    world.run(1.0)
+    world.runners["r0"].restart(world.now)
+    world.publish_entries()
+    world.run(1.0)
+    world.runners["r0"].restart(world.now - 50.0)
+    world.publish_entries()
+    world.submit("a", make_step())
+    world.run(4.0)
+    assert world.final_state("a") == "completed"
+
+
+def test_an_incarnation_whose_clock_was_set_back_is_used_after_all_late_calls():
+    # Guards against a runner that is never used again after a step of its clock: the
+    # one before doesn't answer any more, and nothing else comes of it.
+    world = World(runners=1)
+    world.run(1.0)
+    world.runners["r0"].restart(world.now)
+    world.publish_entries()
+    world.run(1.0)
+    world.unreachable.add("r0")
+    world.runners["r0"].restart(world.now - 50.0)
+    world.publish_entries()
+    world.run(world.limits.late_call_s + 0.5)
+    world.unreachable.clear()
+    world.submit("a", make_step())
+    world.run(4.0)
+    assert world.final_state("a") == "completed"
+
+
+def test_a_runner_whose_id_begins_like_another_replaces_nothing():
+    # Guards against runs that are given up because another runner's entry was read.
+    world = World(runners=1)
+    world.runners["r0@1"] = RunnerState("r0@1")
+    world.publish_entries()
+    world.run(0.5)
+    assert {r.runner_id for r in world.state.runners.values()} == {"r0", "r0@1"}
--- a/plantainyard/dispatch/tests/test_schedules.py
+++ b/plantainyard/dispatch/tests/test_schedules.py
@@ -5,6 +5,7 @@
 played by hand with this module as a program and the first seed and their number.
 """
 
+import json
 import random
 import sys
 from collections import Counter
@@ -14,6 +15,7 @@
 import pytest
 
 from plantainyard.dispatch import (
+    EntryChanged,
     Event,
     ReportFailed,
     ReportReceived,
@@ -21,6 +23,8 @@
     SendOrder,
 )
 from plantainyard.dispatch.tests.world import TICK_S, World, make_step
+from plantainyard.platform.entries import decode_entry
+from standins.platform import RunnerState
 from standins.platform.samples import order_runner, request_report
 
 SEEDS = (*range(24), 69, 1106, 1585, 2607, 5484, 6007, 7028, 7489)
@@ -32,6 +36,8 @@
 
 CLOCK_RATES = (0.98, 1.0, 1.0, 1.02)
 CLOCK_STARTS_MS = (0, 1000, 95_000, 130_000, 9_000_000)
+HEARTBEAT_S = 1.1
+LATE_HEARTBEAT_S = (2.0, 6.0)
 LATE_SHARE = 0.03
 LATE_S = (2.0, 12.0)
 
@@ -89,10 +95,16 @@
         Seed of the schedule.
     restarts : bool
         Whether runners restart.
+    late_heartbeats : bool
+        Whether the store carries out the last heartbeat of an incarnation late.
     """
 
-    def __init__(self, seed: int, restarts: bool = True) -> None:
+    def __init__(
+        self, seed: int, restarts: bool = True, late_heartbeats: bool = False
+    ) -> None:
         self.rng = random.Random(seed)
+        self.late_heartbeats = late_heartbeats
+        self.heartbeat_rng = random.Random(seed)
         self.world = LateWorld(self.rng, lease_s=self.rng.choice((2.8, 3.8, 5.0)))
         self.repairs: list[tuple[float, Callable[[], None]]] = []
         self.faults: list[tuple[float, Callable[[], None]]] = [
@@ -113,10 +125,21 @@
 
     def restart_runner(self) -> None:
         runner = self.world.runners[self.choose_runner()]
+        if self.late_heartbeats:
+            self.delay_heartbeat(runner)
         runner.restart(self.world.now)
         runner.clock_start_ms = self.rng.choice(CLOCK_STARTS_MS)
         self.later(0.0, 1.5, self.world.publish_entries)
 
+    def delay_heartbeat(self, runner: RunnerState) -> None:
+        """Let the last heartbeat of a runner's incarnation be read late."""
+        value = json.dumps(runner.build_entry(self.world.now)).encode()
+        event = EntryChanged(runner.runner, decode_entry(runner.runner, value))
+        read_at = self.world.now + self.heartbeat_rng.uniform(*LATE_HEARTBEAT_S)
+        next_at = read_at + self.heartbeat_rng.uniform(0.0, HEARTBEAT_S)
+        self.repairs.append((read_at, lambda: self.world.send_event(event)))
+        self.repairs.append((next_at, self.world.publish_entries))
+
     def cut_off_runner(self) -> None:
         name = self.choose_runner()
         self.world.unreachable.add(name)
@@ -190,12 +213,21 @@
     Schedule(seed).play()
 
 
-def play_many(first: int, count: int, restarts: bool = True) -> list[int]:
+@pytest.mark.parametrize("seed", range(8))
+def test_no_task_has_two_runs_although_heartbeats_are_late(seed):
+    # Guards against two runs of each task of a runner that has started again, when the
+    # store carries out the last heartbeat of the incarnation before.
+    Schedule(seed, late_heartbeats=True).play()
+
+
+def play_many(
+    first: int, count: int, restarts: bool = True, late_heartbeats: bool = False
+) -> list[int]:
     """Play schedules, print the failed ones, and return their seeds."""
     failed = []
     for seed in range(first, first + count):
         try:
-            Schedule(seed, restarts).play()
+            Schedule(seed, restarts, late_heartbeats).play()
         except AssertionError as error:
             failed.append(seed)
             print(seed, str(error).splitlines()[0], flush=True)
@@ -204,4 +236,6 @@
 
 if __name__ == "__main__":
     first, count = map(int, sys.argv[1:3])
-    print("failed", play_many(first, count, "--without-restarts" not in sys.argv))
+    restarts = "--without-restarts" not in sys.argv
+    late_heartbeats = "--late-heartbeats" in sys.argv
+    print("failed", play_many(first, count, restarts, late_heartbeats))
--- a/plantainyard/dispatch/unanswered_starts.py
+++ b/plantainyard/dispatch/unanswered_starts.py
@@ -14,6 +14,7 @@
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.model import Phase, Runner, Task, UnansweredStart
 from plantainyard.dispatch.state import Dispatcher
+from plantainyard.platform.entries import split_incarnation
 
 __all__ = [
     "find_recipient",
@@ -104,7 +105,9 @@
     is a pass over these and over the tasks with unanswered starts.
     """
     longest_s = _find_longest_s(state.limits)
-    left_s = {task.incarnation.partition("@")[0]: longest_s for task in state.assigned}
+    left_s = {
+        split_incarnation(task.incarnation)[0]: longest_s for task in state.assigned
+    }
     for task in state.unanswered_tasks.values():
         known_s = left_s.get(task.recipient, 0.0)
         if _may_be_repeated(task):
--- a/plantainyard/platform/entries.py
+++ b/plantainyard/platform/entries.py
@@ -19,7 +19,7 @@
     read_truncated,
 )
 
-__all__ = ["RunnerEntry", "decode_entry"]
+__all__ = ["RunnerEntry", "decode_entry", "split_incarnation"]
 
 _STATES = frozenset({"ready", "draining"})
 
@@ -76,6 +76,18 @@
         return self.labels[-1] if self.labels else ""
 
 
+def split_incarnation(name: str) -> tuple[str, int]:
+    """Return the id and the start time in the name of an incarnation.
+
+    Examples
+    --------
+    >>> split_incarnation("r@1@1700000000000")
+    ('r@1', 1700000000000)
+    """
+    runner, _, started_at_ms = name.rpartition("@")
+    return runner, parse_decimal(started_at_ms) or 0
+
+
 def decode_entry(runner: str, value: bytes) -> RunnerEntry | None:
     """Decode the entry of a runner.
 
