Choose the number of units beside stray records of the layout

Callers would see 503 for good on a new site: the number of units is stored on the condition that the layout is empty, and a record of another writer there makes the condition false forever, so that no instance becomes ready. Found by a run of the real program with unreadable records in all topics before the first start.

Change: the condition is the offset up to which the layout was read without finding the number. Of two instances that propose at the same offset one is refused, as before.

--- a/plantainyard/entry/layout.py
+++ b/plantainyard/entry/layout.py
@@ -255,7 +255,7 @@
         settled = counted and now - changed_at >= settle_s
         if settled or (runners is not None and now - began_at >= MAX_WAIT_S):
             units = choose_unit_count(counted, max_units, strong, strong_size)
-            propose_units(store, units, log)
+            propose_units(store, units, log, reader.offset or 0)
         else:
             stopping.wait(POLL_INTERVAL_S)
 
@@ -274,10 +274,27 @@
             return count
 
 
-def propose_units(store: StoreCalls, units: int, log: EventLog) -> None:
-    """Store the number of units unless another instance has already stored one."""
+def propose_units(store: StoreCalls, units: int, log: EventLog, end: int = 0) -> None:
+    """Store the number of units unless another instance has already stored one.
+
+    Parameters
+    ----------
+    store : StoreCalls
+        The platform's store.
+    units : int
+        Number of units.
+    log : EventLog
+        Log for the decision.
+    end : int
+        Offset up to which the layout was read without finding the number of units.
+
+    Notes
+    -----
+    Guards against instances that never become ready: a record of another writer may
+    precede the first decision.
+    """
     value = json.dumps({"units": units}).encode()
-    append = Append(LAYOUT, 0, [Record(UNITS_KEY, value)], expected_end=0)
+    append = Append(LAYOUT, 0, [Record(UNITS_KEY, value)], expected_end=end)
     answer = store.append(append, READ_TIMEOUT_S)
     if not isinstance(answer, Err) and answer.ok_value.accepted:
         log.write("layout_chosen", units=units)
--- a/plantainyard/entry/tests/test_units.py
+++ b/plantainyard/entry/tests/test_units.py
@@ -275,3 +275,17 @@
     assert peers.fetch_load(instance, 1) is None
     text = generate_latest(instance.meters.registry).decode()
     assert 'plantainyard_events_total{event="peer_silent"} 1.0' in text
+
+
+@pytest.mark.parametrize("value", [b"[" * 100_000, b"\xff", b'{"units": 1e999}', b"3"])
+def test_stray_records_do_not_keep_instances_from_starting(value):
+    # Guards against instances that never become ready: records of other writers stand
+    # among the runners' entries and in the layout before the system first starts.
+    store = StoreState()
+    store.put(LAYOUT, UNITS_KEY, value)
+    store.put(LAYOUT, "owner/x", value)
+    store.put(RUNNERS, "i-stray", value)
+    with serve_platform(store, [RunnerState(f"r{n}") for n in range(3)]) as servers:
+        instance = make_instance(servers.store)
+        assert determine_unit_count(instance) == 1
+        assert json.loads(store.newest(LAYOUT)[UNITS_KEY]) == {"units": 1}
