Soak: records of other writers, and late heartbeats

The soak plays two kinds of disturbances more, from a random source of its own, so that the other faults of a seed stay as they are: unreadable records in each topic, and the last heartbeat of a restarted runner that is carried out late.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,10 +1,14 @@
 """Injection of a plan's faults from outside the processes."""
 
+import itertools
+import json
 import signal
 import threading
 from collections.abc import Callable, Sequence
 
 from plantainyard.clock import read_clock
+from plantainyard.entry.topics import INTAKE, LAYOUT, OPERATIONS, PROGRESS, RUNNERS
+from plantainyard.platform.evacuations import EVACUATION_PREFIX
 from soak.plan import Fault, FaultKind
 from soak.site import DOMAINS, Site, format_store_link
 
@@ -13,6 +17,30 @@
 RESTART_S = 0.5
 """Time until an instance that has ended is restarted, as the platform does."""
 
+HEARTBEAT_S = 1.0
+"""Time from a late heartbeat to the next one of the runner."""
+
+STRAY_KEYS = (
+    (RUNNERS, "i-stray"),
+    (RUNNERS, "r0@1"),
+    (OPERATIONS, EVACUATION_PREFIX + DOMAINS[0] + "-stray"),
+    (INTAKE, "j/00000000000000ff"),
+    (PROGRESS, "p/00000000000000ff/0/0"),
+    (PROGRESS, "fences"),
+    (PROGRESS, "bounds"),
+    (LAYOUT, "owner/0"),
+)
+"""Topics and keys of records that other writers store."""
+
+STRAY_VALUES = (
+    b"{",
+    b"\xff",
+    b"[" * 50_000,
+    b'{"state":["ready"],"steps":[{}],"done":"zz","highest":"a","epoch":[]}',
+    b'{"born":1e999,"times":NaN,"tasks":[],"highest":1e999,"epoch":1e999}',
+)
+"""Values that none of them can have."""
+
 LOST_RESPONSES = 8
 """Number of appends whose responses are lost by one fault."""
 
@@ -66,6 +94,10 @@
         return lambda: site.evacuate(target), lambda: site.end_evacuation(target)
     if kind == FaultKind.NEW_INCARNATION:
         return lambda: _restart_runner(site, target), _do_nothing
+    if kind == FaultKind.STRAY_RECORD:
+        return lambda: _write_stray_record(site, target), _do_nothing
+    if kind == FaultKind.LATE_HEARTBEAT:
+        return _delay_heartbeat(site, target)
     return _make_store_fault(site, kind)
 
 
@@ -94,6 +126,34 @@
     site.write_runner_entry(runner)
 
 
+def _write_stray_record(site: Site, number: int) -> None:
+    """Write one of the records that no other program should write."""
+    records = list(itertools.product(STRAY_KEYS, STRAY_VALUES))
+    (topic, key), value = records[number % len(records)]
+    site.store.put(topic, key, value)
+
+
+def _delay_heartbeat(
+    site: Site, target: int
+) -> tuple[Callable[[], None], Callable[[], None]]:
+    """Return what restarts a runner, and what writes its heartbeat of before."""
+    runner = site.runners[target]
+    entries: list[bytes] = []
+
+    def restart() -> None:
+        entries.append(json.dumps(runner.build_entry(read_clock())).encode())
+        _restart_runner(site, target)
+
+    def write_late() -> None:
+        if entries:
+            site.store.put(RUNNERS, runner.runner, entries.pop())
+        timer = threading.Timer(HEARTBEAT_S, site.write_runner_entry, (runner,))
+        timer.daemon = True
+        timer.start()
+
+    return restart, write_late
+
+
 def _do_nothing() -> None:
     """Do nothing, because the fault ends by itself."""
 
@@ -109,3 +169,4 @@
         instance.resume_or_restart()
     for runner in site.runners:
         site.set_cut(runner.runner, False)
+        site.write_runner_entry(runner)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -17,6 +17,10 @@
 """Shortest and longest duration of an evacuation; the bound is 5 s."""
 
 
+FOREIGN_GAP_S = (0.3, 3.0)
+"""Shortest and longest time between two records that aren't written in order."""
+
+
 class FaultKind:
     """Kinds of faults.
 
@@ -32,6 +36,10 @@
         it drops all but the newest record of each key.
     ``NEW_INCARNATION``
         A runner restarts without any state of its previous incarnation.
+    ``STRAY_RECORD``
+        Another writer stores a record that can't be read.
+    ``LATE_HEARTBEAT``
+        A runner restarts, and the store carries out its heartbeat of before late.
     ``EVACUATE``
         Operators request that nothing more is started in a failure domain.
     """
@@ -45,6 +53,8 @@
     LOSE_ANSWERS = "lose answers"
     DROP_HISTORY = "drop history"
     NEW_INCARNATION = "new life"
+    STRAY_RECORD = "stray record"
+    LATE_HEARTBEAT = "late heartbeat"
     EVACUATE = "evacuate"
 
     DISTURBING = (
@@ -58,7 +68,8 @@
         DROP_HISTORY,
         NEW_INCARNATION,
     )
-    ALL = (*DISTURBING, EVACUATE)
+    FOREIGN = (STRAY_RECORD, STRAY_RECORD, LATE_HEARTBEAT)
+    ALL = (*DISTURBING, STRAY_RECORD, LATE_HEARTBEAT, EVACUATE)
 
 
 class Fault(NamedTuple):
@@ -101,9 +112,24 @@
         target = source.randrange(runners if on_runner else instances)
         plan.append(Fault(at, kind, target, source.uniform(0.3, 4.0)))
         at += source.uniform(*GAP_S)
+    plan += _draw_foreign(seed, seconds, runners)
     return sorted(plan + (_draw_evacuations(seed, seconds, domains) if domains else []))
 
 
+def _draw_foreign(seed: int, seconds: float, runners: int) -> list[Fault]:
+    """Return records out of order or of other writers, from a source of their own."""
+    source = random.Random(f"foreign {seed}")
+    plan: list[Fault] = []
+    at = source.uniform(*FOREIGN_GAP_S)
+    while at < seconds:
+        kind = source.choice(FaultKind.FOREIGN)
+        stray = kind == FaultKind.STRAY_RECORD
+        target = source.getrandbits(16) if stray else source.randrange(runners)
+        plan.append(Fault(at, kind, target, source.uniform(0.3, 4.0)))
+        at += source.uniform(*FOREIGN_GAP_S)
+    return plan
+
+
 def _draw_evacuations(seed: int, seconds: float, domains: int) -> list[Fault]:
     """Return evacuations from a random source of their own.
 
