Give the port for other instances a module of its own

peers.py held the queries to other instances and the answers to theirs; the answers are in peer_app.py now.

--- a/plantainyard/entry/peers.py
+++ b/plantainyard/entry/peers.py
@@ -1,9 +1,7 @@
-"""Calls between instances: queries to owners of units, and the answers to them."""
+"""Queries to the owners of units, at other instances or at this one."""
 
-from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 from urllib.parse import quote
-from wsgiref.types import StartResponse, WSGIEnvironment
 
 from result import Err
 
@@ -12,7 +10,6 @@
 from plantainyard.batch.values import JobState
 from plantainyard.clock import read_clock
 from plantainyard.decoding import (
-    parse_decimal,
     read_flag,
     read_integer,
     read_list,
@@ -23,17 +20,10 @@
 from plantainyard.dispatch import Dispatcher, Load, list_arrivals
 from plantainyard.dispatch.unit_forecasts import UnitForecast, combine_forecasts
 from plantainyard.entry.claims import OwnerReply, OwnerStatus
-from plantainyard.entry.configuration_exchange import (
-    CONFIGURATION_PATH,
-    describe_configuration,
-    send_configuration,
-)
 from plantainyard.entry.copies import UnitCopy
 from plantainyard.entry.forecasts import (
     decode_forecast,
     decode_load,
-    encode_forecast,
-    encode_load,
 )
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.layout import Owner
@@ -45,14 +35,12 @@
 )
 from plantainyard.entry.readers import read_ahead
 from plantainyard.entry.reserves import is_strong
-from plantainyard.entry.responses import OK, send_json
 from plantainyard.errors import ErrorKind
 from plantainyard.transport import call_json
 
 __all__ = [
     "JobLookup",
     "PendingCount",
-    "build_peer_app",
     "count_pending_in_copy",
     "fetch_forecast",
     "fetch_interference",
@@ -171,7 +159,7 @@
     return decode_answer(instance, unit, "peer.pending", lambda: _decode_count(body))
 
 
-def _encode_count(count: PendingCount) -> dict[str, Any]:
+def encode_count(count: PendingCount) -> dict[str, Any]:
     fields = count.pending._asdict()
     rows = {k: sorted(v) if isinstance(v, frozenset) else v for k, v in fields.items()}
     return {"pending": rows, "age_s": round(count.age_s, 3)}
@@ -248,7 +236,7 @@
     """Return the status that the announced owner of a unit reports."""
     owner = instance.layout.owners.get(unit)
     if owner is None or owner.address == instance.peer_address():
-        status = _describe_claim(instance, unit)
+        status = describe_claim(instance, unit)
         return OwnerReply(True, status)
     peer = build_instance_peer(instance, owner.address, STATUS_TIMEOUT_S)
     answer = call_json(peer, "peer.owner", "GET", f"/units/{unit}/owner")
@@ -271,7 +259,7 @@
     )
 
 
-def _describe_claim(instance: Instance, unit: int) -> OwnerStatus | None:
+def describe_claim(instance: Instance, unit: int) -> OwnerStatus | None:
     claim = instance.claims.get(unit)
     if claim is None:
         return None
@@ -298,7 +286,7 @@
         The new owner, whose claim is stored, and the owner before it.
     """
     if predecessor.address == owner.address:
-        body = _describe_release(instance, unit, owner.epoch)
+        body = describe_release(instance, unit, owner.epoch)
     else:
         peer = build_instance_peer(instance, predecessor.address, LEASES_TIMEOUT_S)
         path = f"/units/{unit}/leases/{owner.epoch}"
@@ -328,7 +316,7 @@
     return _Release(read_integer(body["epoch"], "epoch"), remaining_s)
 
 
-def _describe_release(
+def describe_release(
     instance: Instance, unit: int, epoch: int
 ) -> dict[str, Any] | None:
     """Return the leases that remain of this instance's last ownership of a unit.
@@ -377,62 +365,3 @@
             return None
         found = look_up_job(copy, job_id)
     return found
-
-
-def build_peer_app(
-    instance: Instance,
-) -> Callable[[WSGIEnvironment, StartResponse], Iterable[bytes]]:
-    """Return the WSGI application of the port for other instances."""
-
-    def serve(environ: WSGIEnvironment, start: StartResponse) -> Iterable[bytes]:
-        path = _read_path(environ)
-        version_text = path.removeprefix(CONFIGURATION_PATH)
-        known_version = parse_decimal(version_text) if version_text != path else None
-        if known_version is not None:
-            reply = describe_configuration(instance, known_version)
-            if reply is not None:
-                return send_configuration(start, reply)
-        answer = _answer(instance, path)
-        return send_json(start, OK if answer else "404 Not Found", answer or {})
-
-    return serve
-
-
-def _read_path(environ: WSGIEnvironment) -> str:
-    """Return the path of a request, whose bytes the server passes on undecoded."""
-    raw: str = environ.get("PATH_INFO", "")
-    return raw.encode("latin-1", errors="replace").decode(errors="replace")
-
-
-def _answer(instance: Instance, path: str) -> dict[str, Any] | None:
-    """Return the answer to a query about a unit, or None without an answer."""
-    parts = path.strip("/").split("/")
-    if len(parts) < 3 or parts[0] != "units":
-        return None
-    unit, topic, rest = parse_decimal(parts[1]), parts[2], parts[3:]
-    if unit is None:
-        return None
-    if topic == "owner":
-        status = _describe_claim(instance, unit)
-        return None if status is None else {"owner": list(status)}
-    if topic == "leases" and len(rest) == 1:
-        epoch = parse_decimal(rest[0])
-        return None if epoch is None else _describe_release(instance, unit, epoch)
-    # Only an owner has newer state than what other instances read from the store.
-    if unit not in instance.owned:
-        return None
-    if topic == "jobs" and rest:
-        found = fetch_job(instance, unit, rest[0])
-        return None if found is None else found._asdict()
-    if topic == "pending" and rest:
-        count = fetch_pending(instance, unit, "/".join(rest))
-        return None if count is None else _encode_count(count)
-    if topic == "forecast" and rest:
-        forecast = fetch_forecast(instance, unit, "/".join(rest))
-        return None if forecast is None else {"forecast": encode_forecast(forecast)}
-    if topic == "harms":
-        return {"harms": fetch_interference(instance, unit).decode(errors="replace")}
-    if topic == "load":
-        load = fetch_load(instance, unit)
-        return None if load is None else encode_load(load)
-    return None
--- a/plantainyard/entry/process.py
+++ b/plantainyard/entry/process.py
@@ -32,7 +32,8 @@
 from plantainyard.entry.loops import keep_running, start_loop
 from plantainyard.entry.meters import build_metrics_app
 from plantainyard.entry.ownership_manager import OwnershipManager
-from plantainyard.entry.peers import build_peer_app, fetch_owner_status
+from plantainyard.entry.peer_app import build_peer_app
+from plantainyard.entry.peers import fetch_owner_status
 from plantainyard.entry.policies import list_parts, load_policy
 from plantainyard.entry.reserves import is_strong
 from plantainyard.entry.sources import follow_configuration
--- a/plantainyard/entry/tests/test_admission.py
+++ b/plantainyard/entry/tests/test_admission.py
@@ -38,6 +38,7 @@
 from plantainyard.entry.inspection import describe_state
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.layout import Owner
+from plantainyard.entry.peer_app import build_peer_app
 from plantainyard.entry.readers import poll_reader
 from plantainyard.entry.tests.harness import (
     JOB,
@@ -359,9 +360,7 @@
     with (
         run_admitting(store) as owner,
         run_instance(store) as asking,
-        serve_app(
-            peers.build_peer_app(owner), "127.0.0.1:0", 4, 50, 10_000, 0.1
-        ) as address,
+        serve_app(build_peer_app(owner), "127.0.0.1:0", 4, 50, 10_000, 0.1) as address,
     ):
         asking.policy = ON
         asking.layout.owners[0] = Owner(5, address)
@@ -419,7 +418,7 @@
     # passes all fields of `room` to a load that has only two of them.
     with run_pair(StoreState()) as (owner, asking):
         wait_until(lambda: peers.fetch_forecast(owner, 0, "q") is not None)
-        (answer,) = peers.build_peer_app(owner)({"PATH_INFO": "/units/0/load"}, Mock())
+        (answer,) = build_peer_app(owner)({"PATH_INFO": "/units/0/load"}, Mock())
         body = json.loads(answer)
         load = peers.fetch_load(asking, 0)
     assert body["room"].keys() == {"slots", "ending"}
--- a/plantainyard/entry/tests/test_predecessors.py
+++ b/plantainyard/entry/tests/test_predecessors.py
@@ -6,7 +6,8 @@
 from plantainyard.entry.copies import refresh_copy
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.layout import Owner, encode_owner
-from plantainyard.entry.peers import build_peer_app, fetch_remaining_leases
+from plantainyard.entry.peer_app import build_peer_app
+from plantainyard.entry.peers import fetch_remaining_leases
 from plantainyard.entry.takeover import query_predecessor
 from plantainyard.entry.tests.harness import (
     BODY,
--- a/plantainyard/entry/tests/test_sources.py
+++ b/plantainyard/entry/tests/test_sources.py
@@ -13,7 +13,7 @@
 from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.instance import Instance, run_reader
 from plantainyard.entry.layout import Owner
-from plantainyard.entry.peers import build_peer_app
+from plantainyard.entry.peer_app import build_peer_app
 from plantainyard.entry.process import start_threads
 from plantainyard.entry.readers import poll_reader
 from plantainyard.entry.sources import (
--- a/plantainyard/entry/tests/test_units.py
+++ b/plantainyard/entry/tests/test_units.py
@@ -22,10 +22,10 @@
     find_unit,
     propose_units,
 )
+from plantainyard.entry.peer_app import build_peer_app
 from plantainyard.entry.peers import (
     MAX_COUNT_AGE_S,
     JobLookup,
-    build_peer_app,
     fetch_job,
     look_up_job,
 )
--- a/plantainyard/entry/tests/test_untrusted_peers.py
+++ b/plantainyard/entry/tests/test_untrusted_peers.py
@@ -13,10 +13,11 @@
 from plantainyard.dispatch.load import Load, QueueForecast
 from plantainyard.dispatch.run_times import RunTimePrior
 from plantainyard.dispatch.unit_forecasts import UnitForecast
-from plantainyard.entry import configuration_exchange, peer_calls, peers
+from plantainyard.entry import configuration_exchange, peer_app, peer_calls, peers
 from plantainyard.entry.forecasts import encode_forecast, encode_load
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.layout import Owner
+from plantainyard.entry.peer_app import build_peer_app
 from plantainyard.entry.tests.test_units import make_instance
 from plantainyard.platform.tests.untrusted import VALUES, WRONG_NUMBERS
 from plantainyard.transport import HttpResponse, JsonResponse
@@ -155,7 +156,7 @@
 def test_an_unusual_path_is_not_found(path, instance):
     # Guards against a query that fails instead of being refused.
     start = Mock()
-    peers.build_peer_app(instance)({"PATH_INFO": path}, start)
+    build_peer_app(instance)({"PATH_INFO": path}, start)
     assert start.call_args.args[0] == "404 Not Found"
 
 
@@ -163,9 +164,9 @@
     # Guards against a count that leaves out the jobs of other units.
     asked = []
     monkeypatch.setattr(
-        peers, "fetch_pending", lambda _, unit, queue: asked.append(queue)
+        peer_app, "fetch_pending", lambda _, unit, queue: asked.append(queue)
     )
     monkeypatch.setitem(instance.owned, 0, None)
     path = "/units/0/pending/äß".encode().decode("latin-1")
-    peers.build_peer_app(instance)({"PATH_INFO": path}, Mock())
+    build_peer_app(instance)({"PATH_INFO": path}, Mock())
     assert asked == ["äß"]
