Keep the configuration recent in tests that take units over

test_an_owner_releases_its_unit_when_a_runner_refuses_an_order got 503 once beside other work. Cause: the test's instance reads the configuration once, at its start, while an instance's thread goes on reading it; once the takeover has lasted for 2 s on a busy machine, submissions are refused as they should be. Shown by a test that makes the reading 3 s old before the takeover: 503 before, 200 after.

Change: the harness reads the configuration while it assigns units. The check is as it was.

--- a/plantainyard/entry/tests/harness.py
+++ b/plantainyard/entry/tests/harness.py
@@ -98,9 +98,14 @@
     units: Iterable[int],
     check: Callable[[], bool],
 ) -> None:
-    """Apply an assignment of units repeatedly until a check holds."""
+    """Apply an assignment of units repeatedly until a check holds.
+
+    The configuration is read meanwhile, as the instance's thread does: a takeover may
+    last longer than a reading counts as recent.
+    """
 
     def apply_and_check() -> bool:
+        assert poll_reader(manager.instance.operations_reader).is_ok()
         manager.apply_assignment(GroupAssignment(epoch, frozenset(units)))
         return check()
 
--- a/plantainyard/entry/tests/test_ownership_manager.py
+++ b/plantainyard/entry/tests/test_ownership_manager.py
@@ -290,3 +290,12 @@
     apply_record(replica, key, old)
     UnitActor._commit(actor, Commit([Record(key, old)]))
     assert replica.jobs[JOB].steps[0, 0].done == {0}
+
+
+def test_a_takeover_on_a_busy_machine_leaves_the_configuration_recent():
+    # Guards against tests that are refused with 503 because their instance has taken a
+    # unit over for longer than a reading of the configuration counts as recent.
+    with run_instance(StoreState(), RunnerState("r0", {JOB: 0.1})) as instance:
+        instance.operations_reader.synced_at -= 3.0
+        own_units(instance, 5, 0)
+        assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 200
