Let no large gang or serving job take all time of its owner

Found by profiling jobs at the limits on forty runners (2 s of the owner, with the profiler): two gangs of a thousand tasks that don't fit 7.4 s, a thousand gangs that don't fit 4.1 s, four hundred serving images beside five hundred others 8.2 s. The first two last for as long as the job waits, so that one accepted job would keep its unit from all others.

Cause: a gang reserved and released resources for each of its tasks in each search, and each margin of a serving task passes over the readings of its job.

Change: a gang is searched for only if the free resources of the runners suffice, and not if they didn't for a smaller one in the same pass; the newest 128 readings of a job are kept; a job names at most 32 images.

--- a/plantainyard/batch/checks.py
+++ b/plantainyard/batch/checks.py
@@ -3,6 +3,7 @@
 from graphlib import CycleError, TopologicalSorter
 
 from plantainyard.batch.limits import (
+    MAX_IMAGES,
     MAX_SPEC_BYTES,
     MAX_STEP_TASKS,
     MAX_STEPS,
@@ -53,6 +54,8 @@
     occurrences = max(1, submission.times)
     if not 1 <= len(steps) * occurrences <= MAX_STEPS:
         return f"a job has 1 to {MAX_STEPS} steps over all occurrences"
+    if len({step.image for step in steps if step.image}) > MAX_IMAGES:
+        return f"a job names at most {MAX_IMAGES} images"
     max_size = min(MAX_STEP_TASKS, record_bytes // TASK_RECORD_BYTES)
     errors = (
         f"steps[{number}]: {error}"
--- a/plantainyard/batch/limits.py
+++ b/plantainyard/batch/limits.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "MAX_DURATION_MS",
+    "MAX_IMAGES",
     "MAX_NAME",
     "MAX_SPEC_BYTES",
     "MAX_STEPS",
@@ -28,6 +29,10 @@
 """Maximum number of tasks of a job, over all of its steps and occurrences. Each end of
 a task passes over those of its job."""
 
+MAX_IMAGES = 32
+"""Maximum number of images that the steps of a job name. How each of them disturbs the
+others is estimated."""
+
 MAX_NAME = 255
 """Maximum length of the names of queues, services, labels, images and the like."""
 
--- a/plantainyard/dispatch/interference.py
+++ b/plantainyard/dispatch/interference.py
@@ -19,6 +19,7 @@
 
 from collections.abc import Mapping
 
+from plantainyard.batch.tasks import TaskKey
 from plantainyard.dispatch.baselines import (
     BASELINE_MAX_AGE_S,
     MAX_MARGIN,
@@ -61,6 +62,10 @@
 """Number of reports with a changed load that carry as much information as one report
 with a steady load."""
 
+MAX_READINGS = 128
+"""Maximum number of readings that are kept of a job; tasks share their job's load, so
+that further ones add little."""
+
 NEGLIGIBLE_LOAD = 0.01
 """Share of a runner's processors below which backfill work is disregarded."""
 
@@ -109,14 +114,32 @@
         own = _learn_from_margin(interference, tail, margin, sample, steady, now)
         reading = Reading(own, sample.incarnation, now, undisturbed)
         readings = interference.readings.setdefault(tail.task.job_id, {})
-        readings[tail.task, False] = reading
+        _keep_reading(readings, (tail.task, False), reading)
         if undisturbed:
-            readings[tail.task, True] = reading
+            _keep_reading(readings, (tail.task, True), reading)
         job_id = tail.task.job_id
         baselines[job_id] = min(baselines.get(job_id, MAX_MARGIN), own.value)
     return baselines
 
 
+def _keep_reading(
+    readings: dict[tuple[TaskKey, bool], Reading],
+    key: tuple[TaskKey, bool],
+    reading: Reading,
+) -> None:
+    """Keep a reading in place of the one before, and the newest of a job alone.
+
+    Notes
+    -----
+    Guards against an owner that does nothing but estimate baselines: each margin passes
+    over the readings of its job, which may have a thousand serving tasks.
+    """
+    readings.pop(key, None)
+    readings[key] = reading
+    if len(readings) > MAX_READINGS:
+        del readings[next(iter(readings))]
+
+
 def _learn_from_margin(
     interference: InterferenceModel,
     tail: Tail,
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -4,6 +4,7 @@
 them would be slow.
 """
 
+import math
 from collections.abc import Iterable
 
 from plantainyard.batch.values import Step
@@ -21,6 +22,7 @@
     "find_min_speed",
     "get_reserved_cpu",
     "has_capacity",
+    "has_places",
     "hold_resources",
     "measure_unused_cpu",
     "record_free_cpu",
@@ -226,6 +228,37 @@
     )
 
 
+def has_places(spec: Step, runners: Iterable[Runner], wanted: int) -> bool:
+    """Return whether the free resources of runners suffice for a number of tasks.
+
+    Notes
+    -----
+    Other conditions may still exclude a runner. The cost is one pass over the runners,
+    where a search for each task would take a pass for each.
+    """
+    found = 0.0
+    for runner in runners:
+        if found >= wanted:
+            break
+        if _is_usable(runner):
+            found += min(wanted, _count_places(spec, runner))
+    return found >= wanted
+
+
+def _count_places(spec: Step, runner: Runner) -> float:
+    """Return how many tasks of a step the free resources of a runner suffice for."""
+    assert runner.entry is not None
+    capacity = runner.entry.capacity
+    amounts = (
+        (capacity.cpu - runner.reserved_cpu, get_reserved_cpu(spec)),
+        (capacity.memory - runner.reserved_memory, spec.resources.memory),
+        (capacity.gpu - runner.reserved_gpu, spec.resources.gpu),
+    )
+    counts = [max(0, free) // each for free, each in amounts if each]
+    limits = [spec.max_per_runner] if spec.max_per_runner else []
+    return min(counts + limits, default=math.inf)
+
+
 def record_free_cpu(runners: Iterable[Runner]) -> None:
     """Record the unreserved processor time of each runner; called with every tick."""
     for runner in runners:
--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -8,6 +8,7 @@
 from plantainyard.dispatch.orders import pace_backfill, send_stop
 from plantainyard.dispatch.placing import (
     find_min_speed,
+    has_places,
     release_resources,
     reserve_resources,
 )
@@ -80,12 +81,16 @@
         All runners, or those that have changed since the last pass.
     unplaced : dict
         Kinds and sizes that found no place on these runners; added to.
+    gangs : list of tuple of Resources and int
+        Sizes and numbers of tasks of gangs for which the free resources of the runners
+        don't suffice; added to.
     partial : bool
         Whether the runners are only those that have changed.
     """
 
     runners: list[Runner]
     unplaced: _Unplaced
+    gangs: list[tuple[Resources, int]]
     partial: bool = False
 
 
@@ -113,8 +118,8 @@
     search_all = state.search_all
     state.changed_runners = set()
     state.search_all = False
-    full_search = _Search(runners, {})
-    partial_search = _Search(changed, {}, partial=True)
+    full_search = _Search(runners, {}, [])
+    partial_search = _Search(changed, {}, [], partial=True)
     for step in order_steps(ready, now):
         if len(state.assigned) >= MAX_STARTS:
             # Steps that weren't tried must not count as steps without a runner.
@@ -124,7 +129,7 @@
         if not step.spec.gang:
             _place_tasks(state, step, partial_search if partial else full_search, now)
         elif not partial:
-            _place_gang(state, step, runners, now)
+            _place_gang(state, step, full_search, now)
 
 
 def plan_moves(state: Dispatcher, now: float) -> None:
@@ -379,13 +384,15 @@
     return state.load.reserved < IDLE_FLEET_SHARE
 
 
-def _place_gang(
-    state: Dispatcher, step: StepRun, runners: list[Runner], now: float
-) -> None:
+def _place_gang(state: Dispatcher, step: StepRun, search: _Search, now: float) -> None:
     """Place all tasks of a gang or none: a part of a gang would only hold capacity."""
     if len(_start_waiting(step, now)) < len(step.tasks):
         return
-    for allowed in _list_rack_choices(step, runners):
+    if _exceeds_free_resources(step, search):
+        return
+    for allowed in _list_rack_choices(step, search.runners):
+        if not has_places(step.spec, allowed, len(step.tasks)):
+            continue
         placed = _try_gang(state, step, allowed, now)
         if placed:
             run = max(task.run for task in step.tasks) + 1
@@ -396,6 +403,29 @@
             return
 
 
+def _exceeds_free_resources(step: StepRun, search: _Search) -> bool:
+    """Return whether the free resources of all runners don't suffice for a gang.
+
+    Notes
+    -----
+    Guards against an owner that does nothing but search places for gangs that are too
+    large: each search would reserve and release resources for hundreds of tasks. What
+    doesn't suffice for a gang doesn't for a larger one either.
+    """
+    spec, count = step.spec, len(step.tasks)
+    if any(
+        count >= tasks and _exceeds_unplaced(spec.resources, [size])
+        for size, tasks in search.gangs
+        if not spec.backfill
+    ):
+        return True
+    if has_places(spec, search.runners, count):
+        return False
+    if not spec.backfill and not spec.max_per_runner:
+        search.gangs.append((spec.resources, count))
+    return True
+
+
 def _try_gang(
     state: Dispatcher, step: StepRun, runners: list[Runner], now: float
 ) -> list[tuple[Task, Runner]]:
--- a/plantainyard/dispatch/tests/test_interference.py
+++ b/plantainyard/dispatch/tests/test_interference.py
@@ -8,9 +8,16 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.dispatch import LoadsReceived
-from plantainyard.dispatch.estimates import InterferenceModel, WeightEstimate
+from plantainyard.dispatch.estimates import (
+    Baseline,
+    InterferenceModel,
+    Reading,
+    WeightEstimate,
+)
 from plantainyard.dispatch.interference import (
+    MAX_READINGS,
     RETENTION_S,
+    _keep_reading,
     expire_unobserved,
     learn_from_sample,
 )
@@ -302,6 +309,16 @@
     assert estimate.weights.keys() == loads.keys()
 
 
+def test_the_newest_readings_of_a_job_are_kept():
+    # Guards against an owner that does nothing but estimate baselines of a job with a
+    # thousand serving tasks.
+    readings: dict[tuple[TaskKey, bool], Reading] = {}
+    keys = [(TaskKey("a", 0, 0, n), False) for n in range(MAX_READINGS + 1)]
+    for at, key in enumerate([*keys[:-1], keys[0], keys[-1]]):
+        _keep_reading(readings, key, Reading(Baseline(1.0, 0.1), "r0@1", at, True))
+    assert list(readings) == [*keys[2:-1], keys[0], keys[-1]]
+
+
 def test_the_number_of_images_in_a_sample_is_limited():
     # Guards against the same, by the images of one runner.
     loads = {f"i{number}": float(number) for number in range(100)}
--- a/plantainyard/dispatch/tests/test_untrusted_jobs.py
+++ b/plantainyard/dispatch/tests/test_untrusted_jobs.py
@@ -113,6 +113,16 @@
         ([Step(2, Resources(100, 1, 0), 100)], MAX_STEPS),
         ([Step(2, Resources(MAX_INTEGER, 1, 0), 100)] * MAX_STEPS, 0),
         ([Step(1, after=tuple(range(max(0, n - 60), n))) for n in range(MAX_STEPS)], 0),
+        ([Step(1000, Resources(4000, 1, 0), 100, gang=True)] * 2, 0),
+        ([Step(2, Resources(MAX_INTEGER, 1, 0), gang=True)] * MAX_STEPS, 0),
+        (
+            [
+                Step(1, Resources(100, 1, 0), image=f"x{n % 32}", **kind)
+                for n in range(MAX_STEPS // 2)
+                for kind in ({"backfill": True}, {"target_ms": 5.0})
+            ],
+            0,
+        ),
     ],
 )
 def test_a_job_at_the_limits_leaves_time_for_others(steps, times):
--- a/plantainyard/platform/tests/test_untrusted_submissions.py
+++ b/plantainyard/platform/tests/test_untrusted_submissions.py
@@ -9,6 +9,7 @@
 from plantainyard.batch import Submission, validate_submission
 from plantainyard.batch.limits import (
     MAX_DURATION_MS,
+    MAX_IMAGES,
     MAX_STEP_TASKS,
     MAX_STEPS,
     MAX_TASKS,
@@ -121,6 +122,7 @@
         ({"intervalMs": MAX_DURATION_MS + 1}, [{}]),
         ({}, [{"estimateMs": MAX_DURATION_MS + 1}]),
         ({}, [{"image": "x" * 256}]),
+        ({}, [{"image": f"x{n}"} for n in range(MAX_IMAGES + 1)]),
         ({}, [{"after": [0]}]),
         ({}, [{"after": [1]}, {"after": [2]}, {"after": [0]}]),
     ],
@@ -136,6 +138,7 @@
         ({}, [{"count": MAX_STEP_TASKS}] * (MAX_TASKS // MAX_STEP_TASKS)),
         ({}, [{}] + [{"after": list(range(n))} for n in range(1, 200)]),
         ({"times": MAX_STEPS}, [{}]),
+        ({}, [{"image": f"x{n % MAX_IMAGES}"} for n in range(MAX_STEPS)]),
         ({}, [{"after": []}, {"after": [0, 0, 0]}]),
     ],
 )
