Drop the doubt about an entry that is removed

Found by reading the change: an entry in doubt outlived the removal of its runner's entry, and would have come into force after 12 s if the runner had still been known then. In a trial in virtual time the runner was forgotten before that, so that no caller is known to see it. The removal ends the doubt now; the test of that failed before.

--- a/plantainyard/dispatch/incarnations.py
+++ b/plantainyard/dispatch/incarnations.py
@@ -23,15 +23,21 @@
     """Apply a runner's entry, or its removal."""
     newest = state.runners.get(state.newest_incarnations.get(runner_id, ""))
     if entry is None:
-        if newest is not None and newest.registered:
-            newest.registered = False
-            newest.missing_since = now
+        if newest is not None:
+            _remove_entry(newest, now)
     elif newest is not None and entry.started_at_ms < newest.started_at_ms:
         _doubt_entry(newest, entry, now)
     else:
         _put_in_force(state, entry, now)
 
 
+def _remove_entry(newest: Runner, now: float) -> None:
+    newest.doubtful_entry = None
+    if newest.registered:
+        newest.registered = False
+        newest.missing_since = now
+
+
 def _doubt_entry(newest: Runner, entry: RunnerEntry, now: float) -> None:
     """Keep an entry of an incarnation that began before the newest one for later.
 
--- a/plantainyard/dispatch/tests/test_restarted_runners.py
+++ b/plantainyard/dispatch/tests/test_restarted_runners.py
@@ -236,3 +236,16 @@
     world.publish_entries()
     world.run(0.5)
     assert {r.runner_id for r in world.state.runners.values()} == {"r0", "r0@1"}
+
+
+def test_a_removed_entry_leaves_no_doubt():
+    # Guards against a runner that is used again although its entry was removed.
+    world = World(runners=1)
+    world.run(1.0)
+    first = decode_current_entry(world, "r0")
+    world.runners["r0"].restart(world.now)
+    world.publish_entries()
+    world.send_event(EntryChanged("r0", first))
+    assert [r.doubtful_entry for r in world.state.runners.values()] == [first]
+    world.send_event(EntryChanged("r0", None))
+    assert [r.doubtful_entry for r in world.state.runners.values()] == [None]
