--- a/plantainyard/batch/records.py
+++ b/plantainyard/batch/records.py
@@ -93,15 +93,25 @@
 MAX_STORED_TASKS = 100_000
 """Maximum number of tasks of a stored step: earlier versions accepted so many."""
 
+MAX_DONE_DIGITS = MAX_STORED_TASKS // 4
+"""Maximum number of hexadecimal digits of the set of finished tasks."""
+
 PIECE_FIELDS = 3
 """Number of figures that name a single task: occurrence, step and number."""
 
+_FIELD_LIMITS = {
+    "priority": {"low": -MAX_INTEGER},
+    "size": {"high": MAX_STORED_TASKS},
+}
+"""Ranges of the fields that have other limits than those of their readers."""
+
 _FIELD_READERS: dict[type, Callable[..., Any]] = {
     str: read_text,
     bool: read_flag,
     int: read_truncated,
     float: read_number,
 }
+"""Reader of a field's value by the type of the field."""
 
 
 def make_submission_key(job_id: str) -> str:
@@ -233,7 +243,7 @@
         unseen = read_object(data.get("unseen", {}), "unseen")
         sent = read_object(data.get("sent_to", {}), "sent_to")
         return StepProgress(
-            _unpack_done(read_text(data["done"], "done", MAX_STORED_TASKS)),
+            _unpack_done(read_text(data["done"], "done", MAX_DONE_DIGITS)),
             {_read_number(k): _unpack_task(task) for k, task in tasks.items()},
             bool(data.get("begun")),
             {_read_number(k): read_number(v, "unseen") for k, v in unseen.items()},
@@ -274,9 +284,8 @@
     fields = kind.__annotations__
     if unknown := data.keys() - fields.keys():
         raise DecodeError(f"unknown field {min(unknown)!r}")
-    limits = {"priority": {"low": -MAX_INTEGER}, "size": {"high": MAX_STORED_TASKS}}
     return {
-        name: _FIELD_READERS[fields[name]](value, name, **limits.get(name, {}))
+        name: _FIELD_READERS[fields[name]](value, name, **_FIELD_LIMITS.get(name, {}))
         for name, value in data.items()
         if fields[name] in _FIELD_READERS
     }
--- a/plantainyard/platform/runners.py
+++ b/plantainyard/platform/runners.py
@@ -135,7 +135,7 @@
 """Maximum length of the name of an outcome."""
 
 MAX_CHECKPOINT = 1_024
-"""Maximum length of a checkpoint; a limit that callers' documentation states."""
+"""Maximum length of a checkpoint that is kept; `docs/callers.md` states it."""
 
 MISDIRECTED_STATUS = 421
 """HTTP status with which a runner rejects an order for another incarnation."""
