Read answers of the log, the workers and the instance list of any content

The clients of the operators' interface, which isn't served on the platform, took a number that isn't finite for a fault of the program: OverflowError left the thread that follows the log. The checks of records had the same gap.

Change: they report each answer that can't be read as malformed. Values that aren't finite but can be decoded are still passed on there.

--- a/plantainyard/clients/instances.py
+++ b/plantainyard/clients/instances.py
@@ -8,6 +8,7 @@
 import xxhash
 from result import Err, Ok, Result
 
+from plantainyard.decoding import FAILURES, describe_failure
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.transport import DEFAULT_TIMEOUT_S, HttpPeer, build_peer, call_json
 from plantainyard.work import Size, WorkerInfo
@@ -93,10 +94,9 @@
     try:
         items = response.ok_value.body["instances"]
         return Ok(tuple(_parse_instance(item) for item in items))
-    except (KeyError, TypeError, ValueError) as error:
-        return Err(
-            CallError(ErrorKind.MALFORMED, step, client.peer.address, repr(error))
-        )
+    except FAILURES as error:
+        detail = describe_failure(error)
+        return Err(CallError(ErrorKind.MALFORMED, step, client.peer.address, detail))
 
 
 def encode_instance(instance: Instance) -> dict[str, Any]:
--- a/plantainyard/clients/log.py
+++ b/plantainyard/clients/log.py
@@ -10,6 +10,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from plantainyard.decoding import FAILURES, describe_failure
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.transport import DEFAULT_TIMEOUT_S, HttpPeer, build_peer, call_json
 
@@ -119,10 +120,9 @@
         return response
     try:
         return Ok(_parse_page(response.ok_value.body))
-    except (KeyError, TypeError, ValueError) as error:
-        return Err(
-            CallError(ErrorKind.MALFORMED, step, client.peer.address, repr(error))
-        )
+    except FAILURES as error:
+        detail = describe_failure(error)
+        return Err(CallError(ErrorKind.MALFORMED, step, client.peer.address, detail))
 
 
 def _format_path(stream: str) -> str:
--- a/plantainyard/clients/worker.py
+++ b/plantainyard/clients/worker.py
@@ -12,6 +12,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from plantainyard.decoding import FAILURES, describe_failure
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.transport import (
     CONFLICT,
@@ -318,10 +319,9 @@
 ) -> Result[WorkerState, CallError]:
     try:
         return Ok(parse_state(response.body))
-    except (KeyError, TypeError, ValueError) as error:
-        return Err(
-            CallError(ErrorKind.MALFORMED, step, client.peer.address, repr(error))
-        )
+    except FAILURES as error:
+        detail = describe_failure(error)
+        return Err(CallError(ErrorKind.MALFORMED, step, client.peer.address, detail))
 
 
 def _encode_rows(
--- a/plantainyard/state/checks.py
+++ b/plantainyard/state/checks.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
+from plantainyard.decoding import FAILURES, describe_failure
 from plantainyard.state.records import Outcome, RecordType
 from plantainyard.work import decode_job, parse_task
 
@@ -61,8 +62,8 @@
         return RecordCheck(Validity.UNKNOWN, data["type"])
     try:
         fault = _find_common_fault(data) or check(data)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        fault = f"{type(error).__name__}: {error}"
+    except FAILURES as error:
+        fault = describe_failure(error)
     if fault:
         return RecordCheck(Validity.MALFORMED, f"{data['type']}: {fault}")
     return RecordCheck(Validity.KNOWN)
