--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -60,7 +60,8 @@
     update_estimates,
 )
 from plantainyard.dispatch.placing import record_free_cpu
-from plantainyard.dispatch.planning import plan_moves, plan_starts
+from plantainyard.dispatch.planning import plan_starts
+from plantainyard.dispatch.relocation import plan_moves
 from plantainyard.dispatch.restoring import restore_jobs
 from plantainyard.dispatch.room import plan_room
 from plantainyard.dispatch.run_times import decode_run_times
