--- a/plantainyard/dispatch/tests/test_restarted_runners.py
+++ b/plantainyard/dispatch/tests/test_restarted_runners.py
@@ -197,15 +197,22 @@
         assert len(world.list_running("a")) == 1
 
 
-def test_an_incarnation_whose_clock_was_set_back_is_used_once_it_answers():
-    # Guards against a runner that is never used again after a step of its clock.
+def restart_with_earlier_clock(*unreachable: str) -> World:
+    """Return a world whose runner has started again after its clock was set back."""
     world = World(runners=1)
     world.run(1.0)
     world.runners["r0"].restart(world.now)
     world.publish_entries()
     world.run(1.0)
+    world.unreachable |= set(unreachable)
     world.runners["r0"].restart(world.now - 50.0)
     world.publish_entries()
+    return world
+
+
+def test_an_incarnation_whose_clock_was_set_back_is_used_once_it_answers():
+    # Guards against a runner that is never used again after a step of its clock.
+    world = restart_with_earlier_clock()
     world.submit("a", make_step())
     world.run(4.0)
     assert world.final_state("a") == "completed"
@@ -214,14 +221,7 @@
 def test_an_incarnation_whose_clock_was_set_back_is_used_after_all_late_calls():
     # Guards against a runner that is never used again after a step of its clock: the
     # one before doesn't answer any more, and nothing else comes of it.
-    world = World(runners=1)
-    world.run(1.0)
-    world.runners["r0"].restart(world.now)
-    world.publish_entries()
-    world.run(1.0)
-    world.unreachable.add("r0")
-    world.runners["r0"].restart(world.now - 50.0)
-    world.publish_entries()
+    world = restart_with_earlier_clock("r0")
     world.run(world.limits.late_call_s + 0.5)
     world.unreachable.clear()
     world.submit("a", make_step())
