--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -42,7 +42,7 @@
     plan_task_handovers,
 )
 from plantainyard.dispatch.health import evaluate_health
-from plantainyard.dispatch.incarnations import apply_entry, settle_doubts
+from plantainyard.dispatch.incarnations import apply_entry, resolve_suspects
 from plantainyard.dispatch.inherited_bounds import restore_bound
 from plantainyard.dispatch.interference import expire_unobserved
 from plantainyard.dispatch.jobs import (
@@ -193,7 +193,7 @@
         plan_task_handovers(state, now)
         open_due_occurrences(state, now)
         orders.resend_orders(state, now)
-        settle_doubts(state, now)
+        resolve_suspects(state, now)
         reports.expire_leases(state, now)
         maintain_unseen(state, now)
         maintain_unanswered(state, now)
--- a/plantainyard/dispatch/incarnations.py
+++ b/plantainyard/dispatch/incarnations.py
@@ -11,7 +11,7 @@
 from plantainyard.dispatch.state import Dispatcher, inherit_restart, record_given_up
 from plantainyard.platform.entries import RunnerEntry
 
-__all__ = ["apply_entry", "meet_other_incarnation", "settle_doubts"]
+__all__ = ["apply_entry", "handle_other_incarnation", "resolve_suspects"]
 
 DEFAULT_DRAIN_MS = 2_000
 """Assumed time until a draining runner leaves if its entry doesn't state it."""
@@ -26,19 +26,19 @@
         if newest is not None:
             _remove_entry(newest, now)
     elif newest is not None and entry.started_at_ms < newest.started_at_ms:
-        _doubt_entry(newest, entry, now)
+        _suspect_entry(newest, entry, now)
     else:
         _put_in_force(state, entry, now)
 
 
 def _remove_entry(newest: Runner, now: float) -> None:
-    newest.doubtful_entry = None
+    newest.suspect_entry = None
     if newest.registered:
         newest.registered = False
         newest.missing_since = now
 
 
-def _doubt_entry(newest: Runner, entry: RunnerEntry, now: float) -> None:
+def _suspect_entry(newest: Runner, entry: RunnerEntry, now: float) -> None:
     """Keep an entry of an incarnation that began before the newest one for later.
 
     Notes
@@ -48,23 +48,23 @@
     one would be taken for a successor of the incarnation at work. A runner whose clock
     was set back between two starts writes such an entry, too.
     """
-    if newest.doubtful_entry is None:
-        newest.doubtful_since = now
-    newest.doubtful_entry = entry
+    if newest.suspect_entry is None:
+        newest.suspect_since = now
+    newest.suspect_entry = entry
 
 
-def settle_doubts(state: Dispatcher, now: float) -> None:
-    """Put a doubtful entry in force if nothing has come of the newest incarnation.
+def resolve_suspects(state: Dispatcher, now: float) -> None:
+    """Put a suspect entry in force if nothing has come of the newest incarnation.
 
     Notes
     -----
     A heartbeat or a report of that incarnation, which follow within a second or two,
-    removes the doubtful entry. The time is that for which a call of the runner to the
+    removes the suspect entry. The time is that for which a call of the runner to the
     store may be late.
     """
     for runner in list(state.runners.values()):
-        entry = runner.doubtful_entry
-        if entry is not None and now - runner.doubtful_since > state.limits.late_call_s:
+        entry = runner.suspect_entry
+        if entry is not None and now - runner.suspect_since > state.limits.late_call_s:
             _put_in_force(state, entry, now)
 
 
@@ -80,7 +80,7 @@
         inherit_restart(state, runner)
     runner.entry = entry
     runner.registered = True
-    runner.doubtful_entry = None
+    runner.suspect_entry = None
     mark_evacuated(state, runner)
     if entry.draining and not runner.leaves_at:
         leaves_in_ms = (
@@ -130,7 +130,7 @@
     del state.runners[old.incarnation]
 
 
-def meet_other_incarnation(
+def handle_other_incarnation(
     state: Dispatcher, runner: Runner, started_at_ms: int, now: float
 ) -> None:
     """Wait for the entry of an incarnation that answered in place of the newest one.
@@ -140,10 +140,10 @@
     The entry arrives through the store, and the old incarnation is then removed. Until
     then no ends are acknowledged to the new incarnation: it numbers its ends from the
     start, and an acknowledgement of the old incarnation's ends would make it discard as
-    many of its own that were never applied. An entry that was in doubt is that of the
+    many of its own that were never applied. A suspect entry may be that of the
     incarnation which answers.
     """
-    entry = runner.doubtful_entry
+    entry = runner.suspect_entry
     if entry is not None and entry.started_at_ms == started_at_ms:
         _put_in_force(state, entry, now)
         return
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -359,7 +359,7 @@
         images queried since `backfill_loads` and `serving_headroom` were updated.
     reserved_for : StepRun or None
         Step of a large task that the runner is reserved for; see `room`.
-    doubtful_entry, doubtful_since : RunnerEntry or None, float
+    suspect_entry, suspect_since : RunnerEntry or None, float
         Entry of an incarnation that began earlier and may be there all the same, and
         since when there is one; see `incarnations`.
     """
@@ -409,8 +409,8 @@
     serving_headroom: dict[str, float] = field(default_factory=dict)
     spare_load: dict[str, float] = field(default_factory=dict)
     reserved_for: StepRun | None = None
-    doubtful_entry: RunnerEntry | None = None
-    doubtful_since: float = 0.0
+    suspect_entry: RunnerEntry | None = None
+    suspect_since: float = 0.0
 
     @property
     def runner_id(self) -> str:
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -13,7 +13,7 @@
     SendOrder,
 )
 from plantainyard.dispatch.health import observe_progress
-from plantainyard.dispatch.incarnations import meet_other_incarnation
+from plantainyard.dispatch.incarnations import handle_other_incarnation
 from plantainyard.dispatch.interference import learn_from_sample
 from plantainyard.dispatch.leases import (
     count_earlier_calls,
@@ -65,9 +65,9 @@
         report.started_at_ms is not None
         and report.started_at_ms != runner.entry.started_at_ms
     ):
-        meet_other_incarnation(state, runner, report.started_at_ms, now)
+        handle_other_incarnation(state, runner, report.started_at_ms, now)
         return
-    runner.doubtful_entry = None
+    runner.suspect_entry = None
     record_clock(runner, report.clock_ms, now)
     end_inheritance(runner, state.limits, now)
     if runner.earlier_calls_end == math.inf:
--- a/plantainyard/dispatch/tests/test_restarted_runners.py
+++ b/plantainyard/dispatch/tests/test_restarted_runners.py
@@ -238,7 +238,7 @@
     assert {r.runner_id for r in world.state.runners.values()} == {"r0", "r0@1"}
 
 
-def test_a_removed_entry_leaves_no_doubt():
+def test_a_removed_entry_leaves_no_suspect():
     # Guards against a runner that is used again although its entry was removed.
     world = World(runners=1)
     world.run(1.0)
@@ -246,6 +246,6 @@
     world.runners["r0"].restart(world.now)
     world.publish_entries()
     world.send_event(EntryChanged("r0", first))
-    assert [r.doubtful_entry for r in world.state.runners.values()] == [first]
+    assert [r.suspect_entry for r in world.state.runners.values()] == [first]
     world.send_event(EntryChanged("r0", None))
-    assert [r.doubtful_entry for r in world.state.runners.values()] == [None]
+    assert [r.suspect_entry for r in world.state.runners.values()] == [None]
--- a/plantainyard/entry/eventlog.py
+++ b/plantainyard/entry/eventlog.py
@@ -81,7 +81,7 @@
         "job_begun",
         "job_ended",
         "job_handed_over",
-        "job_set_aside",
+        "job_quarantined",
         "job_turned_away",
         "layout_chosen",
         "leases_inherited",
--- a/plantainyard/entry/loops.py
+++ b/plantainyard/entry/loops.py
@@ -7,13 +7,13 @@
 
 from plantainyard.entry.eventlog import EventLog
 
-__all__ = ["keep_running", "start_loop"]
+__all__ = ["supervise_loop", "start_loop"]
 
 RESTART_S = 0.5
 """Pause in seconds before a loop that has failed begins again."""
 
 
-def keep_running(
+def supervise_loop(
     log: EventLog, stopping: threading.Event, run: Callable[..., None], *arguments: Any
 ) -> None:
     """Run a loop, and begin it again after an unexpected exception.
@@ -48,6 +48,6 @@
 def start_loop(
     log: EventLog, stopping: threading.Event, run: Callable[..., None], *arguments: Any
 ) -> None:
-    """Start a thread on which `keep_running` runs a loop."""
+    """Start a thread on which `supervise_loop` runs a loop."""
     everything = (log, stopping, run, *arguments)
-    threading.Thread(target=keep_running, args=everything, daemon=True).start()
+    threading.Thread(target=supervise_loop, args=everything, daemon=True).start()
--- a/plantainyard/entry/meters.py
+++ b/plantainyard/entry/meters.py
@@ -27,7 +27,7 @@
     "plantainyard_log_lost_lines": "Lines of the log that nobody took in time.",
     "plantainyard_refused": "Requests of callers turned away, by reason.",
     "plantainyard_turned_away": "Jobs rejected by admission, by kind and reason.",
-    "plantainyard_jobs_set_aside": "Jobs ended as failed so that others go on.",
+    "plantainyard_jobs_quarantined": "Jobs ended as failed so that others go on.",
     "plantainyard_forecast_age_seconds": "Oldest forecast figures that an owner has.",
     "plantainyard_call_seconds": "Calls to store, runners, peers by step and result.",
     "plantainyard_call_received_bytes": "Bytes of responses, also of incomplete ones.",
@@ -60,7 +60,9 @@
         self.turned_away = self._build_counter(
             "plantainyard_turned_away", "kind", "reason"
         )
-        self.set_aside = self._build_counter("plantainyard_jobs_set_aside", "reason")
+        self.quarantined = self._build_counter(
+            "plantainyard_jobs_quarantined", "reason"
+        )
         self.forecast_age = self._build_gauge("plantainyard_forecast_age_seconds")
         # Caches the labelled histograms, because the library's lookup costs more than
         # the observation itself.
--- a/plantainyard/entry/ownership_manager.py
+++ b/plantainyard/entry/ownership_manager.py
@@ -34,9 +34,9 @@
 )
 from plantainyard.entry.layout import Owner, announce_owner
 from plantainyard.entry.peers import fetch_owner_status
+from plantainyard.entry.quarantine import quarantine_failed_jobs, record_failure
 from plantainyard.entry.readers import RETRY_S, PartitionReader, poll_reader
 from plantainyard.entry.reserves import is_strong
-from plantainyard.entry.set_aside import record_failure, set_aside_failed_jobs
 from plantainyard.entry.takeover import (
     choose_fence,
     fence_predecessors,
@@ -269,7 +269,7 @@
             if not self._catch_up(copy, epoch):
                 return
             fence = choose_fence(context)
-            if fence is None or not set_aside_failed_jobs(context):
+            if fence is None or not quarantine_failed_jobs(context):
                 return
             context.dispatcher = restore_unit(instance, copy, owner, fenced_at, fence)
             with run_unit_actor(context, context.dispatcher) as actor:
--- a/plantainyard/entry/process.py
+++ b/plantainyard/entry/process.py
@@ -29,7 +29,7 @@
 )
 from plantainyard.entry.layout import RUNNERS_PER_UNIT, determine_layout
 from plantainyard.entry.loads import poll_loads
-from plantainyard.entry.loops import keep_running, start_loop
+from plantainyard.entry.loops import start_loop, supervise_loop
 from plantainyard.entry.meters import build_metrics_app
 from plantainyard.entry.ownership_manager import OwnershipManager
 from plantainyard.entry.peer_app import build_peer_app
@@ -217,7 +217,7 @@
 
 def _run_units(instance: Instance, draining: threading.Event) -> None:
     """Wait for the layout, then follow it and own units as the group assigns them."""
-    keep_running(
+    supervise_loop(
         instance.log,
         draining,
         determine_layout,
@@ -236,7 +236,7 @@
     manager = OwnershipManager(instance)
     start_loop(instance.log, instance.stopping, _follow_layout, instance, manager)
     start_loop(instance.log, instance.stopping, poll_loads, instance)
-    keep_running(
+    supervise_loop(
         instance.log,
         draining,
         follow_group,
--- a/plantainyard/entry/set_aside.py
+++ b/plantainyard/entry/quarantine.py
@@ -1,7 +1,7 @@
-"""Setting aside of accepted jobs that can't be served, so that others go on.
+"""Quarantine of accepted jobs that can't be served, so that others go on.
 
-A job is set aside alone: it ends as failed, which is the answer for its caller, with a
-line in the log and a count in the metrics.
+Only the job at fault is quarantined: it ends as failed, which is the answer for its
+caller, with a line in the log and a count in the metrics.
 """
 
 from plantainyard.batch.records import (
@@ -18,10 +18,10 @@
 from plantainyard.platform.store import Record
 
 __all__ = [
-    "SetAsideReason",
+    "QuarantineReason",
     "record_failure",
-    "record_set_aside",
-    "set_aside_failed_jobs",
+    "record_quarantine",
+    "quarantine_failed_jobs",
 ]
 
 MAX_FAILURES = 2
@@ -29,17 +29,17 @@
 have another cause, which a new owner doesn't meet again."""
 
 
-class SetAsideReason:
-    """Names of the reasons for setting a job aside."""
+class QuarantineReason:
+    """Names of the reasons for quarantining a job."""
 
     RECORD = "its progress fits into no record"
     FAILURES = "owners failed while they worked on it"
 
 
-def record_set_aside(context: UnitContext, job_id: str, why: str) -> None:
-    """Log and count a job that is set aside."""
-    context.meters.set_aside.labels(why).inc()
-    context.log.write("job_set_aside", unit=context.unit, job=job_id, why=why)
+def record_quarantine(context: UnitContext, job_id: str, why: str) -> None:
+    """Log and count a job that is quarantined."""
+    context.meters.quarantined.labels(why).inc()
+    context.log.write("job_quarantined", unit=context.unit, job=job_id, why=why)
 
 
 def record_failure(context: UnitContext, job_id: str) -> None:
@@ -57,7 +57,7 @@
     _store(context, [Record(make_failure_key(job_id), value)])
 
 
-def set_aside_failed_jobs(context: UnitContext) -> bool:
+def quarantine_failed_jobs(context: UnitContext) -> bool:
     """End the jobs that have made too many owners fail; return False if fenced off.
 
     Notes
@@ -70,7 +70,7 @@
             continue
         if not _end(context, job_id, view):
             return False
-        record_set_aside(context, job_id, SetAsideReason.FAILURES)
+        record_quarantine(context, job_id, QuarantineReason.FAILURES)
     return True
 
 
--- a/plantainyard/entry/readers.py
+++ b/plantainyard/entry/readers.py
@@ -164,7 +164,7 @@
             reader.offset = None
             continue
         for record in batch.records:
-            _pass_on(reader, record)
+            _apply_record(reader, record)
         count += len(batch.records)
         reader.offset = batch.next_offset
         if batch.next_offset >= batch.end:
@@ -175,7 +175,7 @@
         wait_s = 0.0
 
 
-def _pass_on(reader: PartitionReader, record: Record) -> None:
+def _apply_record(reader: PartitionReader, record: Record) -> None:
     """Pass a record on; one that can't be applied must not end the reading.
 
     Notes
@@ -216,7 +216,7 @@
         if start is None:
             start = page.end
         for record in page.records:
-            _pass_on(reader, record)
+            _apply_record(reader, record)
         count += len(page.records)
         after = page.last_key
         if not page.more:
@@ -244,7 +244,7 @@
     if found.ok_value.dropped:
         return poll_reader(reader)
     for record in found.ok_value.records:
-        _pass_on(reader, record)
+        _apply_record(reader, record)
     return Ok(len(found.ok_value.records))
 
 
--- a/plantainyard/entry/tests/test_set_aside.py
+++ b/plantainyard/entry/tests/test_quarantine.py
@@ -31,10 +31,10 @@
 from plantainyard.entry.evacuations import apply_reading
 from plantainyard.entry.group import GroupAssignment
 from plantainyard.entry.instance import Instance
-from plantainyard.entry.loops import keep_running
+from plantainyard.entry.loops import supervise_loop
 from plantainyard.entry.ownership_manager import OwnershipManager
+from plantainyard.entry.quarantine import quarantine_failed_jobs
 from plantainyard.entry.readers import poll_reader
-from plantainyard.entry.set_aside import set_aside_failed_jobs
 from plantainyard.entry.tests.harness import (
     BODY,
     JOB,
@@ -140,8 +140,8 @@
         stop.set()
     failures = [fields["job"] for event, fields in lines if event == "unit_failed"]
     assert failures == [ODD, ODD]
-    set_aside = [f["job"] for event, f in lines if event == "job_set_aside"]
-    assert set_aside == [ODD]
+    quarantined = [f["job"] for event, f in lines if event == "job_quarantined"]
+    assert quarantined == [ODD]
 
 
 def test_a_failure_that_does_not_come_back_costs_no_job(monkeypatch):
@@ -176,7 +176,7 @@
         wait_until(lambda: get_state(instance, ODD) == "failed")
         metrics = generate_latest(instance.meters.registry).decode()
         reason = 'reason="its progress fits into no record"'
-        assert f"plantainyard_jobs_set_aside_total{{{reason}}} 1.0" in metrics
+        assert f"plantainyard_jobs_quarantined_total{{{reason}}} 1.0" in metrics
 
 
 def test_a_submission_that_fits_into_no_record_is_rejected():
@@ -218,7 +218,7 @@
 
 
 def test_a_failed_job_is_ended_in_all_units():
-    # Guards against tasks that go on in other units after their job was set aside.
+    # Guards against tasks that go on in other units after their job was quarantined.
     store = StoreState()
     submission = Submission(ODD, "q", SERVICE, "", (Step(2, Resources(1, 1)),))
     tasks = {0: TaskProgress(1, "r0@1"), 1: TaskProgress(1, "", unit=1)}
@@ -231,12 +231,12 @@
             (f"f/{ODD}", b"2"),
         ):
             apply_record(context.replica, key, value)
-        assert set_aside_failed_jobs(context)
+        assert quarantine_failed_jobs(context)
         assert context.replica.jobs[ODD].final_state == "failed"
         assert store.newest(PROGRESS) == {f"e/{ODD}": b"failed"}
         cancel = make_cancel_key(f"{ODD}+0.0.1+1")
         assert store.newest(INTAKE, 1) == {cancel: b"1"}
-        assert set_aside_failed_jobs(context)
+        assert quarantine_failed_jobs(context)
 
 
 def test_an_accepted_job_that_cannot_be_read_is_shown_as_failed():
@@ -265,7 +265,7 @@
 
 
 def test_an_exception_is_attributed_to_the_job_in_the_innermost_frame():
-    # Guards against the wrong job being set aside.
+    # Guards against the wrong job being quarantined.
     inner, outer = (
         Submission(name, "q", SERVICE, "", (Step(1),)) for name in ("inner", "outer")
     )
@@ -315,7 +315,7 @@
         if outcome is not None:
             raise outcome
 
-    keep_running(log, threading.Event(), follow, outcomes)
+    supervise_loop(log, threading.Event(), follow, outcomes)
     assert not outcomes
     assert log.write.call_args.kwargs["loop"] == "follow"
 
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -47,7 +47,7 @@
 from plantainyard.entry.appends import forward_records, store_records
 from plantainyard.entry.context import UnitContext
 from plantainyard.entry.decision_log import record_decision
-from plantainyard.entry.set_aside import SetAsideReason, record_set_aside
+from plantainyard.entry.quarantine import QuarantineReason, record_quarantine
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.platform.runners import (
     Order,
@@ -261,7 +261,7 @@
                 continue
             jobs.add(parse_key(record.key).job_id)
         for job_id in jobs:
-            record_set_aside(context, job_id, SetAsideReason.RECORD)
+            record_quarantine(context, job_id, QuarantineReason.RECORD)
         return frozenset(jobs)
 
     def _record_job_end(self, summary: JobSummary) -> None:
