Wait only for the last lease of an owner that was killed and is back

Cause: a new owner that can't reach a runner waits for the longest lease from its takeover, since its predecessor may be cut off with the runner and renew leases there. A process that has ended renews nothing, but nothing told that.

Change: a process tells in which epochs it has claimed a unit, and how long it has run. If the one at the predecessor's address claimed only later epochs, the wait is for the last lease granted before it began, provided that the predecessor had stored that it outlasted the leases of earlier owners. What a new owner learns of its predecessor is a module of its own.

Evidence: the new test of the lost task fails without the event; each of the three guards is caught by a test of two runs when it is taken out.

--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -24,6 +24,7 @@
     OrderAnswered,
     OwnershipRenewed,
     PolicyChanged,
+    PredecessorEnded,
     ReportFailed,
     ReportReceived,
     Tick,
@@ -43,7 +44,10 @@
 )
 from plantainyard.dispatch.health import evaluate_health
 from plantainyard.dispatch.incarnations import apply_entry, resolve_suspects
-from plantainyard.dispatch.inherited_bounds import restore_bound
+from plantainyard.dispatch.inherited_bounds import (
+    limit_to_last_leases,
+    restore_bound,
+)
 from plantainyard.dispatch.interference import expire_unobserved
 from plantainyard.dispatch.jobs import (
     add_job,
@@ -52,7 +56,7 @@
     fail_job,
     open_due_occurrences,
 )
-from plantainyard.dispatch.leases import limit_inheritance
+from plantainyard.dispatch.leases import find_end_of_lease, limit_inheritance
 from plantainyard.dispatch.limits import Limits
 from plantainyard.dispatch.measured_runs import (
     apply_run_time_policy,
@@ -137,12 +141,15 @@
     state.fence = state.wanted_fence = state.stored_fence = fence
     state.inherited_restarts = state.stored_restarts = replica.fences.restarts
     state.inherited_starts_s = bounds.starts_s
+    state.inherits_settled = bounds.settled
     state.epoch = epoch
     state.took_over_at = now
     state.renewed_at = fenced_at
     restore_jobs(state, replica, now)
     for runner in state.runners.values():
         restore_bound(state, runner, bounds.left_s, now)
+    if state.runners:
+        state.inherited_until = find_end_of_lease(limits, limits.longest_lease_s, now)
     if replica.interference:
         state.interference = _decode_interference_record(replica.interference)
     _restore_run_times(state, replica.run_times, now)
@@ -319,6 +326,8 @@
         case LeasesReported(remaining_s):
             runners = state.runners.values()
             limit_inheritance(runners, remaining_s, state.limits, now)
+        case PredecessorEnded(ended_s):
+            limit_to_last_leases(state, ended_s, now)
         case PolicyChanged(policy):
             state.limits = state.limits._replace(policy=policy)
             apply_run_time_policy(
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -33,6 +33,7 @@
     "ReportFailed",
     "JobSummary",
     "LeasesReported",
+    "PredecessorEnded",
     "LoadsReceived",
     "OrderAnswered",
     "OrderKind",
@@ -162,6 +163,18 @@
     remaining_s: dict[str, float]
 
 
+class PredecessorEnded(NamedTuple):
+    """The process that owned the unit before has ended without a report.
+
+    Attributes
+    ----------
+    ended_s : float
+        Time in seconds for which it has granted nothing, at least.
+    """
+
+    ended_s: float
+
+
 class Forwarded(NamedTuple):
     """The records of a `Forward` were stored in their unit.
 
@@ -218,6 +231,7 @@
     | EvacuationsRead
     | Forwarded
     | LeasesReported
+    | PredecessorEnded
     | LoadsReceived
     | InterferenceReceived
     | Tick
--- a/plantainyard/dispatch/tests/test_inherited_leases.py
+++ b/plantainyard/dispatch/tests/test_inherited_leases.py
@@ -5,6 +5,9 @@
 from plantainyard.dispatch.tests.world import World, make_step
 
 LEASE_S = 3.8
+OLD_AGE_S = 3.0
+"""Time for which an incarnation runs a task, so that its clock is ahead."""
+
 LOST_AFTER_S = 9.0
 """Time after which users count a long-running task without a run as lost."""
 
@@ -212,6 +215,67 @@
     assert LEASE_S <= waited_s < LONGEST_WAIT_S / useful_share
 
 
+def lose_runner_and_owner(world: World) -> float:
+    """Lose the runner of a task, and its owner at once; return the time."""
+    world.lose_runner(start_long_running(world))
+    return world.now
+
+
+def test_a_task_starts_again_in_time_if_its_owner_was_killed_and_is_back():
+    # Guards against a task that counts as lost: the process that could renew the leases
+    # at its lost runner has ended, and yet its successor waits for the longest lease.
+    world = build_world()
+    lost_at = lose_runner_and_owner(world)
+    world.run(2.0)
+    world.restart_owner(ended_s=1.5)
+    assert_started_in_time(world, lost_at)
+
+
+def test_a_lease_of_an_owner_that_has_ended_is_waited_for():
+    # Guards against two runs of one task: the process has ended, and its runner, which
+    # can't be reached, runs on until the lease that was granted last has ended.
+    world = World(runners=2)
+    world.unreachable.add(start_long_running(world))
+    world.restart_owner()
+    assert_one_run_at_most(world)
+    assert len(world.list_running("a")) == 1
+
+
+def test_the_end_of_an_owner_tells_nothing_of_the_one_before():
+    # Guards against two runs of one task: the first owner is cut off with the runner
+    # and renews the lease there, while the second one is killed and is back.
+    world = World(runners=2)
+    world.run(1.0)
+    home = start_long_running(world)
+    former = world.cut_off_owner(home)
+    world.submit("b", make_step())
+    world.run(1.0)
+    world.restart_owner()
+    for _ in range(120):
+        world.run(0.1)
+        assert len(world.list_running("a")) <= 1
+    assert world.former_owners == [former]
+    assert len(world.list_running("a")) == 1
+
+
+def test_a_lease_of_a_restarted_runner_outlasts_the_end_of_its_owner():
+    # Guards against two runs of one task: a renewal for the incarnation before has
+    # granted the new one its longest lease, and its owner is killed and is back.
+    world = World(runners=2)
+    world.unreachable.add("r1")
+    home = start_long_running(world)
+    world.run(OLD_AGE_S)
+    world.runners[home].restart(world.now)
+    world.run(0.1)
+    world.publish_entries()
+    while not world.list_running("a"):
+        world.run(0.1)
+    world.unreachable = {home}
+    world.restart_owner()
+    assert_one_run_at_most(world)
+    assert world.runners[home].ends[-1][3] == "lapsed"
+
+
 def await_end_of_bound(world: World) -> tuple[str, World]:
     """Cut an owner off with the runner of its task until a stored bound nearly ends.
 
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -42,6 +42,7 @@
     OrderAnswered,
     OrderKind,
     OwnershipRenewed,
+    PredecessorEnded,
     ReportFailed,
     ReportReceived,
     RequestReport,
@@ -154,6 +155,11 @@
             remaining_s = {k: max(0.0, v - self.now) for k, v in ends.items()}
             self.send_event(LeasesReported(remaining_s))
 
+    def restart_owner(self, ended_s: float = 0.0) -> None:
+        """Let a new owner take over that learns that the process before has ended."""
+        self.change_owner()
+        self.send_event(PredecessorEnded(ended_s))
+
     def change_owner(self) -> None:
         """Let a new owner take over from the stored records; the old one has ended."""
         self.owners += 1
--- a/plantainyard/entry/eventlog.py
+++ b/plantainyard/entry/eventlog.py
@@ -94,6 +94,7 @@
         "owner_named",
         "owner_succeeded",
         "policy_in_force",
+        "predecessor_ended",
         "read_incomplete",
         "record_too_large",
         "refused",
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -144,6 +144,10 @@
         Units that this instance owns or is taking over, by unit.
     owned : dict
         Units that this instance owns and serves, by unit.
+    claimed_epochs : dict
+        By unit: the epochs in which this process has claimed it.
+    started_at : float
+        When the process started.
     released : dict
         The last ownership of each unit that this instance has ended.
     stopping : Event
@@ -190,6 +194,8 @@
         self.copies: list[UnitCopy] = []
         self.claims: dict[int, Claim] = {}
         self.owned: dict[int, OwnedUnit] = {}
+        self.claimed_epochs: dict[int, set[int]] = {}
+        self.started_at = read_clock()
         self.released: dict[int, ReleasedUnit] = {}
         self.stopping = threading.Event()
         self.rejoin_needed = threading.Event()
--- a/plantainyard/entry/ownership_manager.py
+++ b/plantainyard/entry/ownership_manager.py
@@ -34,6 +34,7 @@
 )
 from plantainyard.entry.layout import Owner, announce_owner
 from plantainyard.entry.peers import fetch_owner_status
+from plantainyard.entry.predecessors import query_predecessor
 from plantainyard.entry.quarantine import quarantine_failed_jobs, record_failure
 from plantainyard.entry.readers import RETRY_S, PartitionReader, poll_reader
 from plantainyard.entry.reserves import is_strong
@@ -42,7 +43,6 @@
     fence_predecessors,
     follow_intake,
     make_entry_handler,
-    query_predecessor,
     restore_unit,
     send_open_jobs,
 )
@@ -141,6 +141,7 @@
             return
         if why in (ClaimReason.SHARE, ClaimReason.RESERVE):
             self.moved_at = read_clock()
+        instance.claimed_epochs.setdefault(unit, set()).add(epoch)
         instance.claims[unit] = Claim(epoch, read_clock())
         # The takeover may start nothing before the evacuations are read.
         instance.evacuations.due.set()
