Count an owner as settled once the leases that were reported to it have ended

Cause: an owner that took over from a living one counted the longest lease from its takeover before it stored that no lease of an earlier owner is left, though its predecessor had reported when they end. Killed before that, its successor waited for the longest lease.

Change: a report, and the end of a settled predecessor, bound that time too.

--- a/plantainyard/dispatch/inherited_bounds.py
+++ b/plantainyard/dispatch/inherited_bounds.py
@@ -17,6 +17,7 @@
     find_end_of_any_lease,
     find_end_of_lease,
     get_lease_end,
+    limit_inheritance,
 )
 from plantainyard.dispatch.model import Runner
 from plantainyard.dispatch.state import Dispatcher
@@ -25,6 +26,7 @@
 from plantainyard.platform.store import Record
 
 __all__ = [
+    "apply_reported_leases",
     "confirm_bounds",
     "encode_changed_bounds",
     "limit_to_last_leases",
@@ -47,6 +49,29 @@
         runner.inherited_bound = min(runner.inherited_bound, bound)
 
 
+def apply_reported_leases(
+    state: Dispatcher, remaining_s: Mapping[str, float], now: float
+) -> None:
+    """Reduce the inherited bounds to what a predecessor reported; see `LeasesReported`.
+
+    Parameters
+    ----------
+    state : Dispatcher
+        Changed in place.
+    remaining_s : mapping
+        By runner id: time in seconds for which leases may remain there.
+    now : float
+        The dispatcher's clock.
+    """
+    limits = state.limits
+    limit_inheritance(state.runners.values(), remaining_s, limits, now)
+    longest_s = max(remaining_s.values(), default=0.0)
+    last_end = max(
+        find_end_of_any_lease(limits, now), now + longest_s * (1 + limits.clock_drift)
+    )
+    state.inherited_until = min(state.inherited_until, last_end)
+
+
 def limit_to_last_leases(state: Dispatcher, ended_s: float, now: float) -> None:
     """Reduce the inherited bounds to the last leases of an owner that has ended.
 
@@ -76,6 +101,7 @@
     for runner in state.runners.values():
         if runner.runner_id not in restarted:
             runner.inherited_bound = min(runner.inherited_bound, bound)
+    state.inherited_until = min(state.inherited_until, bound)
 
 
 def encode_changed_bounds(
--- a/plantainyard/dispatch/tests/test_inherited_leases.py
+++ b/plantainyard/dispatch/tests/test_inherited_leases.py
@@ -5,6 +5,9 @@
 from plantainyard.dispatch.tests.world import World, make_step
 
 LEASE_S = 3.8
+ANY_LEASE_S = 5.5
+"""Time after which every lease that was granted before has ended."""
+
 OLD_AGE_S = 3.0
 """Time for which an incarnation runs a task, so that its clock is ahead."""
 
@@ -231,6 +234,22 @@
     assert_started_in_time(world, lost_at)
 
 
+def test_owners_that_follow_each_other_may_be_killed_soon():
+    # Guards against a task that counts as lost: the killed owner had taken over from
+    # one that reported its leases, and they had ended, but not the longest lease.
+    world = build_world()
+    home = start_long_running(world)
+    world.replace_owner()
+    world.run(ANY_LEASE_S)
+    world.submit("b", make_step())
+    world.run(0.1)
+    world.lose_runner(home)
+    lost_at = world.now
+    world.run(2.0)
+    world.restart_owner(ended_s=1.5)
+    assert_started_in_time(world, lost_at)
+
+
 def test_a_lease_of_an_owner_that_has_ended_is_waited_for():
     # Guards against two runs of one task: the process has ended, and its runner, which
     # can't be reached, runs on until the lease that was granted last has ended.
--- a/plantainyard/dispatch/tests/test_restarted_runners.py
+++ b/plantainyard/dispatch/tests/test_restarted_runners.py
@@ -2,11 +2,12 @@
 
 import json
 
-from plantainyard.dispatch import EntryChanged
+from plantainyard.dispatch import EntryChanged, RequestReport
 from plantainyard.dispatch.tests.test_takeovers import start_long_running
 from plantainyard.dispatch.tests.world import World, make_step
 from plantainyard.platform.entries import RunnerEntry, decode_entry
 from standins.platform import RunnerState
+from standins.platform.samples import request_report
 
 OLD_AGE_S = 3.0
 """Time for which the first incarnation runs the task, so that its clock is ahead."""
@@ -131,6 +132,22 @@
     assert len(world.list_starts("a")) == 1
 
 
+def test_a_late_request_acknowledges_no_unread_ends_of_a_new_incarnation():
+    # Guards against a second run of a task that is done: the request under way when a
+    # runner lost power is carried out by the next incarnation, before its owner's next.
+    world = World(runners=1)
+    home = finish_unread(world)
+    (runner,) = world.state.runners.values()
+    assert runner.entry is not None and runner.last_stored_end == 2
+    late = RequestReport(runner.entry, runner.last_stored_end, 0, 0.0, runner.fence)
+    request_report(world.runners[home], late, world.now)
+    world.entries_published = True
+    world.publish_entries()
+    world.run(2.0)
+    assert world.final_state("a") == "completed"
+    assert len(world.list_starts("a")) == 1
+
+
 def test_ends_are_acknowledged_again_after_an_unanswered_request():
     # Guards against a runner that keeps the ends of all runs for good.
     world = World(runners=1)
