Give the messages of the store and of runners modules of their own

Cause: platform/store.py and platform/runners.py had grown to some 500 lines with two tasks each, calling a peer and reading what it answers.

Nothing else.

Measured: the tests of the package pass as before.

--- a/bench/dispatch/play.py
+++ b/bench/dispatch/play.py
@@ -50,8 +50,8 @@
     step,
 )
 from plantainyard.dispatch import policy as scheduling
-from plantainyard.platform.runners import OrderOutcome, OrderResult
-from plantainyard.platform.store import Record
+from plantainyard.platform.runner_messages import OrderOutcome, OrderResult
+from plantainyard.platform.store_messages import Record
 
 __all__ = ["START_TIME_S", "Day", "JobResult", "simulate_day"]
 
--- a/bench/dispatch/site.py
+++ b/bench/dispatch/site.py
@@ -9,7 +9,7 @@
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import Resources, Step
 from plantainyard.platform.entries import RunnerEntry
-from plantainyard.platform.runners import RunEnd
+from plantainyard.platform.runner_messages import RunEnd
 
 __all__ = ["Condition", "Run", "Site", "Worker", "build_workers"]
 
--- a/bench/dispatch/workers.py
+++ b/bench/dispatch/workers.py
@@ -13,7 +13,7 @@
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import Step
 from plantainyard.dispatch.events import OrderKind, SendOrder
-from plantainyard.platform.runners import (
+from plantainyard.platform.runner_messages import (
     OrderOutcome,
     ReportedRun,
     RunEnd,
--- a/plantainyard/dispatch/commits.py
+++ b/plantainyard/dispatch/commits.py
@@ -41,7 +41,7 @@
     list_unseen_s,
 )
 from plantainyard.dispatch.weights import encode_interference
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 
 __all__ = ["apply_commit", "request_commit"]
 
--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -9,8 +9,8 @@
 from plantainyard.dispatch.load import Load
 from plantainyard.dispatch.policy import SchedulingPolicy
 from plantainyard.platform.entries import RunnerEntry
-from plantainyard.platform.runners import OrderResult, RunnerReport
-from plantainyard.platform.store import Record
+from plantainyard.platform.runner_messages import OrderResult, RunnerReport
+from plantainyard.platform.store_messages import Record
 
 __all__ = [
     "Action",
--- a/plantainyard/dispatch/forwarding.py
+++ b/plantainyard/dispatch/forwarding.py
@@ -16,7 +16,7 @@
 from plantainyard.dispatch.events import Forward, HandoversConfirmed
 from plantainyard.dispatch.model import Task
 from plantainyard.dispatch.state import Arrival, Dispatcher
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 
 __all__ = [
     "build_task_submission",
--- a/plantainyard/dispatch/inherited_bounds.py
+++ b/plantainyard/dispatch/inherited_bounds.py
@@ -23,7 +23,7 @@
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.unanswered_starts import has_waiting, list_starts_s
 from plantainyard.platform.entries import split_incarnation
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 
 __all__ = [
     "apply_reported_leases",
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -38,7 +38,7 @@
     forget_run,
     record_seen_run,
 )
-from plantainyard.platform.runners import ReportedRun, RunnerReport
+from plantainyard.platform.runner_messages import ReportedRun, RunnerReport
 
 __all__ = [
     "request_reports",
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -20,7 +20,7 @@
 from plantainyard.dispatch.state import Dispatcher, mark_dirty, record_given_up
 from plantainyard.dispatch.timing import count_lost_run
 from plantainyard.dispatch.unanswered_starts import record_answer, record_seen_run
-from plantainyard.platform.runners import OrderOutcome, RunEnd
+from plantainyard.platform.runner_messages import OrderOutcome, RunEnd
 
 __all__ = [
     "apply_earlier_completion",
--- a/plantainyard/dispatch/samples.py
+++ b/plantainyard/dispatch/samples.py
@@ -11,7 +11,7 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.dispatch.model import Phase, Runner, Task
-from plantainyard.platform.runners import ReportedRun
+from plantainyard.platform.runner_messages import ReportedRun
 
 __all__ = [
     "MAX_IMAGES",
--- a/plantainyard/dispatch/tests/test_fleet.py
+++ b/plantainyard/dispatch/tests/test_fleet.py
@@ -24,7 +24,7 @@
 from plantainyard.dispatch.handover import MAX_HOPS
 from plantainyard.dispatch.tests.test_handover import LIGHT_LOAD
 from plantainyard.dispatch.tests.world import World, make_step
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 
 UNITS = 3
 TASKS = 2
--- a/plantainyard/dispatch/tests/test_handover.py
+++ b/plantainyard/dispatch/tests/test_handover.py
@@ -11,7 +11,7 @@
 from plantainyard.dispatch.handover import measure_load
 from plantainyard.dispatch.load import NO_RUNNERS_LOAD
 from plantainyard.dispatch.tests.world import World, make_step
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 from standins.platform import RunnerState
 
 LIGHT_LOAD = Load(0.2, 0.0, 0.0, 0.0, 60_000)
--- a/plantainyard/dispatch/tests/test_pacing.py
+++ b/plantainyard/dispatch/tests/test_pacing.py
@@ -23,7 +23,7 @@
 )
 from plantainyard.dispatch.weights import find_weight
 from plantainyard.platform.entries import RunnerEntry
-from plantainyard.platform.runners import ReportedRun
+from plantainyard.platform.runner_messages import ReportedRun
 
 CPU = 64_000
 _numbers = itertools.count()
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -59,8 +59,8 @@
     step,
 )
 from plantainyard.platform.entries import decode_entry
-from plantainyard.platform.runners import OrderOutcome, OrderResult
-from plantainyard.platform.store import Record
+from plantainyard.platform.runner_messages import OrderOutcome, OrderResult
+from plantainyard.platform.store_messages import Record
 from standins.platform import RunnerState
 from standins.platform.samples import SERVICE, order_runner, request_report
 
--- a/plantainyard/entry/appends.py
+++ b/plantainyard/entry/appends.py
@@ -8,7 +8,7 @@
 from plantainyard.entry.context import UnitContext
 from plantainyard.entry.topics import INTAKE, PRODUCER, PROGRESS
 from plantainyard.errors import ErrorKind
-from plantainyard.platform.store import LENGTH, Append, Record
+from plantainyard.platform.store_messages import LENGTH, Append, Record
 
 __all__ = ["append_until_answered", "forward_records", "store_records"]
 
--- a/plantainyard/entry/caller_api.py
+++ b/plantainyard/entry/caller_api.py
@@ -32,7 +32,7 @@
 from plantainyard.entry.wall_clock import read_wall_clock_ms
 from plantainyard.errors import ErrorKind
 from plantainyard.platform.configuration import Configuration, Queue, find_queue
-from plantainyard.platform.store import Append, Record
+from plantainyard.platform.store_messages import Append, Record
 from plantainyard.platform.submissions import decode_body
 
 __all__ = ["Response", "build_caller_app", "serve_request"]
--- a/plantainyard/entry/copies.py
+++ b/plantainyard/entry/copies.py
@@ -10,7 +10,8 @@
 from plantainyard.entry.layout import Owner, decode_owner
 from plantainyard.entry.readers import PartitionReader, poll_reader
 from plantainyard.entry.topics import INTAKE, PROGRESS
-from plantainyard.platform.store import Record, StoreCalls
+from plantainyard.platform.store import StoreCalls
+from plantainyard.platform.store_messages import Record
 
 __all__ = ["UnitCopy", "refresh_copy"]
 
--- a/plantainyard/entry/directory.py
+++ b/plantainyard/entry/directory.py
@@ -5,7 +5,7 @@
 from plantainyard.dispatch import EntryChanged, Event
 from plantainyard.entry.eventlog import EventLog
 from plantainyard.platform.entries import RunnerEntry, decode_entry
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 
 __all__ = ["RunnerDirectory"]
 
--- a/plantainyard/entry/evacuations.py
+++ b/plantainyard/entry/evacuations.py
@@ -22,7 +22,8 @@
     UnreadableRecord,
     decode_evacuations,
 )
-from plantainyard.platform.store import Record, StoreCalls
+from plantainyard.platform.store import StoreCalls
+from plantainyard.platform.store_messages import Record
 
 if TYPE_CHECKING:
     from plantainyard.entry.instance import Instance
--- a/plantainyard/entry/group.py
+++ b/plantainyard/entry/group.py
@@ -17,7 +17,7 @@
 )
 from plantainyard.entry.topics import GROUP, PROGRESS
 from plantainyard.errors import CallError
-from plantainyard.platform.store import PartitionOwner
+from plantainyard.platform.store_messages import PartitionOwner
 
 __all__ = ["GroupAssignment", "GroupMember", "follow_group", "make_member_name"]
 
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -40,7 +40,8 @@
 from plantainyard.platform.configuration import Configuration, decode_configuration
 from plantainyard.platform.runners import RunnerCalls, build_runner_calls
 from plantainyard.platform.settings import InstanceSettings
-from plantainyard.platform.store import Record, StoreCalls, build_store_calls
+from plantainyard.platform.store import StoreCalls, build_store_calls
+from plantainyard.platform.store_messages import Record
 from plantainyard.transport import CallObservation
 
 __all__ = ["Claim", "Instance", "OwnedUnit", "ReleasedUnit", "run_reader"]
--- a/plantainyard/entry/layout.py
+++ b/plantainyard/entry/layout.py
@@ -26,7 +26,8 @@
 from plantainyard.entry.readers import READ_TIMEOUT_S, PartitionReader, poll_reader
 from plantainyard.entry.topics import LAYOUT, OWNER_PREFIX, RUNNERS, UNITS_KEY
 from plantainyard.platform.entries import decode_entry
-from plantainyard.platform.store import Append, Record, StoreCalls
+from plantainyard.platform.store import StoreCalls
+from plantainyard.platform.store_messages import Append, Record
 
 __all__ = [
     "RUNNERS_PER_UNIT",
--- a/plantainyard/entry/quarantine.py
+++ b/plantainyard/entry/quarantine.py
@@ -15,7 +15,7 @@
 from plantainyard.batch.values import JobState
 from plantainyard.entry.appends import forward_records, store_records
 from plantainyard.entry.context import UnitContext
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 
 __all__ = [
     "QuarantineReason",
--- a/plantainyard/entry/readers.py
+++ b/plantainyard/entry/readers.py
@@ -9,7 +9,8 @@
 from plantainyard.clock import read_clock
 from plantainyard.decoding import describe_failure
 from plantainyard.errors import CallError, ErrorKind
-from plantainyard.platform.store import Page, Record, StoreCalls
+from plantainyard.platform.store import StoreCalls
+from plantainyard.platform.store_messages import Page, Record
 
 _logger = logging.getLogger(__name__)
 
--- a/plantainyard/entry/reserves.py
+++ b/plantainyard/entry/reserves.py
@@ -15,7 +15,7 @@
 from plantainyard.entry.topics import PROGRESS
 from plantainyard.errors import CallError
 from plantainyard.platform.settings import InstanceSettings
-from plantainyard.platform.store import PartitionOwner
+from plantainyard.platform.store_messages import PartitionOwner
 
 __all__ = [
     "ReserveState",
--- a/plantainyard/entry/takeover.py
+++ b/plantainyard/entry/takeover.py
@@ -33,7 +33,7 @@
 from plantainyard.entry.topics import PRODUCER, PROGRESS
 from plantainyard.entry.unit import UnitActor
 from plantainyard.entry.wall_clock import read_wall_clock_ms
-from plantainyard.platform.store import Append, Record
+from plantainyard.platform.store_messages import Append, Record
 
 __all__ = [
     "choose_fence",
--- a/plantainyard/entry/tests/test_evacuations.py
+++ b/plantainyard/entry/tests/test_evacuations.py
@@ -18,7 +18,7 @@
 from plantainyard.entry.topics import OPERATIONS
 from plantainyard.platform.evacuations import EVACUATION_PREFIX, decode_evacuations
 from plantainyard.platform.settings import parse_instance_settings
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 from plantainyard.platform.tests.test_decoding import SETTINGS
 from standins.platform import RunnerState, StoreState
 
--- a/plantainyard/entry/tests/test_ownership_manager.py
+++ b/plantainyard/entry/tests/test_ownership_manager.py
@@ -47,8 +47,13 @@
 )
 from plantainyard.entry.topics import INTAKE, PROGRESS
 from plantainyard.entry.unit import UnitActor, UnitContext
-from plantainyard.platform.runners import OrderOutcome, OrderResult, RunnerReport
-from plantainyard.platform.store import Append, AppendResult, Record, build_store_calls
+from plantainyard.platform.runner_messages import (
+    OrderOutcome,
+    OrderResult,
+    RunnerReport,
+)
+from plantainyard.platform.store import build_store_calls
+from plantainyard.platform.store_messages import Append, AppendResult, Record
 from standins.platform import RunnerState, StoreState
 
 
--- a/plantainyard/entry/tests/test_quarantine.py
+++ b/plantainyard/entry/tests/test_quarantine.py
@@ -47,7 +47,7 @@
 from plantainyard.entry.topics import INTAKE, PROGRESS
 from plantainyard.entry.unit import UnitActor
 from plantainyard.platform.settings import DEFAULT_CALL_BYTES
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 from plantainyard.platform.tests.untrusted import DEEP_OBJECT
 from standins.platform import RunnerState, StoreState
 from standins.platform.samples import SERVICE, make_body, make_step_body
--- a/plantainyard/entry/tests/test_readers.py
+++ b/plantainyard/entry/tests/test_readers.py
@@ -21,14 +21,8 @@
 )
 from plantainyard.entry.topics import INTAKE
 from plantainyard.errors import CallError, ErrorKind
-from plantainyard.platform.store import (
-    HEADER,
-    LENGTH,
-    Page,
-    Record,
-    Slice,
-    build_store_calls,
-)
+from plantainyard.platform.store import build_store_calls
+from plantainyard.platform.store_messages import HEADER, LENGTH, Page, Record, Slice
 from plantainyard.tests.test_multiplexer import serve
 from standins.platform import StoreState, serve_platform
 
--- a/plantainyard/entry/tests/test_reserves.py
+++ b/plantainyard/entry/tests/test_reserves.py
@@ -15,7 +15,7 @@
 from plantainyard.entry.tests.harness import make_settings, run_instance, wait_until
 from plantainyard.entry.topics import GROUP, PROGRESS
 from plantainyard.errors import CallError, ErrorKind
-from plantainyard.platform.store import PartitionOwner
+from plantainyard.platform.store_messages import PartitionOwner
 from standins.platform import StoreState
 
 STRONG = [PartitionOwner(PROGRESS, unit, f"strong-{unit}/1") for unit in range(4)]
--- a/plantainyard/entry/tests/test_sources.py
+++ b/plantainyard/entry/tests/test_sources.py
@@ -33,7 +33,7 @@
     wait_until,
 )
 from plantainyard.entry.topics import LAYOUT, OPERATIONS, UNITS_KEY
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 from plantainyard.serving import serve_app
 from standins.platform import StoreState, serve_platform
 
--- a/plantainyard/entry/tests/test_units.py
+++ b/plantainyard/entry/tests/test_units.py
@@ -39,7 +39,7 @@
     wait_until,
 )
 from plantainyard.entry.topics import INTAKE, LAYOUT, RUNNERS, UNITS_KEY
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 from plantainyard.transport import JsonResponse
 from standins.platform import RunnerState, StoreState, serve_platform
 
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -49,13 +49,13 @@
 from plantainyard.entry.decision_log import record_decision
 from plantainyard.entry.quarantine import QuarantineReason, record_quarantine
 from plantainyard.errors import CallError, ErrorKind
-from plantainyard.platform.runners import (
+from plantainyard.platform.runner_messages import (
     Order,
     OrderOutcome,
     OrderResult,
     RunnerReport,
 )
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 
 __all__ = ["UnitActor", "UnitContext", "run_unit_actor"]
 
--- a/plantainyard/platform/__init__.py
+++ b/plantainyard/platform/__init__.py
@@ -17,25 +17,23 @@
     UnreadableRecord,
     decode_evacuations,
 )
-from plantainyard.platform.runners import (
+from plantainyard.platform.runner_messages import (
     Order,
     OrderOutcome,
     OrderResult,
     ReportedRun,
     RunEnd,
-    RunnerCalls,
     RunnerReport,
-    build_runner_calls,
 )
+from plantainyard.platform.runners import RunnerCalls, build_runner_calls
 from plantainyard.platform.settings import InstanceSettings, load_instance_settings
-from plantainyard.platform.store import (
+from plantainyard.platform.store import StoreCalls, build_store_calls
+from plantainyard.platform.store_messages import (
     Append,
     AppendResult,
     Membership,
     Page,
     Slice,
-    StoreCalls,
-    build_store_calls,
 )
 from plantainyard.platform.submissions import decode_body
 
--- a/plantainyard/platform/evacuations.py
+++ b/plantainyard/platform/evacuations.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from plantainyard.decoding import DecodeError, parse_json
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 
 __all__ = [
     "EVACUATION_PREFIX",
--- a/plantainyard/platform/tests/test_decoding.py
+++ b/plantainyard/platform/tests/test_decoding.py
@@ -10,9 +10,14 @@
 from plantainyard.errors import ErrorKind
 from plantainyard.platform.configuration import decode_configuration, find_queue
 from plantainyard.platform.entries import decode_entry
-from plantainyard.platform.runners import Order, decode_report, format_task, parse_task
+from plantainyard.platform.runner_messages import (
+    Order,
+    decode_report,
+    format_task,
+    parse_task,
+)
 from plantainyard.platform.settings import parse_instance_settings
-from plantainyard.platform.store import Record, _pack_record, _unpack_record
+from plantainyard.platform.store_messages import Record, _unpack_record, pack_record
 from plantainyard.platform.submissions import decode_body
 from plantainyard.transport import HttpResponse
 
@@ -159,7 +164,7 @@
 @given(st.text(max_size=20), st.binary(max_size=50))
 @settings(derandomize=True, deadline=None)
 def test_packed_records_keep_key_and_value(key, value):
-    packed = _pack_record(Record(key, value))
+    packed = pack_record(Record(key, value))
     assert _unpack_record(packed[4:]) == Record(key, value)
 
 
--- a/plantainyard/platform/tests/test_untrusted_answers.py
+++ b/plantainyard/platform/tests/test_untrusted_answers.py
@@ -8,9 +8,9 @@
 from result import Err, Ok
 
 from plantainyard.errors import ErrorKind
-from plantainyard.platform import store
+from plantainyard.platform import store_messages
 from plantainyard.platform.bodies import read_object
-from plantainyard.platform.runners import (
+from plantainyard.platform.runner_messages import (
     MAX_CHECKPOINT,
     Order,
     OrderOutcome,
@@ -44,11 +44,11 @@
 RESPONSES = st.builds(HttpResponse, STATUSES, st.just({}), BODIES)
 ROWS = st.lists(VALUES, max_size=6)
 DECODERS = (
-    store._decode_append_result,
-    store._decode_membership,
-    store._decode_page,
-    store._decode_partition_owners,
-    lambda response: store._decode_slice(response, 3),
+    store_messages.decode_append_result,
+    store_messages.decode_membership,
+    store_messages.decode_page,
+    store_messages.decode_partition_owners,
+    lambda response: store_messages.decode_slice(response, 3),
     lambda response: decode_report(response, ORDER),
     lambda response: parse_response(build_peer("http://127.0.0.1:1"), "s", response),
 )
@@ -125,15 +125,17 @@
     good = {"key": "b", "value": "Yg==", "offset": 1}
     bad = [{"key": "a", "value": 7}, {"key": "a", "value": "x"}, {"key": "a"}, 3, [[]]]
     for item in bad:
-        page = store._decode_page(respond({"items": [item, good], "end": 2})).unwrap()
-        assert page.records[-1] == store.Record("b", b"b", 1)
+        page = store_messages.decode_page(
+            respond({"items": [item, good], "end": 2})
+        ).unwrap()
+        assert page.records[-1] == store_messages.Record("b", b"b", 1)
         assert page.last_key == "b"
 
 
 def test_a_slice_without_a_complete_record_is_malformed():
     # Guards against a reader that repeats the same call without a pause.
-    body = store.HEADER.pack(9, 0) + store.LENGTH.pack(50) + b"part"
-    error = store._decode_slice(respond(body), 3).unwrap_err()
+    body = store_messages.HEADER.pack(9, 0) + store_messages.LENGTH.pack(50) + b"part"
+    error = store_messages.decode_slice(respond(body), 3).unwrap_err()
     assert error.kind == ErrorKind.MALFORMED
 
 
--- a/plantainyard/platform/tests/test_untrusted_configuration.py
+++ b/plantainyard/platform/tests/test_untrusted_configuration.py
@@ -15,7 +15,7 @@
     load_instance_settings,
     parse_instance_settings,
 )
-from plantainyard.platform.store import Record
+from plantainyard.platform.store_messages import Record
 from plantainyard.platform.tests.test_decoding import SETTINGS
 from plantainyard.platform.tests.untrusted import (
     DEEP,
--- a/standins/platform/samples.py
+++ b/standins/platform/samples.py
@@ -12,7 +12,7 @@
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.dispatch.events import OrderKind, RequestReport, SendOrder
 from plantainyard.errors import CallError
-from plantainyard.platform.runners import (
+from plantainyard.platform.runner_messages import (
     Order,
     OrderResult,
     RunnerReport,
