Read a page of newest records although its last key can't be read

Callers would see 503 for good: no instance becomes ready while one record of a topic has a key that is no text, as the store lists it last.

Cause: the key after which the next page starts was that of the last item, also where there is no next page, and an unreadable one made the answer an error. An answer that says there is more and names no other key was asked for again without a pause.

Change: the last key that can be read counts. A page after which no other can start is an error, after which readers pause.

Evidence: the new test of the last item failed before with "key is not a text" and passes.

--- a/plantainyard/platform/store.py
+++ b/plantainyard/platform/store.py
@@ -118,7 +118,7 @@
         if after:
             query["after"] = after
         result = self._call("GET", "log-newest", query, None, timeout_s, timeout_s)
-        return result.and_then(decode_page)
+        return result.and_then(lambda response: decode_page(response, after))
 
     def join(
         self,
--- a/plantainyard/platform/store_messages.py
+++ b/plantainyard/platform/store_messages.py
@@ -258,21 +258,47 @@
     return raw
 
 
-def decode_page(response: HttpResponse) -> Result[Page, CallError]:
-    """Return the newest records of a range of keys, without unreadable ones."""
+def decode_page(response: HttpResponse, after: str = "") -> Result[Page, CallError]:
+    """Return the newest records of a range of keys, without unreadable ones.
+
+    Parameters
+    ----------
+    response : HttpResponse
+        The store's response.
+    after : str
+        The key after which the page starts.
+
+    Notes
+    -----
+    Guards against a topic that can't be read as long as one record is there: the next
+    page starts after the last key that can be read. Guards against a reader that
+    repeats the same call without a pause: a page after which no other can start is an
+    error.
+    """
     if response.status != 200:
         return Err(_classify_error(response, "store.newest"))
     data = read_object(response)
     try:
         items = read_list(data["items"], "items")
         records = [record for item in items if (record := _decode_item(item))]
-        last_key = read_text(items[-1]["key"], "key") if items else ""
-        end = read_integer(data["end"], "end")
-        return Ok(Page(records, last_key, bool(data.get("hasMore")), end))
+        keys = (_read_key(item) for item in reversed(items))
+        last_key = next((key for key in keys if key), "")
+        more = bool(data.get("hasMore"))
+        if more and last_key in ("", after):
+            raise DecodeError("names no key after which the next page starts")
+        return Ok(Page(records, last_key, more, read_integer(data["end"], "end")))
     except FAILURES as error:
         return Err(_describe_malformed(error, "store.newest"))
 
 
+def _read_key(item: Any) -> str:
+    """Return the key of an item, or an empty text if it can't be read."""
+    try:
+        return read_text(item["key"], "key")
+    except FAILURES:
+        return ""
+
+
 def _decode_item(item: Any) -> Record | None:
     """Return a record, or None if it can't be decoded, as with those of a slice."""
     try:
--- a/plantainyard/platform/tests/test_untrusted_answers.py
+++ b/plantainyard/platform/tests/test_untrusted_answers.py
@@ -132,6 +132,26 @@
         assert page.last_key == "b"
 
 
+@pytest.mark.parametrize("key", [UNENCODABLE, 7, None])
+def test_an_unreadable_last_item_leaves_the_others_of_its_page(key):
+    # Guards against a topic that can't be read as long as one record is there: keys of
+    # bytes that are no text come last in a page.
+    good = {"key": "b", "value": "Yg=="}
+    for more in (False, True):
+        body = {"items": [good, {"key": key}], "hasMore": more, "end": 2}
+        page = store_messages.decode_page(respond(body)).unwrap()
+        assert [record.key for record in page.records] == ["b"]
+        assert (page.last_key, page.more) == ("b", more)
+
+
+@pytest.mark.parametrize("items", [[], [{"key": "a", "value": "YQ=="}], [{"key": 7}]])
+def test_a_page_after_which_no_other_can_start_is_malformed(items):
+    # Guards against a reader that repeats the same call without a pause.
+    body = {"items": items, "hasMore": True, "end": 2}
+    error = store_messages.decode_page(respond(body), after="a").unwrap_err()
+    assert error.kind == ErrorKind.MALFORMED
+
+
 def test_a_slice_without_a_complete_record_is_malformed():
     # Guards against a reader that repeats the same call without a pause.
     body = store_messages.HEADER.pack(9, 0) + store_messages.LENGTH.pack(50) + b"part"
