Store for how long leases of earlier owners may last

Cause: an owner that was killed before it had outlasted the leases of the one before told its successor nothing of these, though it may have learned when they end. The successor waited for the longest lease, 10.35 s.

Change: the record of bounds carries the time in place of a flag, until it is over, together with other records.

--- a/plantainyard/batch/replica.py
+++ b/plantainyard/batch/replica.py
@@ -21,7 +21,6 @@
     describe_failure,
     parse_decimal,
     parse_json,
-    read_flag,
     read_integer,
     read_list,
     read_number,
@@ -139,15 +138,15 @@
     starts_s : mapping or None
         By the id of each runner that may have a start under way: time in seconds after
         which none can be carried out any more. None if that isn't known of any runner.
-    settled : bool
-        The owner had owned the unit for so long that all leases granted by earlier
-        owners had ended.
+    inherited_s : float or None
+        Time in seconds after which all leases that owners before this one granted have
+        ended, at all but restarted runners. None if it isn't known.
     """
 
     epoch: int = 0
     left_s: Mapping[str, float] = {}
     starts_s: Mapping[str, float] | None = None
-    settled: bool = False
+    inherited_s: float | None = None
 
 
 NO_BOUNDS = LeaseBounds()
@@ -255,8 +254,8 @@
     data: dict[str, Any] = {"epoch": bounds.epoch, "left_s": dict(bounds.left_s)}
     if bounds.starts_s is not None:
         data["starts_s"] = dict(bounds.starts_s)
-    if bounds.settled:
-        data["settled"] = True
+    if bounds.inherited_s is not None:
+        data["inherited_s"] = bounds.inherited_s
     return json.dumps(data, separators=(",", ":")).encode()
 
 
@@ -265,7 +264,7 @@
 
     Examples
     --------
-    >>> bounds = LeaseBounds(7, {"r0@5": 2.5}, {"r1": 12.4}, settled=True)
+    >>> bounds = LeaseBounds(7, {"r0@5": 2.5}, {"r1": 12.4}, inherited_s=0.5)
     >>> decode_bounds(encode_bounds(bounds)) == bounds
     True
     """
@@ -273,8 +272,11 @@
         data = read_object(parse_json(value), "bounds")
         starts_s = _decode_times(data["starts_s"]) if "starts_s" in data else None
         epoch = read_integer(data["epoch"], "epoch")
-        settled = read_flag(data.get("settled", False), "settled")
-        return LeaseBounds(epoch, _decode_times(data["left_s"]), starts_s, settled)
+        inherited = data.get("inherited_s")
+        inherited_s = (
+            None if inherited is None else read_number(inherited, "inherited_s", 0.0)
+        )
+        return LeaseBounds(epoch, _decode_times(data["left_s"]), starts_s, inherited_s)
 
 
 def _decode_times(value: Any) -> dict[str, float]:
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -142,9 +142,12 @@
     state.fence = state.wanted_fence = state.stored_fence = fence
     state.inherited_restarts = state.stored_restarts = replica.fences.restarts
     state.inherited_starts_s = bounds.starts_s
-    state.inherits_settled = bounds.settled
+    if bounds.inherited_s is not None:
+        left_s = bounds.inherited_s * (1 + limits.clock_drift)
+        state.predecessor_inherited_until = now + left_s
     state.epoch = epoch
     state.took_over_at = now
+    state.has_predecessor = bool(replica.jobs or bounds.epoch)
     state.renewed_at = fenced_at
     restore_jobs(state, replica, now)
     for runner in state.runners.values():
--- a/plantainyard/dispatch/inherited_bounds.py
+++ b/plantainyard/dispatch/inherited_bounds.py
@@ -90,13 +90,12 @@
     leases at its runner any more: that wait is for an owner that is cut off.
 
     Guards against two runs of one task: an owner before the predecessor may be cut off
-    and renew leases, unless the predecessor has outlasted these. A call to an earlier
+    and renew leases, for as long as the predecessor has stored. A call to an earlier
     incarnation may have granted a restarted runner its longest lease.
     """
-    if not state.inherits_settled:
-        return
     ended_at = now - ended_s * (1 - state.limits.clock_drift)
-    bound = find_end_of_any_lease(state.limits, ended_at)
+    last_end = find_end_of_any_lease(state.limits, ended_at)
+    bound = max(last_end, state.predecessor_inherited_until)
     restarted = {split_incarnation(name)[0] for name in state.inherited_restarts}
     for runner in state.runners.values():
         if runner.runner_id not in restarted:
@@ -134,7 +133,7 @@
     if not has_others and not _may_be_due_alone(state, left_s, now):
         return []
     starts_s = list_starts_s(state, now)
-    if not _is_due(state, left_s, starts_s, has_others, now):
+    if not _is_due(state, left_s, starts_s, has_others):
         return []
     state.bounds_due_at = now + REFRESH_S
     state.listed_starts = frozenset(starts_s)
@@ -143,8 +142,9 @@
     for incarnation, seconds in left_s.items():
         runner = state.runners[incarnation]
         runner.grant_limit = min(runner.grant_limit, now + seconds)
-    state.has_listed_settled = now > state.inherited_until
-    bounds = LeaseBounds(state.epoch, left_s, starts_s, state.has_listed_settled)
+    inherited_s = _round_up(max(0.0, state.inherited_until - now))
+    state.has_listed_end = not inherited_s
+    bounds = LeaseBounds(state.epoch, left_s, starts_s, inherited_s)
     return [Record(BOUNDS_KEY, encode_bounds(bounds))]
 
 
@@ -152,12 +152,17 @@
     if not _has_settled(state, now):
         return {}
     return {
-        incarnation: math.ceil(1000 * (get_lease_end(runner) - now)) / 1000
+        incarnation: _round_up(get_lease_end(runner) - now)
         for incarnation, runner in state.runners.items()
         if runner.tasks and not runner.has_reported and get_lease_end(runner) > now
     }
 
 
+def _round_up(seconds: float) -> float:
+    """Return a time rounded up to milliseconds."""
+    return math.ceil(1000 * seconds) / 1000
+
+
 def _has_settled(state: Dispatcher, now: float) -> bool:
     return now - state.took_over_at >= SETTLE_S
 
@@ -182,15 +187,13 @@
     left_s: Mapping[str, float],
     starts_s: Mapping[str, float],
     has_others: bool,
-    now: float,
 ) -> bool:
     if state.stored_bounds - left_s.keys():
         return True
     listed = state.listed_starts
     is_shorter = listed is None or bool(listed - starts_s.keys())
     if has_others:
-        tells_more = not state.has_listed_settled and now > state.inherited_until
-        return bool(left_s or starts_s or is_shorter or tells_more)
+        return bool(left_s or starts_s or is_shorter or not state.has_listed_end)
     return bool(left_s) or is_shorter or has_waiting(state)
 
 
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -114,8 +114,9 @@
         stored; see `unseen_runs`.
     inherited_starts_s : mapping or None
         What the last predecessor stored of starts under way; see `LeaseBounds`.
-    inherits_settled : bool
-        All leases that owners before the last predecessor have granted have ended.
+    predecessor_inherited_until : float
+        When all leases that owners before the last predecessor have granted have ended;
+        infinite if that isn't known.
     unanswered_tasks : dict of TaskKey to Task
         Tasks with starts that may still be carried out; see `unanswered_starts`.
     committing_seen : list of tuple
@@ -128,12 +129,14 @@
     listed_starts : frozenset of str or None
         Ids of the runners with starts under way in the bounds that were stored last;
         None if this owner has stored none.
-    has_listed_settled : bool
+    has_listed_end : bool
         The bounds that were stored last say that no lease of an earlier owner is left.
     bounds_due_at : float
         When to store the bounds again; see `inherited_bounds`.
     took_over_at : float
         When this owner took over.
+    has_predecessor : bool
+        The unit has been owned before.
     inherited_until : float
         When all leases that earlier owners have granted have ended.
     renewed_at : float
@@ -219,16 +222,17 @@
     unseen_tasks: list[Task] = field(default_factory=list)
     unseen_stored_at: float = 0.0
     inherited_starts_s: Mapping[str, float] | None = None
-    inherits_settled: bool = False
+    predecessor_inherited_until: float = math.inf
     unanswered_tasks: dict[TaskKey, Task] = field(default_factory=dict)
     committing_seen: list[tuple[Task, int]] = field(default_factory=list)
     epoch: int = 0
     stored_bounds: frozenset[str] = frozenset()
     committing_bounds: frozenset[str] | None = None
     listed_starts: frozenset[str] | None = None
-    has_listed_settled: bool = False
+    has_listed_end: bool = False
     bounds_due_at: float = 0.0
     took_over_at: float = 0.0
+    has_predecessor: bool = False
     inherited_until: float = 0.0
     renewed_at: float = 0.0
     evacuated_domains: frozenset[str] = frozenset()
--- a/plantainyard/dispatch/tests/test_inherited_leases.py
+++ b/plantainyard/dispatch/tests/test_inherited_leases.py
@@ -250,6 +250,20 @@
     assert_started_in_time(world, lost_at)
 
 
+def test_an_owner_that_is_killed_after_a_killed_one_extends_no_wait():
+    # Guards against a task that counts as lost: its owner is killed and is back, and
+    # the next one is killed too, before all leases that it inherited have ended.
+    world = build_world()
+    world.run(1.0)
+    lost_at = lose_runner_and_owner(world)
+    world.run(0.5)
+    world.restart_owner(ended_s=0.3)
+    world.submit("b", make_step())
+    world.run(0.3)
+    world.restart_owner(ended_s=0.3)
+    assert_started_in_time(world, lost_at)
+
+
 def test_a_lease_of_an_owner_that_has_ended_is_waited_for():
     # Guards against two runs of one task: the process has ended, and its runner, which
     # can't be reached, runs on until the lease that was granted last has ended.
