Learn from no negative variance that is read back

A stored or reported record of interference estimates may hold a variance of any negative size. Owners read it, estimate with it, and store and tell on what comes of it: weights and variances without bound, and a record that the next owner can't read, so that all is learned anew.

Change: a negative variance counts as zero.

Evidence: the new test failed before (variances below zero after 200 reports) and passes.

--- a/plantainyard/dispatch/tests/test_interference.py
+++ b/plantainyard/dispatch/tests/test_interference.py
@@ -31,6 +31,7 @@
 )
 from plantainyard.dispatch.tests.world import World
 from plantainyard.dispatch.weights import (
+    PRIOR_VARIANCE,
     PRIOR_WEIGHT,
     add_images,
     decode_interference,
@@ -39,6 +40,7 @@
     find_weight_bound,
     is_known,
     merge_interference,
+    update_estimate,
 )
 
 TRUE_WEIGHTS = {"heavy": 4.5, "light": 0.2, "mild": 1.5}
@@ -296,6 +298,17 @@
     assert received.estimates["s"].weights == {"b": 3.0}
 
 
+def test_a_record_with_negative_variances_can_be_learned_from():
+    # Guards against estimates that grow without bound, and are stored and told on, from
+    # a record that can be read.
+    received = decode_interference(b'{"s":{"a":[1.0,-1e9],"b":[1.0,-7e8]}}')
+    estimate = received.estimates["s"]
+    for _ in range(200):
+        update_estimate(estimate, {"a": 0.5, "b": 0.3}, 0.5, Baseline(1.0, 0.1), 1)
+    variances = [row[image] for image, row in estimate.covariance.items()]
+    assert all(0.0 <= variance <= PRIOR_VARIANCE for variance in variances)
+
+
 def test_the_number_of_images_in_an_estimate_is_limited():
     # Guards against an owner that does nothing but estimate weights, as callers choose
     # the names of images.
--- a/plantainyard/dispatch/weights.py
+++ b/plantainyard/dispatch/weights.py
@@ -264,8 +264,8 @@
             for image, (weight, variance) in rows.items():
                 estimate.weights[image] = read_number(weight, "weight", 0, MAX_WEIGHT)
                 estimate.covariance[image] = dict.fromkeys(rows, 0.0)
-                estimate.covariance[image][image] = read_number(
-                    variance, "variance", high=PRIOR_VARIANCE
-                )
+                own = read_number(variance, "variance", high=PRIOR_VARIANCE)
+                # Rounding errors may have made a small variance negative.
+                estimate.covariance[image][image] = max(0.0, own)
             interference.estimates[serving] = estimate
     return interference
