--- a/bench/dispatch/workers.py
+++ b/bench/dispatch/workers.py
@@ -12,7 +12,7 @@
 from bench.dispatch.workload import JobBehavior
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import Step
-from plantainyard.dispatch.events import OrderKind, SendOrder
+from plantainyard.dispatch.actions import OrderKind, SendOrder
 from plantainyard.platform.runner_messages import (
     OrderOutcome,
     ReportedRun,
--- a/plantainyard/dispatch/commits.py
+++ b/plantainyard/dispatch/commits.py
@@ -21,7 +21,7 @@
 )
 from plantainyard.batch.values import StepProgress, TaskProgress
 from plantainyard.dispatch import orders
-from plantainyard.dispatch.events import Commit, JobSummary
+from plantainyard.dispatch.actions import Commit, JobSummary
 from plantainyard.dispatch.forwarding import forward_outgoing, pop_delivery_records
 from plantainyard.dispatch.inherited_bounds import (
     confirm_bounds,
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -5,12 +5,12 @@
 from plantainyard.batch.replica import NO_BOUNDS, LeaseBounds, Replica
 from plantainyard.decoding import DecodeError
 from plantainyard.dispatch import orders, reports, runs
+from plantainyard.dispatch.actions import Action
 from plantainyard.dispatch.balancing import count_slots, measure_finite_demand
 from plantainyard.dispatch.commits import apply_commit, request_commit
 from plantainyard.dispatch.estimates import InterferenceModel
 from plantainyard.dispatch.evacuations import apply_evacuations, knows_evacuations
 from plantainyard.dispatch.events import (
-    Action,
     CancelRequested,
     Committed,
     EntryChanged,
--- a/plantainyard/dispatch/forwarding.py
+++ b/plantainyard/dispatch/forwarding.py
@@ -13,7 +13,7 @@
     parse_key,
 )
 from plantainyard.batch.values import Submission
-from plantainyard.dispatch.events import Forward, HandoversConfirmed
+from plantainyard.dispatch.actions import Forward, HandoversConfirmed
 from plantainyard.dispatch.model import Task
 from plantainyard.dispatch.state import Arrival, Dispatcher
 from plantainyard.platform.store_messages import Record
--- a/plantainyard/dispatch/health.py
+++ b/plantainyard/dispatch/health.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Mapping
 
-from plantainyard.dispatch.events import Action
+from plantainyard.dispatch.actions import Action
 from plantainyard.dispatch.failing_runners import evaluate_failures
 from plantainyard.dispatch.health_state import (
     Health,
--- a/plantainyard/dispatch/incarnations.py
+++ b/plantainyard/dispatch/incarnations.py
@@ -3,8 +3,8 @@
 import math
 
 from plantainyard.dispatch import orders, runs
+from plantainyard.dispatch.actions import GiveUpReason
 from plantainyard.dispatch.evacuations import mark_evacuated
-from plantainyard.dispatch.events import GiveUpReason
 from plantainyard.dispatch.leases import get_lease_end, move_start
 from plantainyard.dispatch.model import Phase, Runner
 from plantainyard.dispatch.placing import release_resources, reserve_resources
--- a/plantainyard/dispatch/jobs.py
+++ b/plantainyard/dispatch/jobs.py
@@ -2,7 +2,7 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import JobState, Submission
-from plantainyard.dispatch.events import GiveUpReason
+from plantainyard.dispatch.actions import GiveUpReason
 from plantainyard.dispatch.forwarding import (
     build_task_submission,
     forward_cancel,
--- a/plantainyard/dispatch/orders.py
+++ b/plantainyard/dispatch/orders.py
@@ -2,8 +2,8 @@
 
 import math
 
+from plantainyard.dispatch.actions import GiveUpReason, OrderKind, SendOrder
 from plantainyard.dispatch.evacuations import knows_evacuations
-from plantainyard.dispatch.events import GiveUpReason, OrderKind, SendOrder
 from plantainyard.dispatch.leases import can_start_arrive, grant_lease
 from plantainyard.dispatch.measured_runs import begin_run_clock, record_pace
 from plantainyard.dispatch.model import Phase, Runner, Task
--- a/plantainyard/dispatch/releases.py
+++ b/plantainyard/dispatch/releases.py
@@ -4,7 +4,7 @@
 held for them.
 """
 
-from plantainyard.dispatch.events import ReleaseReason, RoomReleased
+from plantainyard.dispatch.actions import ReleaseReason, RoomReleased
 from plantainyard.dispatch.model import Phase, Runner, Task
 from plantainyard.dispatch.moves import MOVE_INTERVAL_S
 from plantainyard.dispatch.placing import accepts_tasks, end_hold
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -4,14 +4,13 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.dispatch import orders, runs
-from plantainyard.dispatch.events import (
+from plantainyard.dispatch.actions import (
     GiveUpReason,
     OrderKind,
-    ReportFailed,
-    ReportReceived,
     RequestReport,
     SendOrder,
 )
+from plantainyard.dispatch.events import ReportFailed, ReportReceived
 from plantainyard.dispatch.health import observe_progress
 from plantainyard.dispatch.incarnations import handle_other_incarnation
 from plantainyard.dispatch.interference import learn_from_sample
--- a/plantainyard/dispatch/room.py
+++ b/plantainyard/dispatch/room.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 
 from plantainyard.batch.values import Resources, Step
+from plantainyard.dispatch.actions import ReleaseReason, RoomReserved, TaskMovedForRoom
 from plantainyard.dispatch.choices import (
     MAX_RESERVED_S,
     SOON_S,
@@ -20,7 +21,6 @@
     choose_room,
 )
 from plantainyard.dispatch.evacuations import knows_evacuations
-from plantainyard.dispatch.events import ReleaseReason, RoomReserved, TaskMovedForRoom
 from plantainyard.dispatch.model import Job, Phase, Runner, Task
 from plantainyard.dispatch.moves import can_move, count_moves_left, is_present
 from plantainyard.dispatch.orders import send_stop
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -1,13 +1,9 @@
 """Effects of the results of orders and of the ends of runs on tasks."""
 
 from plantainyard.dispatch import jobs
+from plantainyard.dispatch.actions import GiveUpReason, JobStarted, OrderKind
 from plantainyard.dispatch.completions import record_completion
-from plantainyard.dispatch.events import (
-    GiveUpReason,
-    JobStarted,
-    OrderAnswered,
-    OrderKind,
-)
+from plantainyard.dispatch.events import OrderAnswered
 from plantainyard.dispatch.failing_runners import observe_failure, suspend_failing
 from plantainyard.dispatch.health import observe_end
 from plantainyard.dispatch.leases import record_clock
--- a/plantainyard/dispatch/slow_runners.py
+++ b/plantainyard/dispatch/slow_runners.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from plantainyard.dispatch.events import Action, RunnerSlow, RunnerTrusted
+from plantainyard.dispatch.actions import Action, RunnerSlow, RunnerTrusted
 from plantainyard.dispatch.health_state import (
     Evidence,
     Health,
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -8,8 +8,8 @@
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import Submission
+from plantainyard.dispatch.actions import Action, RunGivenUp
 from plantainyard.dispatch.estimates import InterferenceModel
-from plantainyard.dispatch.events import Action, RunGivenUp
 from plantainyard.dispatch.health_state import Health
 from plantainyard.dispatch.leases import get_lease_end
 from plantainyard.dispatch.limits import Limits
--- a/plantainyard/dispatch/tests/test_run_times.py
+++ b/plantainyard/dispatch/tests/test_run_times.py
@@ -12,7 +12,7 @@
 from plantainyard.batch.replica import RUN_TIMES_KEY
 from plantainyard.batch.values import Resources, Step, Submission
 from plantainyard.dispatch import Commit, Event, PolicyChanged
-from plantainyard.dispatch.events import OrderKind
+from plantainyard.dispatch.actions import OrderKind
 from plantainyard.dispatch.jobs import open_occurrence
 from plantainyard.dispatch.measured_runs import (
     MAX_MEASURED_TASKS,
--- a/plantainyard/entry/tests/test_instance.py
+++ b/plantainyard/entry/tests/test_instance.py
@@ -8,7 +8,7 @@
 
 from prometheus_client import generate_latest
 
-from plantainyard.dispatch.events import JobSummary
+from plantainyard.dispatch.actions import JobSummary
 from plantainyard.dispatch.run_times import RunTimeEntry
 from plantainyard.entry.eventlog import EventLog
 from plantainyard.entry.inspection import (
--- a/standins/platform/samples.py
+++ b/standins/platform/samples.py
@@ -10,7 +10,7 @@
 from result import Result
 
 from plantainyard.batch.tasks import TaskKey
-from plantainyard.dispatch.events import OrderKind, RequestReport, SendOrder
+from plantainyard.dispatch.actions import OrderKind, RequestReport, SendOrder
 from plantainyard.errors import CallError
 from plantainyard.platform.runner_messages import (
     Order,
