--- a/plantainyard/dispatch/tests/test_unanswered_starts.py
+++ b/plantainyard/dispatch/tests/test_unanswered_starts.py
@@ -123,6 +123,20 @@
     assert list_homes(world) == [home.runner]
 
 
+def test_a_task_leaves_a_silent_runner_whose_clock_began_anew():
+    # Guards against a task that waits for hours: the end of the lease in its start is a
+    # time of the clock before, which was far ahead of the one of the new incarnation.
+    world = World(runners=2)
+    for runner in world.runners.values():
+        runner.clock_start_ms = 10**9
+    home = start_with_late_copy(world, long_running=True)
+    home.clock_start_ms = 0
+    world.unreachable.add(home.runner)
+    restart(world, home)
+    run_checked(world, 1.1 * (LATE_S + LONGEST_LEASE_S))
+    assert world.list_running("a")
+
+
 def test_a_task_starts_beside_no_earlier_run_of_it():
     # Guards against two runs of one task at one runner: a new incarnation has carried
     # out a late start, and the newer run would begin before that one has stopped.
