--- a/plantainyard/dispatch/tests/test_inherited_leases.py
+++ b/plantainyard/dispatch/tests/test_inherited_leases.py
@@ -1,6 +1,10 @@
 """Tests of runs that a new owner can't find, at runners that it can't reach."""
 
 from plantainyard.dispatch import EntryChanged, list_lease_ends
+from plantainyard.dispatch.tests.test_restarted_runners import (
+    exchange_reachable_runner,
+    restart_beside_a_renewal,
+)
 from plantainyard.dispatch.tests.test_takeovers import start_long_running
 from plantainyard.dispatch.tests.world import World, make_step
 
@@ -8,9 +12,6 @@
 ANY_LEASE_S = 5.5
 """Time after which every lease that was granted before has ended."""
 
-OLD_AGE_S = 3.0
-"""Time for which an incarnation runs a task, so that its clock is ahead."""
-
 LOST_AFTER_S = 9.0
 """Time after which users count a long-running task without a run as lost."""
 
@@ -295,15 +296,8 @@
     # Guards against two runs of one task: a renewal for the incarnation before has
     # granted the new one its longest lease, and its owner is killed and is back.
     world = World(runners=2)
-    world.unreachable.add("r1")
-    home = start_long_running(world)
-    world.run(OLD_AGE_S)
-    world.runners[home].restart(world.now)
-    world.run(0.1)
-    world.publish_entries()
-    while not world.list_running("a"):
-        world.run(0.1)
-    world.unreachable = {home}
+    home = restart_beside_a_renewal(world)
+    exchange_reachable_runner(world, home)
     world.restart_owner()
     assert_one_run_at_most(world)
     assert world.runners[home].ends[-1][3] == "lapsed"
