--- a/plantainyard/dispatch/inherited_bounds.py
+++ b/plantainyard/dispatch/inherited_bounds.py
@@ -5,6 +5,10 @@
 goes on with it, and grants nothing beyond the stored bound until the store has a record
 without that runner.
 
+If the predecessor's process has ended, the wait is for the last lease that it granted.
+Owners before it may be cut off and go on, so that each owner also stores for how long
+their leases may last.
+
 Starts are sent only after their assignments are stored, and together with these the
 runners that may have a start under way are. A successor knows that no other runner has.
 """
