Show by queue and unit what work waits for and what holds the processors

Refusals while the configuration is stale had no line.

Change: each second an owner logs queue_work by queue and kind of step, and processors_used; the same as gauges. Ended jobs are counted by queue, unit and outcome, their time and lost runs by queue and unit, submissions by queue with the reason of a refusal. Lines of accepted, refused and ended jobs name queue and unit.

Result: tests of the summaries and the metrics; no decision changes.

--- a/plantainyard/dispatch/__init__.py
+++ b/plantainyard/dispatch/__init__.py
@@ -56,6 +56,12 @@
     count_held_runs,
     count_state,
 )
+from plantainyard.dispatch.work_summaries import (
+    ProcessorUse,
+    QueueSummary,
+    WorkSummary,
+    summarize_work,
+)
 
 __all__ = [
     "EMPTY_COUNTS",
@@ -64,6 +70,7 @@
     "HeldRuns",
     "count_held_runs",
     "count_state",
+    "summarize_work",
     "Action",
     "JobStarted",
     "GiveUpReason",
@@ -86,6 +93,8 @@
     "JobSummary",
     "LeasesReported",
     "PredecessorEnded",
+    "ProcessorUse",
+    "QueueSummary",
     "Limits",
     "Load",
     "LoadsReceived",
@@ -102,6 +111,7 @@
     "SendOrder",
     "JobSubmitted",
     "TaskMovedForRoom",
+    "WorkSummary",
     "Tick",
     "choose_lease",
     "list_arrivals",
--- a/plantainyard/dispatch/actions.py
+++ b/plantainyard/dispatch/actions.py
@@ -44,8 +44,14 @@
     ----------
     job_id, state : str
         The job and its final state.
+    queue : str
+        Queue of the job.
+    intake_s : float
+        Time from its acceptance until this owner read it, by wall clocks that may
+        differ.
     duration_s : float
-        Time from its acceptance to its end.
+        Time until its end since this owner read it or, if a predecessor had read it,
+        since its acceptance.
     lateness_s : float
         Time by which it ended after its estimated deadline; negative if it was in time.
     task_time_s : dict
@@ -58,6 +64,8 @@
 
     job_id: str
     state: str
+    queue: str
+    intake_s: float
     duration_s: float
     lateness_s: float
     task_time_s: dict[str, float]
--- a/plantainyard/dispatch/commits.py
+++ b/plantainyard/dispatch/commits.py
@@ -183,9 +183,13 @@
 
 
 def _summarize(state: Dispatcher, job: Job, now: float) -> JobSummary:
+    submission = job.submission
+    received_ms = (job.received_at + state.wall_offset_s) * 1000
     return JobSummary(
-        job.submission.record_id,
+        submission.record_id,
         job.final_state,
+        submission.queue,
+        round((received_ms - submission.accepted_at_ms) / 1000, 3),
         round(now - job.accepted_at, 3),
         round(now - job.deadline, 3),
         summarize_times(job),
--- a/plantainyard/entry/caller_api.py
+++ b/plantainyard/entry/caller_api.py
@@ -168,9 +168,12 @@
     if not _is_job_id(job_id):
         return _reject("a job's id is 16 hexadecimal digits")
     if method == "POST":
-        if not fresh:
-            return _refuse(_STALE_MESSAGE, Reason.STALE)
-        return _submit(instance, configuration, queue, job_id, environ)
+        stale = _refuse(_STALE_MESSAGE, Reason.STALE)
+        response = (
+            _submit(instance, configuration, queue, job_id, environ) if fresh else stale
+        )
+        _record_submission(instance, queue, job_id, response)
+        return response
     if method == "GET":
         return _describe(instance, job_id)
     if method == "DELETE":
@@ -183,6 +186,29 @@
     return len(text) == ID_LENGTH and all(c in "0123456789abcdefABCDEF" for c in text)
 
 
+def _record_submission(
+    instance: Instance, queue: Queue, job_id: str, response: Response
+) -> None:
+    """Log whether a submission was accepted, and why not, and count it by queue.
+
+    Notes
+    -----
+    One that admission rejects has a line of its own, `job_turned_away`.
+    """
+    outcome = response.reason or "accepted"
+    instance.meters.submissions.labels(queue.name, outcome).inc()
+    if response.reason == Reason.NO_CAPACITY:
+        return
+    instance.log.write(
+        "refused" if response.reason else "accepted",
+        job=job_id,
+        queue=queue.name,
+        unit=instance.find_copy(job_id).unit,
+        status=response.status,
+        **({"why": response.body["error"]} if response.reason else {}),
+    )
+
+
 def _submit(
     instance: Instance,
     configuration: Configuration,
@@ -201,7 +227,6 @@
     record_bytes = instance.settings.record_bytes
     decoded = _decode(body, job_id, queue, record_bytes)
     if isinstance(decoded, Err):
-        instance.log.write("refused", job=job_id, why=decoded.err_value)
         return _reject(decoded.err_value)
     value = encode_submission(decoded.ok_value)
     if len(value) + RECORD_ALLOWANCE > record_bytes:
@@ -215,10 +240,7 @@
             admission.retry_after_s,
             Reason.NO_CAPACITY,
         )
-    response = _store(instance, unit, make_submission_key(job_id), value)
-    event = "accepted" if response.status == OK else "refused"
-    instance.log.write(event, job=job_id, queue=queue.name, status=response.status)
-    return response
+    return _store(instance, unit, make_submission_key(job_id), value)
 
 
 def _judge(instance: Instance, unit: int, submission: Submission) -> Admission:
--- a/plantainyard/entry/eventlog.py
+++ b/plantainyard/entry/eventlog.py
@@ -95,6 +95,8 @@
         "owner_succeeded",
         "policy_in_force",
         "predecessor_ended",
+        "processors_used",
+        "queue_work",
         "read_incomplete",
         "record_too_large",
         "refused",
--- a/plantainyard/entry/instance.py
+++ b/plantainyard/entry/instance.py
@@ -21,6 +21,7 @@
     JobSubmitted,
     SchedulingPolicy,
     count_state,
+    summarize_work,
 )
 from plantainyard.dispatch.unit_forecasts import find_forecast_age
 from plantainyard.entry.admission import RejectedJobs
@@ -268,6 +269,7 @@
         meters.jobs.set(sum(count.jobs for count in counts))
         rooms = [unit.context.dispatcher.room for unit in owned]
         meters.room_reservations.set(sum(len(room.reservations) for room in rooms))
+        self._refresh_work(now)
         for gauge, rows in (
             (meters.tasks, [count.tasks for count in counts]),
             (meters.runners, [count.runners for count in counts]),
@@ -275,6 +277,23 @@
             for name in {name for row in rows for name in row}:
                 gauge.labels(name).set(sum(row.get(name, 0) for row in rows))
 
+    def _refresh_work(self, now: float) -> None:
+        """Set the gauges of the units' work; those of other units disappear."""
+        meters = self.meters
+        for gauge in (meters.queue_jobs, meters.queue_tasks, meters.processors):
+            gauge.clear()
+        for unit, owned in list(self.owned.items()):
+            summary = summarize_work(owned.context.dispatcher, now)
+            for use, value in summary.processors._asdict().items():
+                meters.processors.labels(str(unit), use).set(value)
+            for row in summary.queues:
+                labels = row.queue, str(unit), row.kind
+                meters.queue_jobs.labels(*labels, "open").set(row.jobs)
+                meters.queue_jobs.labels(*labels, "late").set(row.late_jobs)
+                meters.queue_jobs.labels(*labels, "useless").set(row.useless_jobs)
+                for part, tasks in row.tasks.items():
+                    meters.queue_tasks.labels(*labels, part).set(tasks)
+
     def _refresh_evacuations(self) -> None:
         evacuations = self.evacuations
         evacuated = evacuations.versions if self.claims else {}
--- a/plantainyard/entry/meters.py
+++ b/plantainyard/entry/meters.py
@@ -26,14 +26,19 @@
     "plantainyard_events": "Decisions and changes, by the event's name in the log.",
     "plantainyard_log_lost_lines": "Lines of the log that nobody took in time.",
     "plantainyard_refused": "Requests of callers turned away, by reason.",
+    "plantainyard_submissions": "Submissions by queue: accepted, or why they weren't.",
     "plantainyard_turned_away": "Jobs rejected by admission, by kind and reason.",
     "plantainyard_jobs_quarantined": "Jobs ended as failed so that others go on.",
     "plantainyard_forecast_age_seconds": "Oldest forecast figures that an owner has.",
     "plantainyard_call_seconds": "Calls to store, runners, peers by step and result.",
     "plantainyard_call_received_bytes": "Bytes of responses, also of incomplete ones.",
     "plantainyard_first_start_seconds": "From reading a job to its first start.",
+    "plantainyard_jobs_ended": "Ended jobs, by queue, unit and outcome.",
     "plantainyard_task_seconds": "Time of ended jobs' tasks, by what they did then.",
     "plantainyard_lost_runs": "Runs of ended jobs that weren't done, by their end.",
+    "plantainyard_queue_jobs": "Open jobs by queue, unit, kind and lateness.",
+    "plantainyard_queue_tasks": "Tasks by queue, unit, kind and what they do or await.",
+    "plantainyard_unit_processors": "Thousandths of a core at a unit, by their use.",
     "plantainyard_unit_owned": "Units that this instance owns.",
     "plantainyard_jobs_open": "Jobs that haven't ended, as the owner sees them.",
     "plantainyard_tasks": "Tasks of open jobs at the owner, by phase.",
@@ -57,6 +62,9 @@
         self.registry = CollectorRegistry()
         self.events = self._build_counter("plantainyard_events", "event")
         self.refused = self._build_counter("plantainyard_refused", "reason")
+        self.submissions = self._build_counter(
+            "plantainyard_submissions", "queue", "outcome"
+        )
         self.turned_away = self._build_counter(
             "plantainyard_turned_away", "kind", "reason"
         )
@@ -77,8 +85,24 @@
         self.first_start = self._build_histogram(
             "plantainyard_first_start_seconds", WAIT_SECONDS
         )
-        self.task_seconds = self._build_counter("plantainyard_task_seconds", "part")
-        self.lost_runs = self._build_counter("plantainyard_lost_runs", "how")
+        self.jobs_ended = self._build_counter(
+            "plantainyard_jobs_ended", "queue", "unit", "outcome"
+        )
+        self.task_seconds = self._build_counter(
+            "plantainyard_task_seconds", "queue", "unit", "part"
+        )
+        self.lost_runs = self._build_counter(
+            "plantainyard_lost_runs", "queue", "unit", "how"
+        )
+        self.queue_jobs = self._build_gauge(
+            "plantainyard_queue_jobs", "queue", "unit", "kind", "state"
+        )
+        self.queue_tasks = self._build_gauge(
+            "plantainyard_queue_tasks", "queue", "unit", "kind", "part"
+        )
+        self.processors = self._build_gauge(
+            "plantainyard_unit_processors", "unit", "use"
+        )
         self.lost_lines = self._build_gauge("plantainyard_log_lost_lines")
         self.owned = self._build_gauge("plantainyard_unit_owned")
         self.jobs = self._build_gauge("plantainyard_jobs_open")
--- a/plantainyard/entry/tests/test_caller_api.py
+++ b/plantainyard/entry/tests/test_caller_api.py
@@ -127,3 +127,30 @@
     with run_instance(StoreState()) as instance:
         text = count_refusals(instance, "PATCH")
     assert 'plantainyard_refused_total{reason="wrong request"} 1.0' in text
+
+
+def test_submissions_are_counted_and_logged_by_queue_with_the_reason_of_a_refusal():
+    # Guards against a kind of work that isn't served while nothing says why not.
+    store = StoreState()
+    with run_instance(store) as instance:
+        own_units(instance, 1, 0)
+        assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 200
+        instance.operations_reader.synced_at -= 10
+        assert call(instance, "POST", f"/jobs/{JOB}", BODY)[0] == 503
+        text = generate_latest(instance.meters.registry).decode()
+    name = "plantainyard_submissions_total"
+    assert f'{name}{{outcome="accepted",queue="q"}} 1.0' in text
+    assert f'{name}{{outcome="stale configuration",queue="q"}} 1.0' in text
+
+
+def test_the_metrics_show_the_work_of_an_owned_unit_by_queue():
+    # Guards against late work of which the metrics say only that it is late.
+    with run_instance(StoreState(), RunnerState("r0")) as instance:
+        own_units(instance, 1, 0)
+        instance.refresh_meters()
+        text = generate_latest(instance.meters.registry).decode()
+        assert 'plantainyard_unit_processors{unit="0",use="finite"} 0.0' in text
+        instance.owned.clear()
+        instance.refresh_meters()
+        text = generate_latest(instance.meters.registry).decode()
+        assert "plantainyard_unit_processors{" not in text
--- a/plantainyard/entry/tests/test_instance.py
+++ b/plantainyard/entry/tests/test_instance.py
@@ -95,9 +95,10 @@
     # Guards against lateness that nobody can explain. Lines of deployments that don't
     # learn run times are as before.
     log = EventLog("edge-1", io.StringIO())
-    actor: Any = SimpleNamespace(context=SimpleNamespace(log=log, meters=Meters()))
+    context = SimpleNamespace(log=log, meters=Meters(), unit=0)
+    actor: Any = SimpleNamespace(context=context)
     estimate = {"declared_s": 0.1, "estimated_s": 0.9, "entries_age_s": 4.0}
-    without = JobSummary(JOB, "completed", 1.0, 0.5, {}, {})
+    without = JobSummary(JOB, "completed", "q", 0.1, 1.0, 0.5, {}, {})
     for summary in (without, without._replace(estimate=estimate)):
         UnitActor._record_job_end(actor, summary)
     lines = [json.loads(log.lines.get_nowait() or "") for _ in range(2)]
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -22,6 +22,7 @@
     mark_jobs_delivered,
 )
 from plantainyard.batch.tasks import TaskKey
+from plantainyard.batch.values import JobState
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import (
     Action,
@@ -43,6 +44,7 @@
     count_held_runs,
     list_lease_ends,
     step,
+    summarize_work,
 )
 from plantainyard.entry.appends import forward_records, store_records
 from plantainyard.entry.context import UnitContext
@@ -72,6 +74,9 @@
 HELD_RUNS_INTERVAL_S = 1.0
 """Time in seconds between log lines about the runs that a takeover holds."""
 
+WORK_INTERVAL_S = 1.0
+"""Time in seconds between log lines about the unit's work."""
+
 
 class UnitActor(pykka.ThreadingActor):
     """Actor that runs a unit's dispatcher and carries out its actions.
@@ -106,6 +111,7 @@
         self.forward_pool = ThreadPoolExecutor(1, "forward")
         self.held_runs_logged_at: float | None = None
         self.holds_runs = True
+        self.work_logged_at = 0.0
 
     def on_start(self) -> None:
         """Log the runs that the takeover holds."""
@@ -122,8 +128,10 @@
             self._perform(action)
         if isinstance(message, OrderAnswered):
             self._log_run_start(message, now)
-        if isinstance(message, Tick) and self.holds_runs:
-            self._log_held_runs(now)
+        if isinstance(message, Tick):
+            if self.holds_runs:
+                self._log_held_runs(now)
+            self._log_work(now)
 
     def _log_held_runs(self, now: float) -> None:
         """Log the runs of unreported runners, once a second until there are none."""
@@ -136,6 +144,17 @@
         unit = self.context.unit
         self.context.log.write("runs_held", unit=unit, **held._asdict())
 
+    def _log_work(self, now: float) -> None:
+        """Log the unit's open work by queue, and its processors, once a second."""
+        if now - self.work_logged_at < WORK_INTERVAL_S:
+            return
+        self.work_logged_at = now
+        summary = summarize_work(self.dispatcher, now)
+        log, unit = self.context.log, self.context.unit
+        log.write("processors_used", unit=unit, **summary.processors._asdict())
+        for row in summary.queues:
+            log.write("queue_work", unit=unit, **row._asdict())
+
     def _log_run_start(self, message: OrderAnswered, now: float) -> None:
         job = self.dispatcher.jobs.get(message.task.job_id)
         done = message.result.outcome == OrderOutcome.DONE
@@ -276,17 +295,23 @@
         context.log.write(
             "job_ended",
             job=summary.job_id,
+            queue=summary.queue,
+            unit=context.unit,
             state=summary.state,
+            intake_s=summary.intake_s,
             took_s=summary.duration_s,
             late_s=summary.lateness_s,
             task_s=summary.task_time_s,
             lost=summary.lost_runs,
             **estimate,
         )
+        meters, labels = context.meters, (summary.queue, str(context.unit))
+        outcome = _name_outcome(summary)
+        meters.jobs_ended.labels(*labels, outcome).inc()
         for part, seconds in summary.task_time_s.items():
-            context.meters.task_seconds.labels(part).inc(seconds)
+            meters.task_seconds.labels(*labels, part).inc(seconds)
         for how, runs in summary.lost_runs.items():
-            context.meters.lost_runs.labels(how).inc(runs)
+            meters.lost_runs.labels(*labels, how).inc(runs)
 
     def _forward(self, action: Forward) -> None:
         """Store records for another unit, retrying until it succeeds.
@@ -399,6 +424,13 @@
             self.actor_ref.tell(event)
 
 
+def _name_outcome(summary: JobSummary) -> str:
+    """Return the outcome of a job by which the ends of a queue are counted."""
+    if summary.state != JobState.COMPLETED:
+        return summary.state
+    return "late" if summary.lateness_s > 0 else "in time"
+
+
 def _build_report_order(action: RequestReport) -> Order:
     """Return an order without a task, because a report covers the whole runner."""
     no_task = TaskKey("", 0, 0, 0)
