Tell why the rest of a step waits after a part of it was placed

Cause: an assignment clears the reason for which a step waits, and the search that follows explains it at most every half second.

Change: a step without a reason is explained at once.

No decision changes.

--- a/plantainyard/dispatch/tests/test_timing.py
+++ b/plantainyard/dispatch/tests/test_timing.py
@@ -25,6 +25,19 @@
     assert found.duration_s > 3.0
 
 
+def test_waiting_for_capacity_is_reported_while_a_step_is_placed_bit_by_bit():
+    # Guards against a shortage of processors that looks like other work's turn: each
+    # task that starts would make the reason of the rest unknown for half a second.
+    world = World(runners=1)
+    world.runners["r0"].durations = {"full": 30.0, "wide": 0.4}
+    world.submit("full", make_step(1, cpu=60_000))
+    world.run(0.2)
+    world.submit("wide", make_step(8, cpu=4_000))
+    world.run(8.0)
+    found = get_summary(world, "wide").task_time_s
+    assert found[TimePart.WAITING_CAPACITY] > 3 * found.get(TimePart.WAITING_TURN, 0.0)
+
+
 def test_waiting_for_an_eligible_runner_is_reported():
     # A label is misspelled. The job waits until its caller cancels it.
     world = World(runners=2)
--- a/plantainyard/dispatch/timing.py
+++ b/plantainyard/dispatch/timing.py
@@ -74,9 +74,10 @@
     Notes
     -----
     The reason is assumed to apply to the whole step. The cost is at most two passes
-    over the runners, every half second for each step.
+    over the runners for each step, every half second and after each pass that placed a
+    part of it.
     """
-    if now - step.wait_reason_at < EXPLAIN_INTERVAL_S:
+    if step.wait_reason and now - step.wait_reason_at < EXPLAIN_INTERVAL_S:
         return
     step.wait_reason_at = now
     usable = [runner for runner in runners if can_start(task, runner, now)]
