Leave long-running tasks only what finite work doesn't need at its peaks

Cause: a long-running task that never ran takes any gap that was free for two seconds, and holds it for minutes. Nothing bounds this by what finite work needs: the summaries show 83 and 77 % of two units' processors reserved by long-running tasks when the traffic begins and 90 % sixteen seconds later. Short jobs are packed onto the fullest runners, so that just the gaps that they need at peaks look unused. And as long-running tasks stay where they started, a unit whose owner begins before it knows the other's load fills to 93 % beside one with 73 %.

Change: beyond a share of the unit (15 %, part [headroom] of the policy) such a task takes only gaps in which no typical finite task fits, or slots beyond the highest demand of ten seconds; it goes to a unit with a lower load, and waits until loads are known. One task of each job is never kept from a gap for two of it. Interrupted tasks go first, as before; nothing that runs is stopped.

--- a/bench/dispatch/switches.py
+++ b/bench/dispatch/switches.py
@@ -12,6 +12,7 @@
 import plantainyard.dispatch
 from bench.dispatch.oracle import find_true_weight, find_true_weight_at_worst
 from plantainyard.dispatch.policy import (
+    HeadroomPolicy,
     HealthPolicy,
     RoomPolicy,
     RunTimePolicy,
@@ -39,6 +40,7 @@
 _PARTS: dict[str, Any] = {
     "run_times": RunTimePolicy(),
     "room": RoomPolicy(),
+    "headroom": HeadroomPolicy(),
     "health": HealthPolicy(),
 }
 """Parts of the policy that decide about one unit, with their default settings."""
@@ -47,6 +49,7 @@
     "all parts": _switch_on(**_PARTS),
     "run times": _switch_on(run_times=_PARTS["run_times"]),
     "room": _switch_on(room=_PARTS["room"]),
+    "headroom": _switch_on(headroom=_PARTS["headroom"]),
     "health": _switch_on(health=_PARTS["health"]),
     "as it is": {},
     "one weight for all pairs": {"find_weight_bound": lambda *_: 2.0},
--- a/plantainyard/dispatch/balancing.py
+++ b/plantainyard/dispatch/balancing.py
@@ -14,17 +14,19 @@
 import math
 from bisect import bisect_left
 
-from plantainyard.batch.values import Step
 from plantainyard.dispatch.load import SLOT_SIZES, Load
-from plantainyard.dispatch.model import Job, Phase, Runner
-from plantainyard.dispatch.placing import accepts_tasks
+from plantainyard.dispatch.model import Job, Phase
+from plantainyard.dispatch.placing import (
+    accepts_tasks,
+    is_finite,
+    measure_finite_capacity,
+)
 from plantainyard.dispatch.state import Dispatcher
 
 __all__ = [
     "add_finite_demand",
     "count_slots",
     "find_less_utilized_unit",
-    "is_finite",
     "measure_finite_demand",
 ]
 
@@ -41,24 +43,13 @@
 def count_slots(state: Dispatcher, now: float) -> tuple[int, ...]:
     """Return, by `SLOT_SIZES`, how many tasks fit beside the long-running ones."""
     capacities = [
-        _measure_finite_capacity(runner)
+        measure_finite_capacity(runner)
         for runner in state.runners.values()
         if accepts_tasks(runner) and runner.quarantined_until <= now
     ]
     return tuple(sum(cpu // size for cpu in capacities) for size in SLOT_SIZES)
 
 
-def _measure_finite_capacity(runner: Runner) -> int:
-    """Return the processor time of a runner that long-running tasks don't reserve."""
-    assert runner.entry is not None
-    reserved = sum(
-        task.step.spec.resources.cpu
-        for task in runner.tasks.values()
-        if task.step.spec.long_running and not task.step.spec.backfill
-    )
-    return max(0, runner.entry.capacity.cpu - reserved)
-
-
 def measure_finite_demand(state: Dispatcher, now: float) -> int:
     """Return the concurrent finite demand of the jobs that are still of use."""
     return sum(_measure_demand(j) for j in state.jobs.values() if now < j.useful_until)
@@ -128,8 +119,3 @@
 
 
 _NOT_HERE = frozenset({Phase.DONE, Phase.HANDED_OVER})
-
-
-def is_finite(step: Step) -> bool:
-    """Return whether a step's tasks run to completion on reserved processors."""
-    return not step.long_running and not step.backfill
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -42,6 +42,11 @@
     plan_handovers,
     plan_task_handovers,
 )
+from plantainyard.dispatch.headroom import (
+    compare_loads,
+    measure_demand,
+    update_headroom,
+)
 from plantainyard.dispatch.health import evaluate_health
 from plantainyard.dispatch.incarnations import apply_entry, resolve_suspects
 from plantainyard.dispatch.inherited_bounds import (
@@ -266,9 +271,22 @@
             queues=forecast_queues(state, load, now),
         )
         state.max_short_task_cpu = measure_max_short_task_cpu(state)
+        _update_headroom(state, now)
         state.load_measured_at = now
 
 
+def _update_headroom(state: Dispatcher, now: float) -> None:
+    policy = state.limits.policy.headroom
+    demand = measure_demand(state.jobs.values(), now)
+    unknown_until = 0.0
+    if policy is not None and state.has_predecessor:
+        unknown_until = state.took_over_at + policy.window_s
+    runners = state.runners.values()
+    update_headroom(state.headroom, policy, demand, runners, unknown_until)
+    others = state.other_loads.values()
+    compare_loads(state.headroom, state.load, others, now - state.took_over_at)
+
+
 def _plan_moves(state: Dispatcher, now: float) -> None:
     is_due = now - state.moves_planned_at >= MOVES_INTERVAL_S
     if is_due and knows_evacuations(state, now):
--- a/plantainyard/dispatch/handover.py
+++ b/plantainyard/dispatch/handover.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from plantainyard.batch.values import Step
 from plantainyard.dispatch.balancing import add_finite_demand, find_less_utilized_unit
@@ -16,6 +16,7 @@
     build_task_submission,
     record_handover,
 )
+from plantainyard.dispatch.headroom import has_headroom, is_first_of_job
 from plantainyard.dispatch.load import NO_RUNNERS_LOAD, Load
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun
 from plantainyard.dispatch.placing import accepts_tasks, get_reserved_cpu
@@ -169,7 +170,12 @@
             continue
         needed = get_reserved_cpu(step.spec)
         difference = ANY_DIFFERENCE if task.run else FIRST_RUN_DIFFERENCE
-        unit = _find_unit(state, step.spec, needed, difference)
+        loads = (
+            state.other_loads
+            if task.run
+            else _list_loads_with_headroom(state, needed, is_first_of_job(task))
+        )
+        unit = _find_unit(loads, state.load, step.spec, needed, difference)
         if unit is None:
             return
         task.phase = Phase.HANDED_OVER
@@ -194,29 +200,33 @@
     submission = job.submission
     step = submission.steps[0]
     needed = max(get_reserved_cpu(step) for step in submission.steps)
+    own, others = state.load, state.other_loads
     if any(step.long_running for step in submission.steps):
-        return _find_unit(state, step, needed, LONG_RUNNING_DIFFERENCE)
+        loads = _list_loads_with_headroom(state, needed, is_first=True)
+        return _find_unit(loads, own, step, needed, LONG_RUNNING_DIFFERENCE)
     if not any(step.requires for step in submission.steps):
         less_utilized = find_less_utilized_unit(state, job)
         if less_utilized is not None:
             return less_utilized
     if needed > state.max_short_task_cpu:
-        return _find_unit(state, step, needed, MISFIT_DIFFERENCE)
+        return _find_unit(others, own, step, needed, MISFIT_DIFFERENCE)
     if now - job.received_at < SHORT_JOB_WAIT_S:
         return None
     difference = BACKFILL_DIFFERENCE if step.backfill else SHORT_DIFFERENCE
-    return _find_unit(state, step, needed, difference)
+    return _find_unit(others, own, step, needed, difference)
 
 
 def _find_unit(
-    state: Dispatcher, step: Step, needed: int, difference: float
+    loads: Mapping[int, Load], own: Load, step: Step, needed: int, difference: float
 ) -> int | None:
     """Return the least loaded unit with a sufficient gap, or None if none qualifies.
 
     Parameters
     ----------
-    state : Dispatcher
-        State with the loads of all units.
+    loads : mapping of int to Load
+        Loads of the units that may be chosen.
+    own : Load
+        Load of this unit.
     step : Step
         Step that determines which load is compared: that of backfill tasks or that of
         reserved processors.
@@ -225,15 +235,26 @@
     difference : float
         Amount by which the load must at least be lower than that of the own unit.
     """
-    units = [unit for unit, load in state.other_loads.items() if load.gap >= needed]
+    units = [unit for unit, load in loads.items() if load.gap >= needed]
     if not units:
         return None
-    best = min(units, key=lambda u: _sum_load(state.other_loads[u], step.backfill))
-    lower_by = _sum_load(state.load, step.backfill)
-    lower_by -= _sum_load(state.other_loads[best], step.backfill)
+    best = min(units, key=lambda unit: _sum_load(loads[unit], step.backfill))
+    lower_by = _sum_load(own, step.backfill) - _sum_load(loads[best], step.backfill)
     return best if lower_by > difference else None
 
 
+def _list_loads_with_headroom(
+    state: Dispatcher, cpu: int, is_first: bool
+) -> dict[int, Load]:
+    """Return the loads of units that may start a long-running task that never ran."""
+    policy = state.limits.policy.headroom
+    return {
+        unit: load
+        for unit, load in state.other_loads.items()
+        if has_headroom(state.headroom, policy, load, cpu, is_first)
+    }
+
+
 def _sum_load(load: Load, backfill: bool) -> float:
     if backfill:
         return load.backfill + load.waiting_backfill
--- /dev/null
+++ b/plantainyard/dispatch/headroom.py
@@ -0,0 +1,308 @@
+"""Room that long-running tasks leave to finite work.
+
+Handles long-running work that arrives faster than it ends. It holds its processors for
+minutes, so that a gap which it takes at a quiet moment is missing at all later peaks of
+finite work: short jobs come late one after the other, while the long-running class
+loses nothing. A long-running task that never ran therefore takes only what finite work
+doesn't need at its peaks.
+
+Long-running tasks stay where they started. Beyond the share that is kept for finite
+work, they start only in the unit that has the lowest load; one unit would otherwise be
+full from the first second on, beside others with room for all its short jobs.
+"""
+
+import math
+from bisect import bisect_left
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from plantainyard.dispatch.load import SLOT_SIZES, Load
+from plantainyard.dispatch.model import GAP_TICKS, Job, Phase, Runner, Task
+from plantainyard.dispatch.placing import (
+    accepts_tasks,
+    is_finite,
+    measure_finite_capacity,
+)
+from plantainyard.dispatch.policy import HeadroomPolicy
+
+__all__ = [
+    "Demand",
+    "Headroom",
+    "compare_loads",
+    "has_headroom",
+    "is_first_of_job",
+    "may_take_gap",
+    "measure_demand",
+    "record_first_start",
+    "update_headroom",
+]
+
+BALANCE_DIFFERENCE = 0.03
+"""Difference between the loads of two units, as a share of a unit's processors, from
+which work beyond the kept share goes to the other one; a task is less than 0.005."""
+
+LOADS_WAIT_S = 3.0
+"""Time after a takeover for which the loads of other units may be missing: they are
+queried every second. Later they are assumed not to answer."""
+
+LARGE_GAP = 2
+"""Number of tasks for which a gap must have room so that the first task of a job takes
+it whatever finite work needs: the platform counts a job as forgotten of which nothing
+runs beside such a gap."""
+
+
+class Demand(NamedTuple):
+    """What finite work held or waited for at a moment.
+
+    Attributes
+    ----------
+    at : float
+        When it was measured.
+    cpu : int
+        Thousandths of a core.
+    weighted_cpu : int
+        Sum of the squares of the tasks' sizes; over `cpu` it is their mean size, each
+        task weighted by its size.
+    """
+
+    at: float
+    cpu: int
+    weighted_cpu: int
+
+
+@dataclass(slots=True)
+class Headroom:
+    """What a unit's long-running tasks that never ran may take.
+
+    Attributes
+    ----------
+    demands : deque of Demand
+        Demand of finite work within the policy's window.
+    task_cpu : int
+        Size of a typical finite task; 0 if there were none.
+    spare_slots : float
+        Number of such tasks for which there is room beyond the demand; negative if it
+        doesn't suffice.
+    excess_cpu : float
+        Processor time beyond the share that is kept for finite work at most.
+    loads_known : bool
+        Whether the unit can be compared with others, or seems to be alone.
+    lower_loads : list of Load
+        Loads of the units that are notably lower than that of this one.
+    """
+
+    demands: deque[Demand] = field(default_factory=deque)
+    task_cpu: int = 0
+    spare_slots: float = math.inf
+    excess_cpu: float = 0.0
+    loads_known: bool = False
+    lower_loads: list[Load] = field(default_factory=list)
+
+
+def measure_demand(jobs: Iterable[Job], now: float) -> Demand:
+    """Return what finite tasks hold or wait for, of jobs that are still of use.
+
+    Notes
+    -----
+    Tasks that wait for earlier steps of their job are not counted.
+    """
+    cpu = weighted_cpu = 0
+    for job in jobs:
+        if now >= job.useful_until or job.final_state:
+            continue
+        for step in job.steps.values():
+            if not is_finite(step.spec) or step.done_count == len(step.tasks):
+                continue
+            size = step.spec.resources.cpu
+            tasks = sum(
+                task.phase in Phase.ACTIVE or task.waiting_since > 0
+                for task in step.tasks
+            )
+            cpu += tasks * size
+            weighted_cpu += tasks * size * size
+    return Demand(now, cpu, weighted_cpu)
+
+
+def update_headroom(
+    headroom: Headroom,
+    policy: HeadroomPolicy | None,
+    demand: Demand,
+    runners: Iterable[Runner],
+    unknown_until: float,
+) -> None:
+    """Take a measurement into account, and count what long-running tasks may take.
+
+    Parameters
+    ----------
+    headroom : Headroom
+        Changed in place.
+    policy : HeadroomPolicy or None
+        The policy; without one nothing is kept.
+    demand : Demand
+        The measurement.
+    runners : iterable of Runner
+        The unit's runners.
+    unknown_until : float
+        Time until which the demand at the last peak isn't known, as a predecessor has
+        measured it. No slot is spare until then.
+
+    Notes
+    -----
+    The cost is a pass over the runners and their tasks.
+    """
+    headroom.task_cpu, headroom.spare_slots = 0, math.inf
+    headroom.excess_cpu = math.inf
+    if policy is None:
+        headroom.demands.clear()
+        return
+    usable = [runner for runner in runners if accepts_tasks(runner)]
+    free = [measure_finite_capacity(runner) for runner in usable]
+    capacity = sum(r.entry.capacity.cpu for r in usable if r.entry is not None)
+    headroom.excess_cpu = sum(free) - policy.max_share * capacity
+    demands = headroom.demands
+    demands.append(demand)
+    while demand.at - demands[0].at > policy.window_s:
+        demands.popleft()
+    total = sum(sample.cpu for sample in demands)
+    if not total:
+        return
+    headroom.task_cpu = sum(sample.weighted_cpu for sample in demands) // total
+    slots = sum(cpu // headroom.task_cpu for cpu in free)
+    peak = max(sample.cpu for sample in demands)
+    spare_slots = slots - peak / headroom.task_cpu
+    is_known = demand.at >= unknown_until
+    headroom.spare_slots = spare_slots if is_known else min(0.0, spare_slots)
+
+
+def compare_loads(
+    headroom: Headroom, own: Load, others: Iterable[Load], since_takeover_s: float
+) -> None:
+    """Find the units that work beyond the kept share should go to.
+
+    Parameters
+    ----------
+    headroom : Headroom
+        Changed in place.
+    own : Load
+        Load of this unit.
+    others : iterable of Load
+        Loads of the other units, as far as they are known.
+    since_takeover_s : float
+        Time since the takeover.
+    """
+    others = list(others)
+    headroom.loads_known = bool(others) or since_takeover_s > LOADS_WAIT_S
+    limit = own.reserved + own.waiting - BALANCE_DIFFERENCE
+    headroom.lower_loads = [
+        load for load in others if load.reserved + load.waiting < limit
+    ]
+
+
+def may_take_gap(
+    headroom: Headroom, policy: HeadroomPolicy | None, task: Task, runner: Runner
+) -> bool:
+    """Return whether a long-running task that never ran may start at a runner.
+
+    Parameters
+    ----------
+    headroom : Headroom
+        Not changed.
+    policy : HeadroomPolicy or None
+        The policy; without one any gap may be taken.
+    task : Task
+        The task.
+    runner : Runner
+        A runner with the capacity for it.
+
+    Notes
+    -----
+    A gap that no typical finite task fits in is free to take.
+    """
+    cpu = task.step.spec.resources.cpu
+    if policy is None or headroom.excess_cpu >= cpu:
+        return True
+    if is_first_of_job(task) and _is_large_gap(runner, cpu):
+        return True
+    if not headroom.loads_known or _has_better_unit(headroom, policy, cpu):
+        return False
+    return _count_lost_slots(headroom, runner, cpu) <= max(0.0, headroom.spare_slots)
+
+
+def is_first_of_job(task: Task) -> bool:
+    """Return whether a task is the one of its job that no large gap is kept from.
+
+    Notes
+    -----
+    Other units may have tasks of the job; each of them knows which one this is.
+    """
+    return task.key.step == 0 and task.key.number == 0
+
+
+def _is_large_gap(runner: Runner, cpu: int) -> bool:
+    """Return whether a gap for several such tasks has been free for some time."""
+    recent = runner.recent_unreserved
+    return len(recent) == GAP_TICKS and min(recent) >= LARGE_GAP * cpu
+
+
+def _has_better_unit(headroom: Headroom, policy: HeadroomPolicy, cpu: int) -> bool:
+    return any(
+        load.gap >= cpu and has_headroom(headroom, policy, load, cpu, False)
+        for load in headroom.lower_loads
+    )
+
+
+def record_first_start(headroom: Headroom, runner: Runner, cpu: int) -> None:
+    """Count a long-running task that is about to be assigned to a runner."""
+    headroom.spare_slots -= _count_lost_slots(headroom, runner, cpu)
+    headroom.excess_cpu -= cpu
+
+
+def _count_lost_slots(headroom: Headroom, runner: Runner, cpu: int) -> int:
+    """Return how many typical finite tasks less fit beside the long-running ones."""
+    size = headroom.task_cpu
+    if not size:
+        return 0
+    free = measure_finite_capacity(runner)
+    return free // size - max(0, free - cpu) // size
+
+
+def has_headroom(
+    headroom: Headroom,
+    policy: HeadroomPolicy | None,
+    load: Load,
+    cpu: int,
+    takes_large_gap: bool,
+) -> bool:
+    """Return whether another unit is likely to start a long-running task.
+
+    Parameters
+    ----------
+    headroom : Headroom
+        That of this unit; finite tasks are assumed to be as large in the other one.
+    policy : HeadroomPolicy or None
+        The policy, which is the same for all units.
+    load : Load
+        The load report of the other unit.
+    cpu : int
+        Processor time that the task reserves.
+    takes_large_gap : bool
+        The task is the first of its job.
+
+    Notes
+    -----
+    Guards against a task that units hand to each other, none of which starts it.
+    """
+    if policy is None:
+        return True
+    if takes_large_gap and load.gap >= LARGE_GAP * cpu:
+        return True
+    if load.reserved + load.waiting <= 1 - policy.max_share:
+        return True
+    if not headroom.task_cpu:
+        return True
+    if len(load.slots) != len(SLOT_SIZES) or headroom.task_cpu > SLOT_SIZES[-1]:
+        return False
+    slots = load.slots[bisect_left(SLOT_SIZES, headroom.task_cpu)]
+    return slots * headroom.task_cpu >= load.ending + cpu
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -9,7 +9,7 @@
 from plantainyard.batch.values import Step, Submission
 from plantainyard.platform.entries import RunnerEntry, split_incarnation
 
-__all__ = ["Job", "Phase", "Runner", "StepRun", "Task", "UnansweredStart"]
+__all__ = ["GAP_TICKS", "Job", "Phase", "Runner", "StepRun", "Task", "UnansweredStart"]
 
 
 GAP_TICKS = 20
--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -24,6 +24,10 @@
     "has_capacity",
     "has_places",
     "hold_resources",
+    "is_eligible",
+    "is_finite",
+    "is_first_long_run",
+    "measure_finite_capacity",
     "measure_unused_cpu",
     "record_free_cpu",
     "release_resources",
@@ -158,6 +162,13 @@
 
 def can_start_after_evacuation(task: Task, runner: Runner, now: float) -> bool:
     """Return the same as `can_start` for the time when no domain is evacuated."""
+    if is_first_long_run(task) and not _is_gap_lasting(task.step.spec, runner):
+        return False
+    return is_eligible(task, runner, now)
+
+
+def is_eligible(task: Task, runner: Runner, now: float) -> bool:
+    """Return whether the runner is of the kind that a task needs, and accepts tasks."""
     entry = runner.entry
     if entry is None or not _is_usable(runner):
         return False
@@ -166,8 +177,6 @@
     if not _may_start_there(task, runner):
         return False
     spec = task.step.spec
-    if spec.long_running and not task.run and not _is_gap_lasting(spec, runner):
-        return False
     if spec.requires and spec.requires not in entry.labels:
         return False
     if not spec.long_running and runner.quarantined_until > now:
@@ -300,3 +309,25 @@
         runner.serving_cpu += cpu if spec.target_ms else 0
     runner.reserved_memory += sign * spec.resources.memory
     runner.reserved_gpu += sign * spec.resources.gpu
+
+
+def measure_finite_capacity(runner: Runner) -> int:
+    """Return the processor time of a runner that long-running tasks don't reserve."""
+    assert runner.entry is not None
+    reserved = sum(
+        task.step.spec.resources.cpu
+        for task in runner.tasks.values()
+        if task.step.spec.long_running and not task.step.spec.backfill
+    )
+    return max(0, runner.entry.capacity.cpu - reserved)
+
+
+def is_finite(step: Step) -> bool:
+    """Return whether a step's tasks run to completion on reserved processors."""
+    return not step.long_running and not step.backfill
+
+
+def is_first_long_run(task: Task) -> bool:
+    """Return whether a long-running task that reserves processors has never run."""
+    spec = task.step.spec
+    return spec.long_running and not spec.backfill and task.run == 0
--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -4,11 +4,13 @@
 from typing import NamedTuple
 
 from plantainyard.batch.values import Resources
+from plantainyard.dispatch.headroom import may_take_gap, record_first_start
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun, Task
 from plantainyard.dispatch.orders import pace_backfill
 from plantainyard.dispatch.placing import (
     find_min_speed,
     has_places,
+    is_first_long_run,
     release_resources,
     reserve_resources,
 )
@@ -169,6 +171,8 @@
             ranked[has_run] = rank_places(task, allowed, state.interference, now)
         places = ranked[has_run]
         refresh_places(places, task, assigned, state.interference, now)
+        if is_first_long_run(task):
+            places = _keep_headroom(state, task, places)
         idle = _is_fleet_idle(state)
         runner = choose_place(task, places, state.limits, state.interference, now, idle)
         if runner is None:
@@ -180,6 +184,18 @@
         assigned.append(runner)
 
 
+def _keep_headroom(state: Dispatcher, task: Task, places: RankedPlaces) -> RankedPlaces:
+    """Return the places that finite work can do without; see `headroom`."""
+    policy = state.limits.policy.headroom
+    return RankedPlaces(
+        {
+            incarnation: place
+            for incarnation, place in places.places.items()
+            if may_take_gap(state.headroom, policy, task, place.runner)
+        }
+    )
+
+
 def _place_at_recipient(
     state: Dispatcher, task: Task, assigned: list[Runner], now: float
 ) -> None:
@@ -358,6 +374,8 @@
 def _assign(
     state: Dispatcher, task: Task, runner: Runner, run: int, now: float
 ) -> None:
+    if is_first_long_run(task):
+        record_first_start(state.headroom, runner, task.step.spec.resources.cpu)
     task.phase = Phase.STORING
     task.run = run
     task.incarnation = runner.incarnation
--- a/plantainyard/dispatch/policy.py
+++ b/plantainyard/dispatch/policy.py
@@ -9,6 +9,7 @@
 __all__ = [
     "NO_POLICY",
     "AdmissionPolicy",
+    "HeadroomPolicy",
     "HealthPolicy",
     "RoomPolicy",
     "RunTimePolicy",
@@ -60,6 +61,22 @@
     max_stops_per_s: float = 4.0
 
 
+class HeadroomPolicy(NamedTuple):
+    """Settings of the room that long-running tasks leave to finite work.
+
+    Attributes
+    ----------
+    max_share : float
+        Maximum share of a unit's processors that is kept from long-running tasks that
+        never ran; none is kept that finite work doesn't need.
+    window_s : float
+        Time in seconds over which the need of finite work is measured.
+    """
+
+    max_share: float = 0.15
+    window_s: float = 10.0
+
+
 class AdmissionPolicy(NamedTuple):
     """Settings of admission.
 
@@ -112,6 +129,7 @@
 
     run_times: RunTimePolicy | None = None
     room: RoomPolicy | None = None
+    headroom: HeadroomPolicy | None = None
     admission: AdmissionPolicy | None = None
     health: HealthPolicy | None = None
     units: UnitPolicy | None = None
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -10,6 +10,7 @@
 from plantainyard.batch.values import Submission
 from plantainyard.dispatch.actions import Action, RunGivenUp
 from plantainyard.dispatch.estimates import InterferenceModel
+from plantainyard.dispatch.headroom import Headroom
 from plantainyard.dispatch.health_state import Health
 from plantainyard.dispatch.leases import get_lease_end
 from plantainyard.dispatch.limits import Limits
@@ -191,6 +192,8 @@
         were last planned.
     room : Room
         Runners reserved for large tasks, and tasks that give way to these.
+    headroom : Headroom
+        What long-running tasks that never ran may take beside finite work.
     """
 
     limits: Limits
@@ -262,6 +265,7 @@
     times_updated_at: float = 0.0
     moves_planned_at: float = 0.0
     room: Room = field(default_factory=Room)
+    headroom: Headroom = field(default_factory=Headroom)
 
 
 def mark_dirty(state: Dispatcher, step: StepRun) -> None:
--- a/plantainyard/dispatch/timing.py
+++ b/plantainyard/dispatch/timing.py
@@ -12,6 +12,8 @@
     can_start,
     can_start_after_evacuation,
     has_capacity,
+    is_eligible,
+    is_first_long_run,
 )
 
 __all__ = [
@@ -44,6 +46,9 @@
     ``WAITING_PLACE``
         Runners with the capacity offer a backfill task too little speed beside their
         serving tasks.
+    ``WAITING_HEADROOM``
+        Runners have the capacity, but a long-running task that never ran leaves it to
+        finite work that needs it at its peaks, or has used it just now.
     ``WAITING_TURN``
         Other work was placed first, or the last search was too recent.
     ``ORDERED``
@@ -61,6 +66,7 @@
     WAITING_START = "waiting_start"
     WAITING_CAPACITY = "waiting_room"
     WAITING_PLACE = "waiting_place"
+    WAITING_HEADROOM = "waiting_headroom"
     WAITING_TURN = "waiting_turn"
     ORDERED = "ordered"
     WORKING = "working"
@@ -80,7 +86,7 @@
     if step.wait_reason and now - step.wait_reason_at < EXPLAIN_INTERVAL_S:
         return
     step.wait_reason_at = now
-    usable = [runner for runner in runners if can_start(task, runner, now)]
+    usable = [runner for runner in runners if _qualifies(task, runner, now)]
     if not usable:
         evacuated = any(can_start_after_evacuation(task, r, now) for r in runners)
         step.wait_reason = (
@@ -88,8 +94,17 @@
         )
     elif not any(has_capacity(step.spec, runner) for runner in usable):
         step.wait_reason = TimePart.WAITING_CAPACITY
-    else:
+    elif step.spec.backfill:
         step.wait_reason = TimePart.WAITING_PLACE
+    else:
+        step.wait_reason = TimePart.WAITING_HEADROOM
+
+
+def _qualifies(task: Task, runner: Runner, now: float) -> bool:
+    """Return whether a runner may take a task, whether or not its gap has lasted."""
+    if is_first_long_run(task):
+        return not runner.evacuated and is_eligible(task, runner, now)
+    return can_start(task, runner, now)
 
 
 def add_elapsed_time(jobs: Iterable[Job], elapsed_s: float) -> None:
--- a/plantainyard/dispatch/work_summaries.py
+++ b/plantainyard/dispatch/work_summaries.py
@@ -10,9 +10,8 @@
 from typing import NamedTuple
 
 from plantainyard.batch.values import Step
-from plantainyard.dispatch.balancing import is_finite
 from plantainyard.dispatch.model import Phase, Runner, StepRun
-from plantainyard.dispatch.placing import accepts_tasks
+from plantainyard.dispatch.placing import accepts_tasks, is_finite
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.timing import TimePart
 
--- a/plantainyard/entry/admission.py
+++ b/plantainyard/entry/admission.py
@@ -12,9 +12,9 @@
 from typing import NamedTuple
 
 from plantainyard.batch.values import Submission
-from plantainyard.dispatch.balancing import is_finite
 from plantainyard.dispatch.expectations import expect_end
 from plantainyard.dispatch.load import QueueForecast
+from plantainyard.dispatch.placing import is_finite
 from plantainyard.dispatch.policy import AdmissionPolicy
 from plantainyard.dispatch.queue import (
     CERTAIN_SHARE,
--- a/plantainyard/entry/policies.py
+++ b/plantainyard/entry/policies.py
@@ -16,6 +16,7 @@
 from plantainyard.dispatch.policy import (
     NO_POLICY,
     AdmissionPolicy,
+    HeadroomPolicy,
     HealthPolicy,
     RoomPolicy,
     RunTimePolicy,
@@ -29,6 +30,7 @@
 _PARTS: dict[str, type] = {
     "run_times": RunTimePolicy,
     "room": RoomPolicy,
+    "headroom": HeadroomPolicy,
     "admission": AdmissionPolicy,
     "health": HealthPolicy,
     "units": UnitPolicy,
@@ -47,6 +49,7 @@
     "max_entries": _Range(low=1),
     "max_open_jobs": _Range(low=1),
     "max_reserved_share": _Range(high=1.0),
+    "max_share": _Range(high=1.0),
     "max_suspended_share": _Range(high=1.0),
     "min_task_share": _Range(high=1.0),
     "runners_per_unit": _Range(low=1),
--- a/soak/site.py
+++ b/soak/site.py
@@ -200,6 +200,8 @@
 [room]
 max_wait_s = 0.1
 max_reserved_share = 0.5
+[headroom]
+max_share = 0.5
 [health]
 max_suspended_share = 0.5
 [admission]
