Start the first task of a job in a large gap although another job's tasks wait

Cause: tasks that need at least as much as one that found no place are skipped for the rest of a pass, if they are of the same kind. The first task of a step, which takes a large gap whatever finite work needs, counted as of one kind with tasks that have to wait, so that a second job of which nothing runs was skipped beside gaps for two of its tasks.

Change: whether a task takes large gaps belongs to its kind; it is the first task of each step, as the first step of a job need not be long-running.

--- a/plantainyard/dispatch/handover.py
+++ b/plantainyard/dispatch/handover.py
@@ -16,7 +16,7 @@
     build_task_submission,
     record_handover,
 )
-from plantainyard.dispatch.headroom import has_headroom, is_first_of_job
+from plantainyard.dispatch.headroom import has_headroom, is_first_of_step
 from plantainyard.dispatch.load import NO_RUNNERS_LOAD, Load
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun
 from plantainyard.dispatch.placing import accepts_tasks, get_reserved_cpu
@@ -173,7 +173,7 @@
         loads = (
             state.other_loads
             if task.run
-            else _list_loads_with_headroom(state, needed, is_first_of_job(task))
+            else _list_loads_with_headroom(state, needed, is_first_of_step(task))
         )
         unit = _find_unit(loads, state.load, step.spec, needed, difference)
         if unit is None:
--- a/plantainyard/dispatch/headroom.py
+++ b/plantainyard/dispatch/headroom.py
@@ -32,7 +32,7 @@
     "Headroom",
     "compare_loads",
     "has_headroom",
-    "is_first_of_job",
+    "is_first_of_step",
     "may_take_gap",
     "measure_demand",
     "record_first_start",
@@ -48,7 +48,7 @@
 queried every second. Later they are assumed not to answer."""
 
 LARGE_GAP = 2
-"""Number of tasks for which a gap must have room so that the first task of a job takes
+"""Number of tasks for which a gap must have room so that the first task of a step takes
 it whatever finite work needs: the platform counts a job as forgotten of which nothing
 runs beside such a gap."""
 
@@ -223,21 +223,21 @@
     cpu = task.step.spec.resources.cpu
     if policy is None or headroom.excess_cpu >= cpu:
         return True
-    if is_first_of_job(task) and _is_large_gap(runner, cpu):
+    if is_first_of_step(task) and _is_large_gap(runner, cpu):
         return True
     if not headroom.loads_known or _has_better_unit(headroom, policy, cpu):
         return False
     return _count_lost_slots(headroom, runner, cpu) <= max(0.0, headroom.spare_slots)
 
 
-def is_first_of_job(task: Task) -> bool:
-    """Return whether a task is the one of its job that no large gap is kept from.
+def is_first_of_step(task: Task) -> bool:
+    """Return whether a task is the one of its step that no large gap is kept from.
 
     Notes
     -----
-    Other units may have tasks of the job; each of them knows which one this is.
+    Other units may have tasks of the step; each of them knows which one this is.
     """
-    return task.key.step == 0 and task.key.number == 0
+    return task.key.number == 0
 
 
 def _is_large_gap(runner: Runner, cpu: int) -> bool:
@@ -288,7 +288,7 @@
     cpu : int
         Processor time that the task reserves.
     takes_large_gap : bool
-        The task is the first of its job.
+        The task is the first of its step.
 
     Notes
     -----
--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -4,7 +4,11 @@
 from typing import NamedTuple
 
 from plantainyard.batch.values import Resources
-from plantainyard.dispatch.headroom import may_take_gap, record_first_start
+from plantainyard.dispatch.headroom import (
+    is_first_of_step,
+    may_take_gap,
+    record_first_start,
+)
 from plantainyard.dispatch.model import Job, Phase, Runner, StepRun, Task
 from plantainyard.dispatch.orders import pace_backfill
 from plantainyard.dispatch.placing import (
@@ -47,6 +51,7 @@
     requires: str
     long_running: bool
     ran: bool
+    takes_large_gap: bool
     min_speed: float
 
 
@@ -244,6 +249,7 @@
         spec.requires,
         spec.long_running,
         task.run > 0,
+        is_first_long_run(task) and is_first_of_step(task),
         min_speed,
     )
 
--- a/plantainyard/dispatch/tests/test_headroom.py
+++ b/plantainyard/dispatch/tests/test_headroom.py
@@ -124,6 +124,18 @@
     assert len(world.list_running("watch-small")) > 0
 
 
+def test_a_gap_for_two_tasks_is_not_kept_from_a_second_job():
+    # Guards against a job of which nothing runs because tasks of another one, which may
+    # wait, found no place in the same pass.
+    world = make_busy_fleet()
+    step = make_step(RUNNERS, GAP_CPU // 2, long_running=True)
+    world.submit("watch-a", step)
+    world.submit("watch-b", step)
+    run_short_jobs(world, 16, 1)
+    world.run(4.0)
+    assert world.list_running("watch-a") and world.list_running("watch-b")
+
+
 def test_gaps_in_which_no_short_task_fits_are_taken():
     # Guards against processors that are kept for work that can't use them.
     world = make_fleet(load_deployed_policy())
