Give the record of learned run times a module of its own

Change: encoding, decoding and the dump are in run_time_records.py; no behaviour changes.

Result: tests of run times and of records of any content pass.

--- a/plantainyard/batch/tests/test_untrusted_records.py
+++ b/plantainyard/batch/tests/test_untrusted_records.py
@@ -30,7 +30,7 @@
 )
 from plantainyard.batch.values import Step, StepProgress, Submission, TaskProgress
 from plantainyard.decoding import DecodeError
-from plantainyard.dispatch.run_times import decode_run_times
+from plantainyard.dispatch.run_time_records import decode_run_times
 from plantainyard.dispatch.weights import decode_interference
 from plantainyard.entry.layout import decode_owner
 from plantainyard.platform.tests.untrusted import DEEP, DEEP_OBJECT, VALUES
--- a/plantainyard/dispatch/commits.py
+++ b/plantainyard/dispatch/commits.py
@@ -30,7 +30,7 @@
 from plantainyard.dispatch.measured_runs import summarize_estimate
 from plantainyard.dispatch.model import Job, Phase, StepRun
 from plantainyard.dispatch.room import begin_moves, stop_moved_tasks
-from plantainyard.dispatch.run_times import encode_run_times
+from plantainyard.dispatch.run_time_records import encode_run_times
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.timing import summarize_times
 from plantainyard.dispatch.unanswered_starts import list_recipients
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -74,7 +74,7 @@
 from plantainyard.dispatch.relocation import plan_moves
 from plantainyard.dispatch.restoring import restore_jobs
 from plantainyard.dispatch.room import plan_room
-from plantainyard.dispatch.run_times import decode_run_times
+from plantainyard.dispatch.run_time_records import decode_run_times
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.timing import add_elapsed_time
 from plantainyard.dispatch.unanswered_starts import maintain_unanswered
--- a/plantainyard/dispatch/run_times.py
+++ b/plantainyard/dispatch/run_times.py
@@ -9,20 +9,11 @@
 Both are weighed by their variances, so that exact declarations stay in force.
 """
 
-import json
 import math
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from plantainyard.batch.values import Submission
-from plantainyard.decoding import (
-    convert_errors,
-    parse_json,
-    read_integer,
-    read_list,
-    read_number,
-    read_text,
-)
 from plantainyard.dispatch.model import Job
 from plantainyard.dispatch.policy import RunTimePolicy
 
@@ -30,15 +21,15 @@
     "RunTimeEntry",
     "RunTimePrior",
     "RunTimes",
+    "MAX_LOG",
+    "MIN_LOG",
     "StepKey",
-    "decode_run_times",
-    "describe_run_times",
-    "encode_run_times",
     "estimate_ms",
     "expire_entries",
     "learn_run_time",
     "list_priors",
     "replaces_declared",
+    "round_figure",
     "weigh_estimate",
 ]
 
@@ -287,7 +278,7 @@
     if policy is None:
         return ()
     return tuple(
-        RunTimePrior(number, *map(_round, _make_prior(number, entry)[1:]))
+        RunTimePrior(number, *map(round_figure, _make_prior(number, entry)[1:]))
         for (name, number), entry in list(run_times.entries.items())
         if name == queue and replaces_declared(entry, policy)
     )
@@ -314,6 +305,11 @@
     return max(MIN_ERROR, error)
 
 
+def round_figure(value: float) -> float:
+    """Return a learned figure as precisely as others need it."""
+    return float(f"{value:.4g}")
+
+
 def expire_entries(run_times: RunTimes, policy: RunTimePolicy, now: float) -> None:
     """Remove the entries that are too old, or more than the policy permits."""
     entries = run_times.entries
@@ -324,83 +320,3 @@
             return
         del entries[oldest]
         run_times.has_news = True
-
-
-def encode_run_times(run_times: RunTimes, wall_offset_s: float) -> bytes:
-    """Return the stored form of the entries.
-
-    Parameters
-    ----------
-    run_times : RunTimes
-        The entries.
-    wall_offset_s : float
-        Unix time minus the dispatcher's clock: a successor has another clock, and an
-        entry's age must not begin anew with each owner.
-    """
-    rows = [
-        [*key, *map(_round, entry[:-1]), round(entry.learned_at + wall_offset_s, 1)]
-        for key, entry in run_times.entries.items()
-    ]
-    return json.dumps(rows, separators=(",", ":")).encode()
-
-
-def _round(value: float) -> float:
-    return float(f"{value:.4g}")
-
-
-def decode_run_times(value: bytes, wall_offset_s: float, now: float) -> RunTimes:
-    """Return what `encode_run_times` stored.
-
-    Raises
-    ------
-    DecodeError
-        If the bytes are not such a record.
-    """
-    with convert_errors("run times"):
-        return _decode_entries(parse_json(value), wall_offset_s, now)
-
-
-def _decode_entries(rows: Any, wall_offset_s: float, now: float) -> RunTimes:
-    run_times = RunTimes()
-    for queue, number, *values in read_list(rows, "run times"):
-        steps, mean, variance, declared_steps, error, learned_at = (
-            read_number(figure, "figure") for figure in values
-        )
-        entry = RunTimeEntry(
-            steps, mean, variance, declared_steps, error, learned_at - wall_offset_s
-        )
-        if not _is_valid(entry):
-            raise ValueError(f"invalid run times of step {number} in {queue!r}")
-        # The clocks of two instances differ, and the stored figures are rounded.
-        entry = entry._replace(
-            mean=min(MAX_LOG, max(MIN_LOG, entry.mean)),
-            learned_at=min(now, entry.learned_at),
-        )
-        key = read_text(queue, "queue"), read_integer(number, "step")
-        run_times.entries[key] = entry
-    return run_times
-
-
-def _is_valid(entry: RunTimeEntry) -> bool:
-    amounts = entry.variance, entry.declared_steps, entry.error
-    return (
-        all(map(math.isfinite, entry))
-        and entry.steps > 0
-        and all(amount >= 0 for amount in amounts)
-    )
-
-
-def describe_run_times(run_times: RunTimes, now: float) -> list[dict[str, Any]]:
-    """Return the entries as JSON values; may be called from any thread."""
-    return [
-        {
-            "queue": queue,
-            "step": number,
-            "steps_learned": round(entry.steps, 2),
-            "median_ms": round(math.exp(entry.mean), 1),
-            "spread": round(entry.variance**0.5, 3),
-            "declared_error": round(entry.error**0.5, 3),
-            "age_s": round(now - entry.learned_at, 1),
-        }
-        for (queue, number), entry in list(run_times.entries.items())
-    ]
--- a/plantainyard/dispatch/tests/test_run_times.py
+++ b/plantainyard/dispatch/tests/test_run_times.py
@@ -31,13 +31,15 @@
     order_steps,
     set_deadlines,
 )
+from plantainyard.dispatch.run_time_records import (
+    decode_run_times,
+    describe_run_times,
+    encode_run_times,
+)
 from plantainyard.dispatch.run_times import (
     MAX_RUN_MS,
     MIN_RUN_MS,
     RunTimes,
-    decode_run_times,
-    describe_run_times,
-    encode_run_times,
     estimate_ms,
     expire_entries,
     learn_run_time,
--- a/plantainyard/entry/inspection.py
+++ b/plantainyard/entry/inspection.py
@@ -13,7 +13,7 @@
 from plantainyard.dispatch import Dispatcher, count_state
 from plantainyard.dispatch.model import Job, Task
 from plantainyard.dispatch.reservations import describe_room
-from plantainyard.dispatch.run_times import describe_run_times
+from plantainyard.dispatch.run_time_records import describe_run_times
 from plantainyard.dispatch.unit_forecasts import find_forecast_age
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.peers import look_up_job
