Show in the state dump what long-running tasks may take

Cause: the dump of an owner told the reservations but not how much room is kept for finite work, so that waiting_headroom couldn't be explained.

Change: /state has the size of a typical finite task, the spare slots, the excess over the kept share, the highest demand and how many units have a lower load. The count of spare slots is a function of its own.

Result: tests of the dump; no decision changes.

--- a/plantainyard/dispatch/headroom.py
+++ b/plantainyard/dispatch/headroom.py
@@ -16,7 +16,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from plantainyard.dispatch.load import SLOT_SIZES, Load
 from plantainyard.dispatch.model import GAP_TICKS, Job, Phase, Runner, Task
@@ -31,6 +31,7 @@
     "Demand",
     "Headroom",
     "compare_loads",
+    "describe_headroom",
     "has_headroom",
     "is_first_of_step",
     "may_take_gap",
@@ -161,19 +162,24 @@
     free = [measure_finite_capacity(runner) for runner in usable]
     capacity = sum(r.entry.capacity.cpu for r in usable if r.entry is not None)
     headroom.excess_cpu = sum(free) - policy.max_share * capacity
+    headroom.demands.append(demand)
+    while demand.at - headroom.demands[0].at > policy.window_s:
+        headroom.demands.popleft()
+    _count_spare_slots(headroom, free)
+    if demand.at < unknown_until:
+        headroom.spare_slots = min(0.0, headroom.spare_slots)
+
+
+def _count_spare_slots(headroom: Headroom, free: list[int]) -> None:
+    """Compare the highest demand with what fits beside the long-running tasks."""
     demands = headroom.demands
-    demands.append(demand)
-    while demand.at - demands[0].at > policy.window_s:
-        demands.popleft()
     total = sum(sample.cpu for sample in demands)
     if not total:
         return
     headroom.task_cpu = sum(sample.weighted_cpu for sample in demands) // total
     slots = sum(cpu // headroom.task_cpu for cpu in free)
     peak = max(sample.cpu for sample in demands)
-    spare_slots = slots - peak / headroom.task_cpu
-    is_known = demand.at >= unknown_until
-    headroom.spare_slots = spare_slots if is_known else min(0.0, spare_slots)
+    headroom.spare_slots = slots - peak / headroom.task_cpu
 
 
 def compare_loads(
@@ -248,7 +254,7 @@
 
 def _has_better_unit(headroom: Headroom, policy: HeadroomPolicy, cpu: int) -> bool:
     return any(
-        load.gap >= cpu and has_headroom(headroom, policy, load, cpu, False)
+        load.gap >= cpu and has_headroom(headroom, policy, load, cpu, is_first=False)
         for load in headroom.lower_loads
     )
 
@@ -273,7 +279,7 @@
     policy: HeadroomPolicy | None,
     load: Load,
     cpu: int,
-    takes_large_gap: bool,
+    is_first: bool,
 ) -> bool:
     """Return whether another unit is likely to start a long-running task.
 
@@ -287,8 +293,8 @@
         The load report of the other unit.
     cpu : int
         Processor time that the task reserves.
-    takes_large_gap : bool
-        The task is the first of its step.
+    is_first : bool
+        The task is the first of its step, which takes large gaps.
 
     Notes
     -----
@@ -296,7 +302,7 @@
     """
     if policy is None:
         return True
-    if takes_large_gap and load.gap >= LARGE_GAP * cpu:
+    if is_first and load.gap >= LARGE_GAP * cpu:
         return True
     if load.reserved + load.waiting <= 1 - policy.max_share:
         return True
@@ -306,3 +312,19 @@
         return False
     slots = load.slots[bisect_left(SLOT_SIZES, headroom.task_cpu)]
     return slots * headroom.task_cpu >= load.ending + cpu
+
+
+def describe_headroom(headroom: Headroom) -> dict[str, Any]:
+    """Return the figures as JSON values; None stands for no limit."""
+    return {
+        "typical_task_cpu": headroom.task_cpu,
+        "spare_slots": _limit(headroom.spare_slots),
+        "excess_cpu": _limit(headroom.excess_cpu),
+        "peak_cpu": max((d.cpu for d in list(headroom.demands)), default=0),
+        "loads_known": headroom.loads_known,
+        "units_with_lower_load": len(headroom.lower_loads),
+    }
+
+
+def _limit(value: float) -> float | None:
+    return round(value, 2) if math.isfinite(value) else None
--- a/plantainyard/dispatch/tests/test_headroom.py
+++ b/plantainyard/dispatch/tests/test_headroom.py
@@ -8,6 +8,7 @@
     SchedulingPolicy,
     summarize_work,
 )
+from plantainyard.dispatch.headroom import describe_headroom
 from plantainyard.dispatch.policy import HeadroomPolicy
 from plantainyard.dispatch.tests.world import World, make_step
 from plantainyard.dispatch.timing import TimePart
@@ -92,6 +93,9 @@
     # Guards against processors that stay unused for work that doesn't come any more.
     world = make_busy_fleet()
     run_short_jobs(world, 16, 8)
+    described = describe_headroom(world.state.headroom)
+    assert described["typical_task_cpu"] == GAP_CPU
+    assert described["spare_slots"] == 0
     world.run(1.5)
     rows = summarize_work(world.state, world.now).queues
     waiting = [row.tasks.get(TimePart.WAITING_HEADROOM, 0) for row in rows]
--- a/plantainyard/entry/inspection.py
+++ b/plantainyard/entry/inspection.py
@@ -11,6 +11,7 @@
 
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import Dispatcher, count_state
+from plantainyard.dispatch.headroom import describe_headroom
 from plantainyard.dispatch.model import Job, Task
 from plantainyard.dispatch.reservations import describe_room
 from plantainyard.dispatch.run_time_records import describe_run_times
@@ -68,6 +69,7 @@
         "commit_out": state.commit_pending,
         "moved": len(state.handed_over),
         "room": describe_room(state.room, now),
+        "headroom": describe_headroom(state.headroom),
         "runner_health": _describe_health(state, now),
     }
 
--- a/plantainyard/entry/tests/test_instance.py
+++ b/plantainyard/entry/tests/test_instance.py
@@ -81,7 +81,9 @@
     with run_instance(store, RunnerState("r0")) as instance:
         own_units(instance, 5, 0)
         entries = instance.owned[0].context.dispatcher.run_times.entries
-        assert describe_state(instance)["owned"][0]["run_times"] == []
+        described = describe_state(instance)["owned"][0]
+        assert described["run_times"] == []
+        assert described["headroom"]["typical_task_cpu"] == 0
         entries["route", 2] = RunTimeEntry(3.0, 7.0, 0.25, 3.0, 0.81, 1.0)
         (row,) = describe_state(instance)["owned"][0]["run_times"]
         assert (row["queue"], row["step"]) == ("route", 2)
