Wake the server's loop before it closes its wake-up socket

Cause: a stop sets a flag and then writes to the loop's wake-up socket. An event of a caller, such as the end of its connection, may wake the loop between the two; it sees the flag, closes all sockets, and the write fails. The exception leaves the context, so that the rest of a stopping process's clean-up is not done; had the descriptor been used again, the byte would go to another file.

Change: the loop shuts down only after it was woken.

Evidence: a test that delays the write by half a second fails with the same error before, and passes. That the failure of the once-seen test came this way is likely and not shown: that test was not made to fail again.

--- a/plantainyard/serving.py
+++ b/plantainyard/serving.py
@@ -94,8 +94,8 @@
         clear_untrusted_proxy_headers=True,
         ident=None,
     )
-    stopping = threading.Event()
-    arguments = (server, sockets, stopping, flush_s)
+    stopping, woken = threading.Event(), threading.Event()
+    arguments = (server, sockets, stopping, woken, flush_s)
     thread = threading.Thread(
         target=_run_loop, args=arguments, daemon=True, name=LOOP_THREAD_NAME
     )
@@ -105,14 +105,27 @@
     finally:
         stopping.set()
         server.pull_trigger()
+        woken.set()
         thread.join(flush_s + JOIN_TIMEOUT_S)
 
 
 def _run_loop(
-    server: Any, sockets: dict[int, Any], stopping: threading.Event, flush_s: float
+    server: Any,
+    sockets: dict[int, Any],
+    stopping: threading.Event,
+    woken: threading.Event,
+    flush_s: float,
 ) -> None:
+    """Run the server until it is stopped, then shut it down.
+
+    Notes
+    -----
+    Guards against a stop that writes to the wake-up socket after it was closed, or to
+    another file that got its descriptor: an event of a caller may wake the loop first.
+    """
     while not stopping.is_set():
         wasyncore.loop(timeout=POLL_TIMEOUT_S, map=sockets, use_poll=True, count=1)
+    woken.wait()
     _shut_down(server, sockets, flush_s)
 
 
--- a/plantainyard/tests/test_serving.py
+++ b/plantainyard/tests/test_serving.py
@@ -5,6 +5,8 @@
 import time
 from pathlib import Path
 
+from waitress.server import BaseWSGIServer
+
 from plantainyard import serving
 from plantainyard.serving import LOOP_THREAD_NAME, serve_app
 
@@ -42,6 +44,21 @@
         received += chunk
 
 
+def test_a_loop_that_notices_the_stop_at_once_is_still_woken(monkeypatch):
+    # Guards against a stop that fails, and leaves the rest of the process's clean-up
+    # undone, because the loop has closed its wake-up socket before it is woken.
+    wake = BaseWSGIServer.pull_trigger
+
+    def wake_late(server):
+        time.sleep(0.5)
+        wake(server)
+
+    monkeypatch.setattr(serving, "POLL_TIMEOUT_S", 0.01)
+    monkeypatch.setattr(BaseWSGIServer, "pull_trigger", wake_late)
+    with serve_app(lambda *_: [], "127.0.0.1:0", 1, 10, 100):
+        pass
+
+
 def test_an_idle_server_sleeps_until_it_is_stopped(monkeypatch):
     # Guards against idle instances that are woken periodically by their own servers,
     # and against a stop that waits until the loop's sleep times out.
