Ask of long-running backfill tasks again that their gap has lasted

Cause: when the check of gaps that last moved out of the eligibility of a runner, it was narrowed to tasks that reserve processors; a long-running backfill task that never ran was no longer asked for it.

--- a/plantainyard/dispatch/placing.py
+++ b/plantainyard/dispatch/placing.py
@@ -162,9 +162,11 @@
 
 def can_start_after_evacuation(task: Task, runner: Runner, now: float) -> bool:
     """Return the same as `can_start` for the time when no domain is evacuated."""
-    if is_first_long_run(task) and not _is_gap_lasting(task.step.spec, runner):
+    if not is_eligible(task, runner, now):
         return False
-    return is_eligible(task, runner, now)
+    spec = task.step.spec
+    may_take_any_gap = not spec.long_running or task.run > 0
+    return may_take_any_gap or _is_gap_lasting(spec, runner)
 
 
 def is_eligible(task: Task, runner: Runner, now: float) -> bool:
