--- a/plantainyard/dispatch/tests/test_headroom.py
+++ b/plantainyard/dispatch/tests/test_headroom.py
@@ -118,8 +118,8 @@
     assert count_watches(world) == 2
 
 
-def test_a_gap_for_two_tasks_is_never_kept():
-    # Guards against a task that counts as forgotten, as it waits beside such a gap.
+def test_a_gap_for_two_tasks_is_not_kept_from_the_first_of_a_job():
+    # Guards against a job that counts as forgotten, as it waits beside such a gap.
     world = make_busy_fleet()
     small = make_step(RUNNERS, GAP_CPU // 2, long_running=True)
     world.submit("watch-small", small)
@@ -168,9 +168,9 @@
     # Guards against tasks that units hand to each other and none of which starts them.
     world = make_busy_fleet()
     full = Load(0.85, 0.0, 0.05, 0.0, GAP_CPU, slots=(8,) * 14, ending=40_000)
-    for _ in range(4):
+    for number in range(16, 20):
         world.send_event(LoadsReceived({1: full}, world.now))
-        run_short_jobs(world, 16, 1)
+        run_short_jobs(world, number, 1)
     assert not world.forwarded
     world.send_event(LoadsReceived({1: full._replace(gap=2 * GAP_CPU)}, world.now))
     world.run(0.5)
