Keep the reason of a wait while a step is placed, instead of finding it anew

Explaining a step at once after a part of it was placed adds a pass over the runners for each of a thousand steps.

Change: an assignment doesn't clear the reason any more, which holds for the rest of the step until it is found anew, at most every half second as before.

--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -386,7 +386,6 @@
     task.run = run
     task.incarnation = runner.incarnation
     task.waiting_since = 0.0
-    task.step.wait_reason = ""
     task.step.no_place_found = False
     task.step.placed_at = now
     reserve_resources(runner, task)
--- a/plantainyard/dispatch/timing.py
+++ b/plantainyard/dispatch/timing.py
@@ -79,11 +79,10 @@
 
     Notes
     -----
-    The reason is assumed to apply to the whole step. The cost is at most two passes
-    over the runners for each step, every half second and after each pass that placed a
-    part of it.
+    The reason is assumed to apply to the whole step, also once a part of it was placed.
+    The cost is at most two passes over the runners, every half second for each step.
     """
-    if step.wait_reason and now - step.wait_reason_at < EXPLAIN_INTERVAL_S:
+    if now - step.wait_reason_at < EXPLAIN_INTERVAL_S:
         return
     step.wait_reason_at = now
     usable = [runner for runner in runners if _qualifies(task, runner, now)]
