Pass over the steps of a job that are done when its work is measured

Cause: with each task that ends, the work left of its job is measured twice, and whether all of the job was placed at once; both pass over all its steps.

Change: steps that are done are left out of both; they add nothing to either.

No decision changes.

--- a/plantainyard/dispatch/completions.py
+++ b/plantainyard/dispatch/completions.py
@@ -60,7 +60,8 @@
     return not any(
         task.phase == Phase.WAITING
         for step in job.steps.values()
-        if all(_is_step_done(job, step.occurrence, n) for n in step.spec.after)
+        if step.done_count < len(step.tasks)
+        and all(_is_step_done(job, step.occurrence, n) for n in step.spec.after)
         for task in step.tasks
     )
 
--- a/plantainyard/dispatch/queue.py
+++ b/plantainyard/dispatch/queue.py
@@ -134,6 +134,7 @@
         * (estimates_ms[step.number] if estimates_ms else step.spec.estimate_ms)
         / 1e6
         for step in job.steps.values()
+        if step.done_count < len(step.tasks)
     )
 
 
