--- a/plantainyard/dispatch/tests/test_headroom.py
+++ b/plantainyard/dispatch/tests/test_headroom.py
@@ -18,8 +18,12 @@
 
 RUNNERS = 8
 RUNNER_CPU = 16_000
-RESIDENT_CPU = 14_000
-GAP_CPU = RUNNER_CPU - RESIDENT_CPU
+GAP_CPU = 2_000
+"""An eighth of each runner, less than the share that the deployed policy keeps."""
+
+LARGE_GAP_CPU = 4_000
+"""A quarter of each runner, more than that share."""
+
 SHORT_S = 0.6
 
 
@@ -27,27 +31,28 @@
     return load_policy(str(DEPLOYED_POLICY)).unwrap()
 
 
-def make_fleet(policy: SchedulingPolicy) -> World:
-    """Return runners of 16 cores, each with a long-running task that leaves two."""
+def make_fleet(policy: SchedulingPolicy, gap_cpu: int = GAP_CPU) -> World:
+    """Return runners of 16 cores, each with a long-running task that leaves a gap."""
     world = World(runners=RUNNERS, policy=policy)
     for runner in world.runners.values():
-        runner.capacity = {"cpu": RUNNER_CPU, "memMb": 256_000, "gpu": 0}
+        runner.capacity["cpu"] = RUNNER_CPU
         runner.durations = {"resident": 0.0, "watch": 0.0, "short": SHORT_S}
     world.publish_entries()
-    step = make_step(RUNNERS, RESIDENT_CPU, long_running=True, max_per_runner=1)
+    resident_cpu = RUNNER_CPU - gap_cpu
+    step = make_step(RUNNERS, resident_cpu, long_running=True, max_per_runner=1)
     world.submit("resident", step)
     world.run(3.0)
     assert len(world.list_running("resident")) == RUNNERS
     return world
 
 
-def run_short_jobs(world: World, first: int, jobs: int) -> None:
+def run_short_jobs(world: World, first: int, jobs: int, cpu: int = GAP_CPU) -> None:
     """Submit two jobs a second, of three tasks and each eighth of eight tasks.
 
     They may take 1.3 s, of which their tasks need 0.6 s.
     """
     for number in range(first, first + jobs):
-        step = make_step(8 if number % 8 == 7 else 3, GAP_CPU, estimate_ms=600)
+        step = make_step(8 if number % 8 == 7 else 3, cpu, estimate_ms=600)
         world.submit(f"short{number}", step, stretch=1.5, target_latency_ms=400.0)
         world.run(0.5)
 
@@ -60,12 +65,22 @@
 def test_long_running_jobs_that_wait_do_not_take_the_room_of_short_ones():
     # Guards against a class of short jobs that earns next to nothing: gaps that it
     # needs for its widest jobs go to long-running tasks one by one, for good.
-    world = make_fleet(load_deployed_policy())
-    run_short_jobs(world, 0, 16)
-    world.submit("watch", make_step(RUNNERS, GAP_CPU, long_running=True))
-    run_short_jobs(world, 16, 40)
+    assert count_in_time(run_beside_waiting(LARGE_GAP_CPU)) == 56
+
+
+def test_long_running_jobs_that_wait_leave_short_ones_the_kept_share():
+    # Guards against the same where the room of short jobs is less than that share.
+    assert count_in_time(run_beside_waiting(GAP_CPU)) == 56
+
+
+def run_beside_waiting(gap_cpu: int) -> World:
+    """Run 56 short jobs, most of them beside long-running tasks that wait."""
+    world = make_fleet(load_deployed_policy(), gap_cpu)
+    run_short_jobs(world, 0, 16, gap_cpu)
+    world.submit("watch", make_step(RUNNERS, gap_cpu, long_running=True))
+    run_short_jobs(world, 16, 40, gap_cpu)
     world.run(3.0)
-    assert count_in_time(world) == 56
+    return world
 
 
 def count_watches(world: World) -> int:
