--- a/review/small_site.py
+++ b/review/small_site.py
@@ -500,7 +500,7 @@
         self.server = Server(self._handle)
         self.stop_s = 0.95 * site.bounds["stop_ms"] / 1000
         self.up = False
-        self.cut = False
+        self.cut_from_store = False
         self.draining = False
         self.sequence = 0
 
@@ -567,24 +567,22 @@
         self.site.journal.write("runner_reborn", runner=self.name, runs=len(self.runs))
         for run in list(self.runs.values()):
             self._forget(run, "lost")
+        for writer in list(self.server.writers):
+            writer.transport.abort()
         self._reset()
 
     async def _handle(self, method, path, query, headers, body):
-        if self.cut:
-            return None
         data = json.loads(body)
         late_s = self.site.choose_delay(self, path, data)
         if late_s is not None:
             loop = asyncio.get_running_loop()
             loop.call_later(late_s, self._carry_out_late, path, headers, data)
             return None
-        answer = await self._answer_call(path, headers, data)
-        # What is under way when the cut begins is lost with the channel.
-        return None if self.cut else answer
+        return await self._answer_call(path, headers, data)
 
     def _carry_out_late(self, path, headers, data):
         """Carry out an order that got no answer, in whatever life there is now."""
-        if self.up and not self.cut:
+        if self.up:
             task = asyncio.ensure_future(self._answer_call(path, headers, data))
             task.add_done_callback(
                 lambda done: self.site.journal.write(
@@ -927,7 +925,7 @@
             for runner in self.runners:
                 if now >= runner.next_beat:
                     runner.next_beat += self.heartbeat_s
-                    if runner.up and not runner.cut:
+                    if runner.up and not runner.cut_from_store:
                         runner.beat()
                 silent_s = now - runner.beat_at
                 if runner.listed and silent_s >= 3 * self.heartbeat_s:
