--- a/review/5/check.py
+++ b/review/5/check.py
@@ -12,7 +12,7 @@
 import small_site as lib  # noqa: E402
 
 FOLDER = Path(__file__).resolve().parent
-PREFIX = "/lohu930/"
+PREFIX = "/work/"
 AFTER = os.environ.get("AFTER", "1") != "0"
 RUNNERS = 140
 LASTING = 2
--- a/review/8/check.py
+++ b/review/8/check.py
@@ -11,7 +11,7 @@
 import small_site as lib  # noqa: E402
 
 FOLDER = Path(__file__).resolve().parent
-PREFIX = "/lohu930/"
+PREFIX = "/work/"
 RUNNERS = 140
 CORES = 13_000
 TASKS = 2
--- a/review/small_site.py
+++ b/review/small_site.py
@@ -27,7 +27,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HOST = "nony24.example"
+HOST = "callers.example"
 SERVICE = "tollgate"
 PORTS = range(12_000, 32_000)
 HELD, BROKEN, NOT_RUN = 0, 1, 2
