Divide a job's time along its critical path into parts that make up the whole

Cause: task-seconds by reason don't tell which task held a late job up, nor how long it waited for its owner, the store or a lost run. Change: each change of a task's phase records the time before it; the path goes back from the task that ended last. job_ended has the parts in path_s. No decision changes.

--- a/plantainyard/dispatch/actions.py
+++ b/plantainyard/dispatch/actions.py
@@ -59,6 +59,9 @@
         Task-seconds by `timing.TimePart`, since this owner took over.
     lost_runs : dict
         Number of runs since then that didn't complete, by outcome.
+    path_s : mapping of str to float
+        Time from its acceptance to the storing of its end along its critical path, by
+        `critical_path.PathPart`; empty if it didn't end by its last task.
     estimate : mapping of str to float
         What decided about its deadline; see `measured_runs.summarize_estimate`.
     """
@@ -71,6 +74,7 @@
     lateness_s: float
     task_time_s: dict[str, float]
     lost_runs: dict[str, int]
+    path_s: Mapping[str, float] = MappingProxyType({})
     estimate: Mapping[str, float] = MappingProxyType({})
 
 
--- a/plantainyard/dispatch/commits.py
+++ b/plantainyard/dispatch/commits.py
@@ -23,6 +23,7 @@
 from plantainyard.dispatch import orders
 from plantainyard.dispatch.actions import Commit, JobSummary
 from plantainyard.dispatch.containment import record_exception
+from plantainyard.dispatch.critical_path import summarize_path
 from plantainyard.dispatch.forwarding import forward_outgoing, pop_delivery_records
 from plantainyard.dispatch.inherited_bounds import (
     confirm_bounds,
@@ -203,15 +204,17 @@
 def _summarize(state: Dispatcher, job: Job, now: float) -> JobSummary:
     submission = job.submission
     received_ms = (job.received_at + state.wall_offset_s) * 1000
+    intake_s = (received_ms - submission.accepted_at_ms) / 1000
     return JobSummary(
         submission.record_id,
         job.final_state,
         submission.queue,
-        round((received_ms - submission.accepted_at_ms) / 1000, 3),
+        round(intake_s, 3),
         round(now - job.accepted_at, 3),
         round(now - job.deadline, 3),
         summarize_times(job),
         dict(job.lost_runs),
+        summarize_path(job, intake_s, now),
         summarize_estimate(state.run_times, state.limits.policy.run_times, job, now),
     )
 
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -121,6 +121,7 @@
     now : float
         Seconds on a monotonic clock.
     """
+    state.now = now
     if isinstance(event, Tick):
         _pass_tick(state, now)
     else:
--- a/plantainyard/dispatch/forwarding.py
+++ b/plantainyard/dispatch/forwarding.py
@@ -14,6 +14,7 @@
 )
 from plantainyard.batch.values import Submission, make_piece
 from plantainyard.dispatch.actions import Forward, HandoversConfirmed
+from plantainyard.dispatch.critical_path import record_path_time
 from plantainyard.dispatch.model import Phase, Task
 from plantainyard.dispatch.state import Arrival, Dispatcher
 from plantainyard.platform.store_messages import Record
@@ -85,6 +86,7 @@
 
 def record_piece(state: Dispatcher, task: Task, unit: int) -> Submission:
     """Record that another unit is responsible for a task; return its submission."""
+    record_path_time(state, task, Phase.HANDED_OVER)
     task.phase = Phase.HANDED_OVER
     task.unit = unit
     submission = build_piece(state, task)
--- a/plantainyard/dispatch/jobs.py
+++ b/plantainyard/dispatch/jobs.py
@@ -3,6 +3,7 @@
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.batch.values import JobState, Submission
 from plantainyard.dispatch.actions import GiveUpReason
+from plantainyard.dispatch.critical_path import record_path_time
 from plantainyard.dispatch.forwarding import (
     find_piece_id,
     forward_cancel,
@@ -42,15 +43,15 @@
     state.jobs[job_id] = job
     record_arrival(state, submission, now)
     if submission.piece:
-        _add_piece(job)
+        _add_piece(job, now)
     elif not submission.times:
-        open_occurrence(job, 0)
+        open_occurrence(job, 0, now)
 
 
-def open_occurrence(job: Job, occurrence: int) -> None:
+def open_occurrence(job: Job, occurrence: int, now: float) -> None:
     """Add the steps of an occurrence of a job."""
     for number, spec in enumerate(job.submission.steps):
-        step = StepRun(job, occurrence, number, spec)
+        step = StepRun(job, occurrence, number, spec, opened_at=now)
         step.tasks = [
             Task(TaskKey(job.submission.job_id, occurrence, number, index), step)
             for index in range(spec.size)
@@ -58,11 +59,12 @@
         job.steps[occurrence, number] = step
 
 
-def _add_piece(job: Job) -> None:
+def _add_piece(job: Job, now: float) -> None:
     """Add the single task, or the gang, that another unit has handed over."""
     submission = job.submission
     occurrence, number, index = submission.piece
-    step = StepRun(job, occurrence, number, submission.steps[number])
+    spec = submission.steps[number]
+    step = StepRun(job, occurrence, number, spec, opened_at=now)
     indices = range(step.spec.size) if submission.whole_step else [index]
     step.tasks = [
         Task(
@@ -89,21 +91,22 @@
     for job in list(state.jobs.values()):
         submission = job.submission
         if submission.times and not submission.piece and not job.cancelled:
-            _open_due_for_job(job, wall_ms)
+            _open_due_for_job(job, wall_ms, now)
 
 
-def _open_due_for_job(job: Job, wall_ms: float) -> None:
+def _open_due_for_job(job: Job, wall_ms: float, now: float) -> None:
     submission = job.submission
     for occurrence in range(submission.times):
         due_ms = submission.start_at_ms + occurrence * submission.interval_ms
         if due_ms > wall_ms:
             return
         if (occurrence, 0) not in job.steps:
-            open_occurrence(job, occurrence)
+            open_occurrence(job, occurrence, now)
 
 
 def finish_task(state: Dispatcher, task: Task) -> None:
     """Mark a task as done, and end the job if it was the last one."""
+    record_path_time(state, task, Phase.DONE)
     task.phase = Phase.DONE
     task.checkpoint = ""
     task.step.done_count += 1
--- a/plantainyard/dispatch/model.py
+++ b/plantainyard/dispatch/model.py
@@ -141,6 +141,9 @@
     is_completed : bool
         Whether an earlier run, or another member of the gang, has completed the task.
         It is done as soon as its newest run has surely ended or is refused.
+    phase_since, path_s : float, dict
+        Time of its last change of phase, and its time before by part; see
+        `critical_path`.
     """
 
     key: TaskKey
@@ -175,6 +178,8 @@
     worked_until: float = 0.0
     first_percent: int = -1
     is_completed: bool = False
+    phase_since: float = 0.0
+    path_s: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
@@ -204,6 +209,11 @@
         Number of runners that are reserved for its tasks.
     need : Need or None
         What its tasks need of a runner; None until it is asked for.
+    opened_at : float
+        When this owner has added the step.
+    ended_at, path_s : float, dict
+        When the last of its tasks so far was done, and the time of that task by part;
+        see `critical_path`.
     """
 
     job: "Job"
@@ -218,6 +228,9 @@
     placed_at: float = 0.0
     reserved_runners: int = 0
     need: Need | None = None
+    opened_at: float = 0.0
+    ended_at: float = 0.0
+    path_s: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
--- a/plantainyard/dispatch/orders.py
+++ b/plantainyard/dispatch/orders.py
@@ -3,6 +3,7 @@
 import math
 
 from plantainyard.dispatch.actions import GiveUpReason, OrderKind, SendOrder
+from plantainyard.dispatch.critical_path import record_path_time
 from plantainyard.dispatch.evacuations import knows_evacuations
 from plantainyard.dispatch.leases import can_start_arrive, grant_lease
 from plantainyard.dispatch.measured_runs import begin_run_clock, record_pace
@@ -51,6 +52,7 @@
         release_task(state, task)
         task.not_before = now + state.limits.refusal_pause_s
         return
+    record_path_time(state, task, Phase.ORDERED)
     task.phase = Phase.ORDERED
     task.resolved_at = None
     task.seen_in_report = False
@@ -66,6 +68,7 @@
 
 def send_stop(state: Dispatcher, task: Task, now: float) -> None:
     """Order a run to stop; the runner will report its end."""
+    record_path_time(state, task, Phase.STOPPING)
     task.phase = Phase.STOPPING
     runner = state.runners.get(task.incarnation)
     if runner is None or runner.entry is None:
@@ -200,6 +203,7 @@
         if task.unseen_end:
             # The lease of its neighbours could not be renewed beyond that bound.
             runner.next_report_at = 0.0
+    record_path_time(state, task, Phase.WAITING)
     task.phase = Phase.WAITING
     task.incarnation = ""
     task.resolved_at = None
--- a/plantainyard/dispatch/pieces.py
+++ b/plantainyard/dispatch/pieces.py
@@ -12,6 +12,7 @@
 from plantainyard.batch.replica import JobView
 from plantainyard.batch.values import JobState, PieceResult
 from plantainyard.dispatch.actions import Forward
+from plantainyard.dispatch.critical_path import record_path_time
 from plantainyard.dispatch.forwarding import record_piece
 from plantainyard.dispatch.jobs import end_if_finished, end_job, fail_job, finish_task
 from plantainyard.dispatch.model import Job, Phase, Task
@@ -128,7 +129,7 @@
     if not tasks or tasks[0].step.job.final_state:
         return
     for task in tasks:
-        _take_back(task, result)
+        _take_back(state, task, result)
     step = tasks[0].step
     mark_dirty(state, step)
     if result.state == JobState.COMPLETED or any(task.is_completed for task in tasks):
@@ -141,7 +142,8 @@
         end_if_finished(state, step.job)
 
 
-def _take_back(task: Task, result: PieceResult) -> None:
+def _take_back(state: Dispatcher, task: Task, result: PieceResult) -> None:
+    record_path_time(state, task, Phase.WAITING)
     task.phase = Phase.WAITING
     task.unit = None
     task.run = max(task.run, result.run)
--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from plantainyard.batch.values import Resources
+from plantainyard.dispatch.critical_path import record_path_time
 from plantainyard.dispatch.headroom import (
     is_first_of_step,
     may_take_gap,
@@ -406,6 +407,7 @@
 ) -> None:
     if is_first_long_run(task):
         record_first_start(state.headroom, runner, task.step.spec.resources.cpu)
+    record_path_time(state, task, Phase.STORING)
     task.phase = Phase.STORING
     task.run = run
     task.incarnation = runner.incarnation
--- a/plantainyard/dispatch/restoring.py
+++ b/plantainyard/dispatch/restoring.py
@@ -83,7 +83,7 @@
         left_s = bounds.inherited_s * (1 + limits.clock_drift)
         state.predecessor_inherited_until = now + left_s
     state.epoch = epoch
-    state.took_over_at = now
+    state.now = state.took_over_at = now
     state.has_predecessor = bool(replica.jobs or bounds.epoch)
     state.renewed_at = fenced_at
     _restore_jobs(state, replica, now)
@@ -174,7 +174,7 @@
         if not _has_step(submission, occurrence, number):
             continue
         if (occurrence, number) not in job.steps:
-            open_occurrence(job, occurrence)
+            open_occurrence(job, occurrence, now)
         step = job.steps[occurrence, number]
         _restore_step(state, step, progress, delivered, now)
     if view.cancelled:
--- a/plantainyard/dispatch/runs.py
+++ b/plantainyard/dispatch/runs.py
@@ -3,6 +3,7 @@
 from plantainyard.dispatch import jobs
 from plantainyard.dispatch.actions import GiveUpReason, JobStarted, OrderKind
 from plantainyard.dispatch.completions import record_completion
+from plantainyard.dispatch.critical_path import record_path_time
 from plantainyard.dispatch.events import OrderAnswered
 from plantainyard.dispatch.failing_runners import observe_failure, suspend_failing
 from plantainyard.dispatch.forwarding import find_piece_id, forward_cancel
@@ -49,6 +50,7 @@
 
 def mark_running(state: Dispatcher, task: Task) -> None:
     """Mark a task whose ordered run was seen at its runner."""
+    record_path_time(state, task, Phase.RUNNING)
     task.phase = Phase.RUNNING
     if task.unseen_end:
         mark_dirty(state, task.step)
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -62,6 +62,8 @@
     ----------
     limits : Limits
         Time limits and thresholds.
+    now : float
+        Time of the event that is being applied.
     wall_offset_s : float
         Unix time minus the dispatcher's clock, read once because the time of day may
         jump.
@@ -209,6 +211,7 @@
     """
 
     limits: Limits
+    now: float = 0.0
     wall_offset_s: float = 0.0
     jobs: dict[str, Job] = field(default_factory=dict)
     ended_jobs: dict[str, float] = field(default_factory=dict)
--- a/plantainyard/dispatch/tests/test_queue.py
+++ b/plantainyard/dispatch/tests/test_queue.py
@@ -10,7 +10,7 @@
     step = Step(size, Resources(1000, 1, 0), 1000)
     submission = Submission(name, "q", "s", "", (step,), priority)
     job = Job(submission, deadline, find_critical_paths_ms(submission.steps))
-    open_occurrence(job, 0)
+    open_occurrence(job, 0, 0.0)
     return job
 
 
@@ -71,7 +71,7 @@
 def make_long_running_job(name: str, run: int) -> Job:
     step = Step(1, Resources(1000, 1, 0), long_running=True)
     job = Job(Submission(name, "q", "s", "", (step,)), 20.0, (0.0,))
-    open_occurrence(job, 0)
+    open_occurrence(job, 0, 0.0)
     job.steps[0, 0].tasks[0].run = run
     return job
 
--- a/plantainyard/dispatch/tests/test_run_times.py
+++ b/plantainyard/dispatch/tests/test_run_times.py
@@ -77,7 +77,7 @@
 def make_job(submission: Submission, accepted_at: float = 0.0) -> Job:
     job = Job(submission, 0.0, find_critical_paths_ms(submission.steps), accepted_at)
     set_deadlines(job, accepted_at)
-    open_occurrence(job, 0)
+    open_occurrence(job, 0, 0.0)
     return job
 
 
--- a/plantainyard/entry/tests/test_instance.py
+++ b/plantainyard/entry/tests/test_instance.py
@@ -102,7 +102,7 @@
     estimate = {"declared_s": 0.1, "estimated_s": 0.9, "entries_age_s": 4.0}
     without = JobSummary(JOB, "completed", "q", 0.1, 1.0, 0.5, {}, {})
     for summary in (without, without._replace(estimate=estimate)):
-        UnitActor._record_job_end(actor, summary)
+        UnitActor._record_job_end(actor, summary, 0.0)
     lines = [json.loads(log.lines.get_nowait() or "") for _ in range(2)]
     assert "estimate" not in lines[0]
     assert lines[1]["estimate"] == estimate
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -77,6 +77,9 @@
 WORK_INTERVAL_S = 1.0
 """Time in seconds between log lines about the unit's work."""
 
+STORE_CALL = "store"
+"""Part of a job's time in which its end is stored."""
+
 
 class UnitActor(pykka.ThreadingActor):
     """Actor that runs a unit's dispatcher and carries out its actions.
@@ -248,14 +251,16 @@
         """
         context = self.context
         try:
+            began_at = read_clock()
             too_large = store_records(context, action.records)
+            stored_s = read_clock() - began_at
             if too_large is None or context.stopping.is_set():
                 return
             for record in action.records:
                 if record not in too_large:
                     apply_record(context.replica, record.key, record.value)
             for summary in action.summaries:
-                self._record_job_end(summary)
+                self._record_job_end(summary, stored_s)
             jobs = self._report_too_large(too_large)
         except Exception as error:
             context.on_failure(error)
@@ -283,7 +288,7 @@
             record_quarantine(context, job_id, QuarantineReason.RECORD)
         return frozenset(jobs)
 
-    def _record_job_end(self, summary: JobSummary) -> None:
+    def _record_job_end(self, summary: JobSummary, stored_s: float) -> None:
         """Log a job's end with a breakdown of its time, and update the metrics.
 
         Notes
@@ -303,6 +308,7 @@
             late_s=summary.lateness_s,
             task_s=summary.task_time_s,
             lost=summary.lost_runs,
+            path_s={**summary.path_s, STORE_CALL: round(stored_s, 3)},
             **estimate,
         )
         meters, labels = context.meters, (summary.queue, str(context.unit))
