Read values of any depth, size and port at every place that reads them

Seen: other operators' machines ended again and again after another writer had left an odd entry: nested very deep, a number too large, a port out of range. Our readers of the store's lists hold with such values, before and now. What failed with them: an operator's request nested about 985 deep (SystemError in the handler, a 500), the tool on an error whose code is a list, the history of a job (13.8 s for one line), the daemon's settings, an operator's profile and the weights file (RecursionError, OverflowError), and the instance's settings took addresses with a port out of range. Cause: tomllib and the protobuf library raise other errors than those that were caught; addresses in settings were texts only. Change: one reader of TOML and one of addresses beside that of JSON.

--- a/plantainyard/api/codec.py
+++ b/plantainyard/api/codec.py
@@ -32,6 +32,8 @@
     AttributeError,
     OverflowError,
     RecursionError,
+    # The library raises it in place of a RecursionError in its C code.
+    SystemError,
     EncodeError,
 )
 """Exceptions that the library raises for JSON values that a message can't hold."""
--- a/plantainyard/api/errors.py
+++ b/plantainyard/api/errors.py
@@ -118,7 +118,10 @@
         data = json.loads(body)
     except (ValueError, RecursionError):
         return None
-    if not isinstance(data, dict) or data.get("code") not in STATUS_OF_CODE:
+    if not isinstance(data, dict):
+        return None
+    code = data.get("code")
+    if not isinstance(code, str) or code not in STATUS_OF_CODE:
         return None
     fields = {name: value for name, value in data.items() if name in ApiError._fields}
     return ApiError(**fields) if _has_valid_types(fields) else None
--- a/plantainyard/commands/access.py
+++ b/plantainyard/commands/access.py
@@ -4,13 +4,13 @@
 TOML file with the keys ``addresses`` and ``token`` or ``token_file``.
 """
 
-import tomllib
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
+from plantainyard.decoding import DecodeError, parse_toml
 from plantainyard.settings import Secret
 
 __all__ = ["Access", "find_access"]
@@ -89,10 +89,10 @@
     if not given and not location.is_file():
         return Ok({})
     try:
-        profile = tomllib.loads(location.read_text("utf-8"))
+        profile = parse_toml(location.read_text("utf-8"))
     except OSError as error:
         return Err(f"{location}: {error.strerror}")
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (DecodeError, UnicodeDecodeError) as error:
         return Err(f"{location}: expected well-formed TOML, got: {error}")
     unknown = sorted(profile.keys() - set(PROFILE_KEYS))
     if unknown:
--- a/plantainyard/commands/configurations.py
+++ b/plantainyard/commands/configurations.py
@@ -1,7 +1,6 @@
 """Subcommands that show and change the configuration."""
 
 import json
-import tomllib
 from typing import Any
 
 from absl import flags
@@ -26,6 +25,7 @@
 from plantainyard.commands.rendering import format_age, format_json, format_value
 from plantainyard.commands.work_flags import read_text
 from plantainyard.configuration import flatten_changes
+from plantainyard.decoding import parse_toml
 
 __all__ = ["COMMANDS", "change_configuration", "define_change_flags"]
 
@@ -72,7 +72,7 @@
 def _read_tables(path: str) -> dict[str, Any]:
     text = read_text(path)
     try:
-        data = json.loads(text) if path.endswith(JSON_SUFFIX) else tomllib.loads(text)
+        data = json.loads(text) if path.endswith(JSON_SUFFIX) else parse_toml(text)
     except (ValueError, RecursionError) as error:
         raise UsageError(
             f"{path}: expected TOML, or JSON in *.json: {error}"
--- a/plantainyard/decoding.py
+++ b/plantainyard/decoding.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import tomllib
 from collections.abc import Iterator
 from contextlib import contextmanager
 from types import UnionType
@@ -19,6 +20,7 @@
     "describe_failure",
     "parse_decimal",
     "parse_json",
+    "parse_toml",
     "read_flag",
     "read_integer",
     "read_list",
@@ -105,6 +107,24 @@
         raise DecodeError(str(error) if is_known else "a number is too long") from None
 
 
+def parse_toml(text: str) -> dict[str, Any]:
+    """Return the tables that a text in TOML describes.
+
+    Examples
+    --------
+    >>> parse_toml("a = " + "[" * 100_000)
+    Traceback (most recent call last):
+    plantainyard.decoding.DecodeError: nested too deep
+    """
+    try:
+        return tomllib.loads(text)
+    except RecursionError:
+        raise DecodeError("nested too deep") from None
+    except ValueError as error:
+        is_known = isinstance(error, tomllib.TOMLDecodeError)
+        raise DecodeError(str(error) if is_known else "a number is too long") from None
+
+
 def read_object(value: Any, name: str) -> dict[str, Any]:
     """Return `value` if it is a JSON object."""
     return _expect(value, name, dict, "an object")
--- a/plantainyard/entry/story.py
+++ b/plantainyard/entry/story.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import re
 import sys
 from collections.abc import Iterable
 from pathlib import Path
@@ -13,8 +12,6 @@
 
 __all__ = ["main", "order_events", "parse_events"]
 
-_JSON_OBJECT = re.compile(r"\{.*\}")
-
 
 class _SortKey(NamedTuple):
     """The sort key of an event.
@@ -36,12 +33,12 @@
     """Return the events in `lines`, ignoring text before the JSON object of a line."""
     events = []
     for line in lines:
-        match = _JSON_OBJECT.search(line)
-        if match is None:
+        begin, end = line.find("{"), line.rfind("}")
+        if not 0 <= begin < end:
             continue
         try:
-            data = json.loads(match.group())
-        except ValueError:
+            data = json.loads(line[begin : end + 1])
+        except (ValueError, RecursionError):
             continue
         if isinstance(data, dict) and "event" in data and "instance" in data:
             events.append(data)
--- a/plantainyard/placement/settings.py
+++ b/plantainyard/placement/settings.py
@@ -1,9 +1,10 @@
 """Settings and weights of placement."""
 
-import tomllib
 from pathlib import Path
 from typing import NamedTuple
 
+from plantainyard.decoding import parse_toml, read_number
+
 __all__ = ["PlacementSettings", "Weights", "load_weights"]
 
 
@@ -131,12 +132,14 @@
     Raises
     ------
     ValueError
-        If a weight is negative.
+        If the file can't be read as TOML, or a weight is negative.
     TypeError
         If the table has an unknown key.
     """
-    table = tomllib.loads(Path(path).read_text(encoding="utf-8"))["weights"]
-    weights = Weights(**{name: float(value) for name, value in table.items()})
+    table = parse_toml(Path(path).read_text(encoding="utf-8"))["weights"]
+    weights = Weights(
+        **{name: read_number(value, name) for name, value in table.items()}
+    )
     if min(weights) < 0:
         raise ValueError(f"negative weight in {path}")
     return weights
--- a/plantainyard/platform/entries.py
+++ b/plantainyard/platform/entries.py
@@ -1,11 +1,9 @@
 """Decoding of the entries that runners publish about themselves in the store."""
 
-from ipaddress import AddressValueError, IPv4Address
 from typing import Any, NamedTuple
 
 from plantainyard.batch import Resources
 from plantainyard.batch.limits import MAX_NAME
-from plantainyard.connections import MAX_PORT
 from plantainyard.decoding import (
     MAX_INTEGER,
     DecodeError,
@@ -18,6 +16,7 @@
     read_text,
     read_truncated,
 )
+from plantainyard.platform.addresses import read_address
 
 __all__ = ["RunnerEntry", "decode_entry", "split_incarnation"]
 
@@ -114,7 +113,7 @@
         runner=runner,
         started_at_ms=read_truncated(data.get("born", 0), "born"),
         service=read_text(data["service"], "service", MAX_NAME),
-        address=_read_address(data["address"]),
+        address=read_address(data["address"], "address"),
         domain=read_text(data["zone"], "zone", MAX_NAME),
         draining=state == "draining",
         leaves_in_ms=(
@@ -143,16 +142,3 @@
     if not runner or len(runner) > MAX_NAME or not is_usable:
         raise DecodeError("the runner's id can't be sent in a header")
     return runner
-
-
-def _read_address(value: Any) -> str:
-    """Return the address ``ip:port`` of a runner."""
-    address = read_text(value, "address", MAX_NAME)
-    host, _, port = address.rpartition(":")
-    try:
-        IPv4Address(host)
-    except AddressValueError:
-        raise DecodeError("address names no IP address") from None
-    if not 0 < (parse_decimal(port) or 0) <= MAX_PORT:
-        raise DecodeError("address names no port")
-    return address
--- a/plantainyard/platform/settings.py
+++ b/plantainyard/platform/settings.py
@@ -1,7 +1,6 @@
 """Reading of the settings file that the platform writes for each process."""
 
 import re
-import tomllib
 from collections.abc import Mapping
 from pathlib import Path
 from reprlib import repr as shorten
@@ -9,9 +8,11 @@
 
 from result import Err, Ok, Result
 
+from plantainyard import decoding
 from plantainyard.batch.checks import DEFAULT_RECORD_BYTES
 from plantainyard.connections import MAX_PORT
-from plantainyard.decoding import DecodeError, describe_failure, read_number
+from plantainyard.decoding import DecodeError, read_number
+from plantainyard.platform.addresses import read_address
 
 __all__ = [
     "SETTINGS_VARIABLE",
@@ -141,9 +142,9 @@
 def parse_toml(text: str, path: str) -> Result[dict[str, Any], SettingsFault]:
     """Return the tables of a TOML file, or the fault that makes it unreadable."""
     try:
-        return Ok(tomllib.loads(text))
-    except (ValueError, RecursionError) as error:
-        why = describe_failure(error)
+        return Ok(decoding.parse_toml(text))
+    except DecodeError as error:
+        why = str(error)
         match = re.search(r"line (\d+)", why)
         return Err(SettingsFault(path, int(match.group(1)) if match else 0, "", why))
 
@@ -174,11 +175,11 @@
         domain=_get(data, "zone", str),
         region=_get(data, "region", str),
         ip=_get(data, "ip", str),
-        caller_address=_get(listen, "front", str, "listen"),
-        ready_address=_get(listen, "ready", str, "listen"),
+        caller_address=_get_address(listen, "front", "listen"),
+        ready_address=_get_address(listen, "ready", "listen"),
         peer_port=ports[0],
         metrics_port=ports[1],
-        store_address=_get(platform, "address", str, "platform"),
+        store_address=_get_address(platform, "address", "platform"),
         store_partitions=int(_get_number(platform, "parts", 12, low=1)),
         record_bytes=int(
             _get_number(platform, "recordBytes", defaults["record_bytes"], low=1)
@@ -219,6 +220,14 @@
     return value
 
 
+def _get_address(data: Mapping[str, Any], key: str, table: str) -> str:
+    address = _get(data, key, str, table)
+    try:
+        return read_address(address, key)
+    except DecodeError as error:
+        raise _SettingError(f"{table}.{key}", str(error)) from None
+
+
 def _is_port(value: Any) -> bool:
     return type(value) is int and 0 < value <= MAX_PORT
 
--- a/plantainyard/settings/load.py
+++ b/plantainyard/settings/load.py
@@ -5,13 +5,13 @@
 """
 
 import re
-import tomllib
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Any, NamedTuple, get_type_hints
 
 from result import Err, Ok, Result
 
+from plantainyard.decoding import DecodeError, parse_toml
 from plantainyard.settings.model import Settings
 from plantainyard.settings.rules import RULES, find_conflicts
 from plantainyard.settings.secret import Secret
@@ -92,8 +92,8 @@
         only if every key is valid by itself.
     """
     try:
-        data = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+        data = parse_toml(text)
+    except DecodeError as error:
         return Err([_build_syntax_error(path, str(error), text)])
     lines = _find_lines(text)
     errors = [
--- a/plantainyard/settings/rules.py
+++ b/plantainyard/settings/rules.py
@@ -63,7 +63,8 @@
         if isinstance(value, bool) or not isinstance(value, int | float):
             return False
         is_above_low = value > low if exclude_low else value >= low
-        return math.isfinite(value) and is_above_low and value <= high
+        # An integer within the bounds is not too large for `isfinite`.
+        return is_above_low and value <= high and math.isfinite(value)
 
     bound = f"above {low:g}" if exclude_low else f"from {low:g}"
     return Rule(accepts, f"a number {bound} to {high:g} ({unit})")
