An owner's cost follows what changed: ends, bounds, reports, reasons, handovers

Cause: after each event an owner passed over all runners three times (ends to be acknowledged, bounds of leases, reports due), and explained each waiting step's wait by a pass of its own. The first grows with the square of the runners, the second with what waits. Change: unstored ends are a set; bounds alone are checked every 0.1 s; after a runner's event only that runner's report is requested; a step that needs as much as one that found nothing has its reason; waiting jobs are compared with other units when loads are measured, new ones with each tick; all runners are searched for waiting tasks every 0.25 s, changed ones after each event.

--- a/plantainyard/dispatch/commits.py
+++ b/plantainyard/dispatch/commits.py
@@ -66,11 +66,7 @@
         *_encode_ends(state),
         *_encode_handovers(state),
     ]
-    last_ends = {
-        incarnation: r.last_end
-        for incarnation, r in state.runners.items()
-        if r.last_end > r.last_stored_end
-    }
+    last_ends = _take_last_ends(state)
     records += _encode_fences(state, bool(records), now)
     records += encode_changed_bounds(state, bool(records), now)
     if not records:
@@ -98,6 +94,14 @@
     state.actions.append(Commit(records, summaries))
 
 
+def _take_last_ends(state: Dispatcher) -> dict[str, int]:
+    """Return the number of the last end of each runner that has unstored ones."""
+    found = (state.runners.get(name) for name in state.unstored_ends)
+    last_ends = {r.incarnation: r.last_end for r in found if r is not None}
+    state.unstored_ends = set()
+    return last_ends
+
+
 def _encode_ends(state: Dispatcher) -> list[Record]:
     """Return the records of jobs that have ended, and those that delete their steps."""
     ends = [
--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -66,6 +66,7 @@
     apply_run_time_policy,
     update_estimates,
 )
+from plantainyard.dispatch.model import Runner
 from plantainyard.dispatch.pieces import apply_result
 from plantainyard.dispatch.placing import record_free_cpu
 from plantainyard.dispatch.planning import plan_starts
@@ -98,10 +99,18 @@
 """Time between updates of the times of all jobs; the sums at a job's end are off by
 half of it."""
 
+SEARCH_INTERVAL_S = 0.25
+"""Time between searches of all runners for the tasks that found no place. In between
+those that have changed are searched, so that it only delays what depends on time."""
+
 MOVES_INTERVAL_S = 0.3
 """Time between searches for tasks that should move; the reasons for a move take at
 least 0.8 s to show."""
 
+NEW_JOB_S = 1.0
+"""Time for which a job counts as new: with each tick it may be handed over. Later that
+is considered with each measurement of the unit's load, on which it depends."""
+
 _NO_CAPACITY_FREED = (ReportFailed, OrderAnswered, OwnershipRenewed)
 """Events that free no capacity."""
 
@@ -129,19 +138,37 @@
             _apply(state, event, now)
     state.plan_due |= _changes_plan(state, event)
     state.changed_runners |= _find_changed_runners(event)
-    state.search_all |= isinstance(event, Tick)
+    is_due = now - state.searched_all_at >= SEARCH_INTERVAL_S
+    state.search_all |= is_due and isinstance(event, Tick)
     with contain(state, now):
         if not state.commit_pending:
             if state.plan_due and knows_evacuations(state, now):
                 plan_starts(state, now)
                 state.plan_due = False
             request_commit(state, now)
-    reports.request_reports(state, now)
+    reports.request_reports(state, now, _list_asked(state, event))
     actions = state.actions
     state.actions = []
     return actions
 
 
+def _list_asked(state: Dispatcher, event: Event) -> list[Runner] | None:
+    """Return the runners of which a report may be due after `event`; None for all.
+
+    Notes
+    -----
+    Guards against an owner whose cost grows with the square of its runners: each sends
+    reports, and after each event all were examined.
+    """
+    match event:
+        case ReportReceived() | ReportFailed() | OrderAnswered():
+            runner = state.runners.get(event.incarnation)
+            return [] if runner is None else [runner]
+        case OwnershipRenewed():
+            return []
+    return None
+
+
 def _pass_tick(state: Dispatcher, now: float) -> None:
     """Do what is due with time; an exception ends the work on its job alone.
 
@@ -160,7 +187,10 @@
 
 
 def _plan_handovers(state: Dispatcher, now: float) -> None:
-    plan_handovers(state, state.jobs.values(), now)
+    has_new_load = state.load_measured_at == now
+    jobs = state.jobs.values()
+    due = [j for j in jobs if has_new_load or now - j.received_at < NEW_JOB_S]
+    plan_handovers(state, due, now)
 
 
 def _evaluate_health(state: Dispatcher, now: float) -> None:
--- a/plantainyard/dispatch/inherited_bounds.py
+++ b/plantainyard/dispatch/inherited_bounds.py
@@ -43,6 +43,9 @@
 REFRESH_S = 0.5
 """Time between records; a successor waits again for what is over since the last."""
 
+CHECK_INTERVAL_S = 0.1
+"""Time between checks for a record of the bounds alone."""
+
 
 def restore_bound(
     state: Dispatcher, runner: Runner, left_s: Mapping[str, float], now: float
@@ -133,6 +136,10 @@
     Guards against two runs of one task: a successor that doesn't know of a start under
     way starts the task elsewhere, while a new incarnation carries the start out.
     """
+    has_checked = now - state.bounds_checked_at < CHECK_INTERVAL_S
+    if has_checked and not has_others and not state.stored_bounds:
+        return []
+    state.bounds_checked_at = now
     left_s = _list_bounds(state, now)
     if not has_others and not _may_be_due_alone(state, left_s, now):
         return []
--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -61,8 +61,15 @@
     min_speed: float
 
 
-_Unplaced = dict[_Kind, list[Resources]]
-"""By kind, the sizes of tasks that found no runner in this pass."""
+class _Shortage(NamedTuple):
+    """The size of a task that found no runner in this pass, and the reason."""
+
+    size: Resources
+    wait_reason: str
+
+
+_Unplaced = dict[_Kind, list[_Shortage]]
+"""By kind, the tasks that found no runner in this pass."""
 
 
 class _Search(NamedTuple):
@@ -139,6 +146,8 @@
     search_all = state.search_all
     state.changed_runners = set()
     state.search_all = False
+    if search_all:
+        state.searched_all_at = now
     full_search = _Search(runners, {}, [])
     partial_search = _Search(changed, {}, [], partial=True)
     for step in order_steps(ready, now):
@@ -193,16 +202,19 @@
             continue
         kind = _find_kind(state, task, now)
         # A step with a reserved runner has a place that was closed to the others.
-        if not step.reserved_runners and _exceeds_unplaced(
-            step.spec.resources, search.unplaced.get(kind, [])
-        ):
-            _leave_waiting(step, task, places.near, search.partial, now)
+        known = search.unplaced.get(kind, [])
+        shortage = _find_shortage(step.spec.resources, known)
+        if shortage is not None and not step.reserved_runners:
+            step.no_place_found = True
+            step.wait_reason = shortage.wait_reason or step.wait_reason
             return
         runner = _find_runner(state, task, places, now)
         if runner is None:
-            if not places.is_narrowed and not step.spec.max_per_runner:
-                search.unplaced.setdefault(kind, []).append(step.spec.resources)
             _leave_waiting(step, task, places.near, search.partial, now)
+            if not places.is_narrowed and not step.spec.max_per_runner:
+                reason = "" if search.partial else step.wait_reason
+                found = _Shortage(step.spec.resources, reason)
+                search.unplaced.setdefault(kind, []).append(found)
             return
         _assign(state, task, runner, task.run + 1, now)
         places.assigned.append(runner)
@@ -302,19 +314,23 @@
     )
 
 
-def _exceeds_unplaced(wanted: Resources, unplaced: list[Resources]) -> bool:
-    """Return whether a task that is no larger than `wanted` has found no runner.
+def _find_shortage(wanted: Resources, known: list[_Shortage]) -> _Shortage | None:
+    """Return the shortage of a task that is no larger than `wanted`, or None.
 
     Notes
     -----
     Guards against an owner that does nothing but plan while work accumulates: each of
     hundreds of waiting steps would examine all runners, ten times a second.
     """
-    return any(
+    return next((found for found in known if _exceeds(wanted, found.size)), None)
+
+
+def _exceeds(wanted: Resources, size: Resources) -> bool:
+    """Return whether one amount of resources is at least as large as another."""
+    return (
         size.cpu <= wanted.cpu
         and size.memory <= wanted.memory
         and size.gpu <= wanted.gpu
-        for size in unplaced
     )
 
 
@@ -375,7 +391,7 @@
     """
     spec, count = step.spec, len(step.tasks)
     if any(
-        count >= tasks and _exceeds_unplaced(spec.resources, [size])
+        count >= tasks and _exceeds(spec.resources, size)
         for size, tasks in search.gangs
         if not spec.backfill
     ):
--- a/plantainyard/dispatch/ranking.py
+++ b/plantainyard/dispatch/ranking.py
@@ -173,7 +173,10 @@
     task: Task, runner: Runner, interference: InterferenceModel, now: float
 ) -> Place | None:
     spec = task.step.spec
-    if not can_start(task, runner, now) or not has_capacity(spec, runner):
+    # Most runners are full, which is cheap to tell.
+    if runner.entry is None or not has_capacity(spec, runner):
+        return None
+    if not can_start(task, runner, now):
         return None
     return Place(
         runner, estimate_speed(spec, runner, interference) if spec.backfill else 1.0
--- a/plantainyard/dispatch/reports.py
+++ b/plantainyard/dispatch/reports.py
@@ -1,6 +1,7 @@
 """Handling of runners' reports: presence, active runs and ended runs."""
 
 import math
+from collections.abc import Iterable
 
 from plantainyard.batch.tasks import TaskKey
 from plantainyard.dispatch import orders, runs
@@ -108,6 +109,7 @@
             runner.holds_end = runner.holds_end or not settled
         if not runner.holds_end:
             runner.last_end = end.number
+            state.unstored_ends.add(runner.incarnation)
 
 
 def _end_run(
@@ -234,9 +236,11 @@
             runs.requeue_task(state, task)
 
 
-def request_reports(state: Dispatcher, now: float) -> None:
-    """Request the reports that are due."""
-    for runner in state.runners.values():
+def request_reports(
+    state: Dispatcher, now: float, runners: Iterable[Runner] | None = None
+) -> None:
+    """Request the reports that are due, of all runners or of some of them."""
+    for runner in state.runners.values() if runners is None else runners:
         has_left = not runner.registered and not runner.tasks
         if runner.report_pending or runner.entry is None or has_left:
             continue
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -87,6 +87,8 @@
         Final states that no commit contains yet, by job.
     assigned : list of Task
         Tasks assigned since the last commit.
+    unstored_ends : set of str
+        Runner incarnations with reported ends that no commit contains yet.
     commit_pending : bool
         Whether a commit is being stored; the next one waits for it.
     commit_requested_at : float
@@ -99,8 +101,9 @@
     changed_runners : set of str
         Runner incarnations that may have more capacity than at the last search for
         places.
-    search_all : bool
-        Whether the next search considers all runners for all waiting tasks.
+    search_all, searched_all_at : bool, float
+        Whether the next search considers all runners for all waiting tasks, and when
+        one did so last.
     actions : list of Action
         Actions requested so far by the current call of `step`.
     fence : int
@@ -136,8 +139,9 @@
         None if this owner has stored none.
     has_listed_end : bool
         The bounds that were stored last say that no lease of an earlier owner is left.
-    bounds_due_at : float
-        When to store the bounds again; see `inherited_bounds`.
+    bounds_due_at, bounds_checked_at : float
+        When to store the bounds again, and when it was last checked whether they have
+        changed; see `inherited_bounds`.
     took_over_at : float
         When this owner took over.
     has_predecessor : bool
@@ -222,6 +226,7 @@
     started_steps: dict[int, StepRun] = field(default_factory=dict)
     new_final_states: dict[str, str] = field(default_factory=dict)
     assigned: list[Task] = field(default_factory=list)
+    unstored_ends: set[str] = field(default_factory=set)
     commit_pending: bool = False
     commit_requested_at: float = 0.0
     committing_last_ends: dict[str, int] = field(default_factory=dict)
@@ -230,6 +235,7 @@
     plan_due: bool = True
     changed_runners: set[str] = field(default_factory=set)
     search_all: bool = True
+    searched_all_at: float = 0.0
     actions: list[Action] = field(default_factory=list)
     fence: int = 0
     wanted_fence: int = 0
@@ -250,6 +256,7 @@
     listed_starts: frozenset[str] | None = None
     has_listed_end: bool = False
     bounds_due_at: float = 0.0
+    bounds_checked_at: float = 0.0
     took_over_at: float = 0.0
     has_predecessor: bool = False
     inherited_until: float = 0.0
