Log once a second how busy an owner's thread is, and how late its ticks are

Cause: nothing told a lack of processor time from a lack of room. Change: owner_busy, with the share of time for events, the longest event and tick, and the longest delay of a tick.

--- a/plantainyard/dispatch/events.py
+++ b/plantainyard/dispatch/events.py
@@ -196,7 +196,15 @@
 
 
 class Tick(NamedTuple):
-    """Time has passed; sent at regular intervals."""
+    """Time has passed; sent at regular intervals.
+
+    Attributes
+    ----------
+    sent_at : float
+        When it was sent; 0 if that doesn't matter.
+    """
+
+    sent_at: float = 0.0
 
 
 Event = (
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -49,6 +49,12 @@
 from plantainyard.entry.appends import forward_records, store_records
 from plantainyard.entry.context import UnitContext
 from plantainyard.entry.decision_log import record_decision
+from plantainyard.entry.occupancy import (
+    Occupancy,
+    describe_occupancy,
+    record_event,
+    record_tick,
+)
 from plantainyard.entry.quarantine import QuarantineReason, record_quarantine
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.platform.runner_messages import (
@@ -115,6 +121,7 @@
         self.held_runs_logged_at: float | None = None
         self.holds_runs = True
         self.work_logged_at = 0.0
+        self.occupancy = Occupancy(read_clock())
 
     def on_start(self) -> None:
         """Log the runs that the takeover holds."""
@@ -129,6 +136,7 @@
             self._log_run_ends(message)
         for action in step(self.dispatcher, message, now):
             self._perform(action)
+        self._record_occupancy(message, now)
         if isinstance(message, OrderAnswered):
             self._log_run_start(message, now)
         if isinstance(message, Tick):
@@ -136,6 +144,13 @@
                 self._log_held_runs(now)
             self._log_work(now)
 
+    def _record_occupancy(self, message: Any, began_at: float) -> None:
+        seconds = read_clock() - began_at
+        if isinstance(message, Tick):
+            record_tick(self.occupancy, seconds, began_at - message.sent_at)
+        else:
+            record_event(self.occupancy, seconds)
+
     def _log_held_runs(self, now: float) -> None:
         """Log the runs of unreported runners, once a second until there are none."""
         last = self.held_runs_logged_at
@@ -152,8 +167,11 @@
         if now - self.work_logged_at < WORK_INTERVAL_S:
             return
         self.work_logged_at = now
+        occupancy, self.occupancy = self.occupancy, Occupancy(now)
         summary = summarize_work(self.dispatcher, now)
         log, unit = self.context.log, self.context.unit
+        figures = describe_occupancy(occupancy, now)
+        log.write("owner_busy", unit=unit, **figures)
         log.write("processors_used", unit=unit, **summary.processors._asdict())
         for row in summary.queues:
             log.write("queue_work", unit=unit, **row._asdict())
@@ -469,4 +487,4 @@
 def _tick(context: UnitContext, actor: pykka.ActorRef[UnitActor]) -> None:
     while not context.stopping.wait(TICK_S):
         with contextlib.suppress(pykka.ActorDeadError):
-            actor.tell(Tick())
+            actor.tell(Tick(read_clock()))
