Give finite work an equal share of the processors, in place of a margin

Where finite work needs more at its peaks, or one unit was filled first, long-running tasks that never ran took that room for good, and loads of units were compared only beyond 85 %. Change: the kinds of work that reserve processors have equal shares; long-running work gets of the other share only what finite work doesn't need at its peaks, and beyond its own share starts in the unit with a lower load.

--- a/plantainyard/dispatch/headroom.py
+++ b/plantainyard/dispatch/headroom.py
@@ -3,12 +3,13 @@
 Handles long-running work that arrives faster than it ends. It holds its processors for
 minutes, so that a gap which it takes at a quiet moment is missing at all later peaks of
 finite work: short jobs come late one after the other, while the long-running class
-loses nothing. A long-running task that never ran therefore takes only what finite work
-doesn't need at its peaks.
+loses nothing. Finite work therefore has a share of the processors of its own, and a
+long-running task that never ran takes of that only what finite work doesn't need at its
+peaks. So what finite jobs earn doesn't depend on which of the two came first.
 
-Long-running tasks stay where they started. Beyond the share that is kept for finite
-work, they start only in the unit that has the lowest load; one unit would otherwise be
-full from the first second on, beside others with room for all its short jobs.
+Long-running tasks stay where they started. Beyond their own share, they start only in
+the unit that has the lowest load; one unit would otherwise be full from the first
+second on, beside others with room for all its short jobs.
 """
 
 import math
@@ -87,7 +88,7 @@
         Number of such tasks for which there is room beyond the demand; negative if it
         doesn't suffice.
     excess_cpu : float
-        Processor time beyond the share that is kept for finite work at most.
+        Processor time that long-running tasks may take of their own share.
     loads_known : bool
         Whether the unit can be compared with others, or seems to be alone.
     lower_loads : list of Load
--- a/plantainyard/dispatch/policy.py
+++ b/plantainyard/dispatch/policy.py
@@ -18,6 +18,10 @@
 ]
 
 
+EQUAL_SHARE = 1 / 2
+"""Share of each of the two kinds of work that reserve processors."""
+
+
 class RunTimePolicy(NamedTuple):
     """Settings of learnt run times.
 
@@ -67,13 +71,14 @@
     Attributes
     ----------
     max_share : float
-        Maximum share of a unit's processors that is kept from long-running tasks that
-        never ran; none is kept that finite work doesn't need.
+        Share of a unit's processors that belongs to finite work: as far as finite work
+        needs it, it is kept from long-running tasks that never ran. By default both
+        kinds of work that reserve processors have equal shares.
     window_s : float
         Time in seconds over which the need of finite work is measured.
     """
 
-    max_share: float = 0.15
+    max_share: float = EQUAL_SHARE
     window_s: float = 10.0
 
 
--- a/plantainyard/dispatch/tests/fleet.py
+++ b/plantainyard/dispatch/tests/fleet.py
@@ -1,6 +1,7 @@
 """Test environment of several units in virtual time that hand work to each other."""
 
 from collections.abc import Sequence
+from typing import Any
 
 from plantainyard.batch.records import RecordKind, decode_result, parse_key
 from plantainyard.dispatch import (
@@ -24,11 +25,15 @@
     """Unit whose forwarded records are received by the other units."""
 
     def __init__(
-        self, units: Sequence["UnitWorld"], unit: int, runners: int = 2
+        self,
+        units: Sequence["UnitWorld"],
+        unit: int,
+        runners: int = 2,
+        **limits: Any,
     ) -> None:
         self.units = units
         self.unit = unit
-        super().__init__(runners=runners)
+        super().__init__(runners=runners, **limits)
 
     def forward(self, action: Forward) -> list[Event]:
         for record in action.records:
@@ -60,10 +65,10 @@
 class Units:
     """Several units whose owners tell each other their loads once a second."""
 
-    def __init__(self, *runners: int) -> None:
+    def __init__(self, *runners: int, **limits: Any) -> None:
         self.worlds: list[UnitWorld] = []
         for unit, count in enumerate(runners):
-            self.worlds.append(UnitWorld(self.worlds, unit, count))
+            self.worlds.append(UnitWorld(self.worlds, unit, count, **limits))
         self.ticks = 0
 
     def pass_tick(self) -> None:
--- a/plantainyard/dispatch/tests/world.py
+++ b/plantainyard/dispatch/tests/world.py
@@ -77,7 +77,8 @@
     `delayed_kind` that are kept back (`orders_to_delay`) until `deliver_delayed`. All
     orders to runners in `losing_orders` are kept back too, while their reports arrive.
     Reports are answered with the next step of time. With `has_slow_answers` this is
-    true of orders too, and reports wait for an end of a run as long as requested.
+    true of orders too, and reports wait for an end of a run as long as requested. An
+    owner that lacks processor time handles only one tick of several (`tick_every`).
 
     A change of owner may cut the owner off instead of ending it: it goes on without the
     store, as another world with the same runners (`former_owners`), until its successor
@@ -113,6 +114,8 @@
         self.pending_commit: Commit | None = None
         self.pending_reports: list[tuple[float, RequestReport]] = []
         self.has_slow_answers = False
+        self.ticks = 0
+        self.tick_every = 1
         self.answers: list[OrderAnswered] = []
         self.forwarded: list[Forward] = []
         self.pending_forwards: list[Forward] = []
@@ -349,7 +352,9 @@
             if self.renewing and not self.store_down:
                 self.send_event(OwnershipRenewed(self.now))
                 self.read_evacuations()
-            self.send_event(Tick())
+            self.ticks += 1
+            if self.ticks % self.tick_every == 0:
+                self.send_event(Tick())
 
     def read_evacuations(self) -> None:
         """Let the owner read the evacuations if a reading is due."""
