--- a/plantainyard/entry/tests/test_held_runs.py
+++ b/plantainyard/entry/tests/test_held_runs.py
@@ -9,7 +9,7 @@
 )
 from plantainyard.batch.values import StepProgress, TaskProgress
 from plantainyard.dispatch import count_held_runs
-from plantainyard.entry import unit
+from plantainyard.entry import unit_log
 from plantainyard.entry.instance import Instance
 from plantainyard.entry.tests.harness import (
     BODY,
@@ -37,7 +37,7 @@
         counted_at.append(now)
         return count_held_runs(dispatcher, now)
 
-    monkeypatch.setattr(unit, "count_held_runs", count_and_record)
+    monkeypatch.setattr(unit_log, "count_held_runs", count_and_record)
     return counted_at
 
 
@@ -53,7 +53,7 @@
 def test_a_takeover_logs_what_it_holds_until_it_is_given_up(monkeypatch):
     # Guards against tasks that a successor holds for seconds, while they run nowhere,
     # without a trace of how many and how long.
-    monkeypatch.setattr(unit, "HELD_RUNS_INTERVAL_S", INTERVAL_S)
+    monkeypatch.setattr(unit_log, "HELD_RUNS_INTERVAL_S", INTERVAL_S)
     counted_at = record_counts(monkeypatch)
     store = StoreState()
     events: list[dict] = []
--- a/plantainyard/entry/tests/test_instance.py
+++ b/plantainyard/entry/tests/test_instance.py
@@ -27,7 +27,7 @@
     run_instance,
     wait_until,
 )
-from plantainyard.entry.unit import UnitActor
+from plantainyard.entry.unit_log import record_job_end
 from standins.platform import RunnerState, StoreState
 
 
@@ -97,12 +97,11 @@
     # Guards against lateness that nobody can explain. Lines of deployments that don't
     # learn run times are as before.
     log = EventLog("edge-1", io.StringIO())
-    context = SimpleNamespace(log=log, meters=Meters(), unit=0)
-    actor: Any = SimpleNamespace(context=context)
+    context: Any = SimpleNamespace(log=log, meters=Meters(), unit=0)
     estimate = {"declared_s": 0.1, "estimated_s": 0.9, "entries_age_s": 4.0}
     without = JobSummary(JOB, "completed", "q", 0.1, 1.0, 0.5, {}, {})
     for summary in (without, without._replace(estimate=estimate)):
-        UnitActor._record_job_end(actor, summary, 0.0)
+        record_job_end(context, summary, 0.0)
     lines = [json.loads(log.lines.get_nowait() or "") for _ in range(2)]
     assert "estimate" not in lines[0]
     assert lines[1]["estimate"] == estimate
--- a/plantainyard/entry/tests/test_ownership_manager.py
+++ b/plantainyard/entry/tests/test_ownership_manager.py
@@ -289,9 +289,7 @@
     store: Any = SimpleNamespace(append=answer_late)
     log = EventLog("edge-1", io.StringIO())
     context = UnitContext(0, 5, store, Mock(), replica, log, Mock(), Mock())
-    actor: Any = SimpleNamespace(
-        context=context, actor_ref=Mock(), _record_job_end=Mock()
-    )
+    actor: Any = SimpleNamespace(context=context, actor_ref=Mock())
     apply_record(replica, key, old)
     UnitActor._commit(actor, Commit([Record(key, old)]))
     assert replica.jobs[JOB].steps[0, 0].done == {0}
--- a/plantainyard/entry/unit.py
+++ b/plantainyard/entry/unit.py
@@ -18,11 +18,9 @@
     INTERFERENCE_KEY,
     RUN_TIMES_KEY,
     apply_record,
-    mark_job_started,
     mark_jobs_delivered,
 )
 from plantainyard.batch.tasks import TaskKey
-from plantainyard.batch.values import JobState
 from plantainyard.clock import read_clock
 from plantainyard.dispatch import (
     Action,
@@ -33,7 +31,6 @@
     Forwarded,
     HandoversConfirmed,
     JobStarted,
-    JobSummary,
     OrderAnswered,
     OrderKind,
     ReportFailed,
@@ -41,21 +38,24 @@
     RequestReport,
     SendOrder,
     Tick,
-    count_held_runs,
     list_lease_ends,
     step,
-    summarize_work,
 )
 from plantainyard.entry.appends import forward_records, store_records
 from plantainyard.entry.context import UnitContext
 from plantainyard.entry.decision_log import record_decision
-from plantainyard.entry.occupancy import (
-    Occupancy,
-    describe_occupancy,
-    record_event,
-    record_tick,
-)
+from plantainyard.entry.occupancy import Occupancy
 from plantainyard.entry.quarantine import QuarantineReason, record_quarantine
+from plantainyard.entry.unit_log import (
+    LogState,
+    log_held_runs,
+    log_run_ends,
+    log_run_start,
+    log_work,
+    record_job_end,
+    record_job_start,
+    record_occupancy,
+)
 from plantainyard.errors import CallError, ErrorKind
 from plantainyard.platform.runner_messages import (
     Order,
@@ -77,15 +77,6 @@
 """Timeout in seconds of a report, in addition to the wait that the request asks for;
 the same as for orders."""
 
-HELD_RUNS_INTERVAL_S = 1.0
-"""Time in seconds between log lines about the runs that a takeover holds."""
-
-WORK_INTERVAL_S = 1.0
-"""Time in seconds between log lines about the unit's work."""
-
-STORE_CALL = "store"
-"""Part of a job's time in which its end is stored."""
-
 
 class UnitActor(pykka.ThreadingActor):
     """Actor that runs a unit's dispatcher and carries out its actions.
@@ -118,14 +109,11 @@
         self.dispatcher = dispatcher
         self.commit_pool = ThreadPoolExecutor(1, "commit")
         self.forward_pool = ThreadPoolExecutor(1, "forward")
-        self.held_runs_logged_at: float | None = None
-        self.holds_runs = True
-        self.work_logged_at = 0.0
-        self.occupancy = Occupancy(read_clock())
+        self.log_state = LogState(Occupancy(read_clock()))
 
     def on_start(self) -> None:
         """Log the runs that the takeover holds."""
-        self._log_held_runs(read_clock())
+        log_held_runs(self.context, self.dispatcher, self.log_state, read_clock())
 
     def on_receive(self, message: Any) -> None:
         """Pass an event to the dispatcher and carry out the resulting actions."""
@@ -133,82 +121,15 @@
             return
         now = read_clock()
         if isinstance(message, ReportReceived):
-            self._log_run_ends(message)
+            log_run_ends(self.context, self.dispatcher, message)
         for action in step(self.dispatcher, message, now):
             self._perform(action)
-        self._record_occupancy(message, now)
+        record_occupancy(self.log_state, message, now)
         if isinstance(message, OrderAnswered):
-            self._log_run_start(message, now)
-        if isinstance(message, Tick):
-            if self.holds_runs:
-                self._log_held_runs(now)
-            self._log_work(now)
-
-    def _record_occupancy(self, message: Any, began_at: float) -> None:
-        seconds = read_clock() - began_at
+            log_run_start(self.context, self.dispatcher, message, now)
         if isinstance(message, Tick):
-            record_tick(self.occupancy, seconds, began_at - message.sent_at)
-        else:
-            record_event(self.occupancy, seconds)
-
-    def _log_held_runs(self, now: float) -> None:
-        """Log the runs of unreported runners, once a second until there are none."""
-        last = self.held_runs_logged_at
-        if last is not None and now - last < HELD_RUNS_INTERVAL_S:
-            return
-        self.held_runs_logged_at = now
-        held = count_held_runs(self.dispatcher, now)
-        self.holds_runs = held.runs > 0
-        unit = self.context.unit
-        self.context.log.write("runs_held", unit=unit, **held._asdict())
-
-    def _log_work(self, now: float) -> None:
-        """Log the unit's open work by queue, and its processors, once a second."""
-        if now - self.work_logged_at < WORK_INTERVAL_S:
-            return
-        self.work_logged_at = now
-        occupancy, self.occupancy = self.occupancy, Occupancy(now)
-        summary = summarize_work(self.dispatcher, now)
-        log, unit = self.context.log, self.context.unit
-        figures = describe_occupancy(occupancy, now)
-        log.write("owner_busy", unit=unit, **figures)
-        log.write("processors_used", unit=unit, **summary.processors._asdict())
-        for row in summary.queues:
-            log.write("queue_work", unit=unit, **row._asdict())
-
-    def _log_run_start(self, message: OrderAnswered, now: float) -> None:
-        job = self.dispatcher.jobs.get(message.task.job_id)
-        done = message.result.outcome == OrderOutcome.DONE
-        if message.kind != OrderKind.START or job is None or not done:
-            return
-        self.context.log.write(
-            "run_started",
-            job=message.task.job_id,
-            task=message.task[1:],
-            run=message.run,
-            runner=message.incarnation,
-            waited_s=round(now - job.received_at, 3),
-        )
-
-    def _record_job_start(self, action: JobStarted) -> None:
-        self.context.meters.first_start.observe(action.waited_s)
-        self.context.log.write("job_begun", job=action.job_id, waited_s=action.waited_s)
-        mark_job_started(self.context.replica, action.job_id)
-
-    def _log_run_ends(self, message: ReportReceived) -> None:
-        runner = self.dispatcher.runners.get(message.incarnation)
-        if runner is None:
-            return
-        for end in message.report.ended:
-            if end.number > runner.last_end:
-                self.context.log.write(
-                    "run_ended",
-                    job=end.task.job_id,
-                    task=end.task[1:],
-                    run=end.run,
-                    runner=message.incarnation,
-                    how=end.outcome,
-                )
+            log_held_runs(self.context, self.dispatcher, self.log_state, now)
+            log_work(self.context, self.dispatcher, self.log_state, now)
 
     def on_stop(self) -> None:
         """Shut the thread pools down; calls in progress end by their own timeouts.
@@ -246,7 +167,7 @@
         elif isinstance(action, RequestReport):
             self._request_report(action)
         elif isinstance(action, JobStarted):
-            self._record_job_start(action)
+            record_job_start(context, action)
         elif isinstance(action, HandoversConfirmed):
             mark_jobs_delivered(context.replica, action.job_ids)
         elif isinstance(action, Forward):
@@ -278,7 +199,7 @@
                 if record not in too_large:
                     apply_record(context.replica, record.key, record.value)
             for summary in action.summaries:
-                self._record_job_end(summary, stored_s)
+                record_job_end(context, summary, stored_s)
             jobs = self._report_too_large(too_large)
         except Exception as error:
             context.on_failure(error)
@@ -306,37 +227,6 @@
             record_quarantine(context, job_id, QuarantineReason.RECORD)
         return frozenset(jobs)
 
-    def _record_job_end(self, summary: JobSummary, stored_s: float) -> None:
-        """Log a job's end with a breakdown of its time, and update the metrics.
-
-        Notes
-        -----
-        The counters include all jobs, also those whose log lines are left out.
-        """
-        context = self.context
-        estimate = {"estimate": summary.estimate} if summary.estimate else {}
-        context.log.write(
-            "job_ended",
-            job=summary.job_id,
-            queue=summary.queue,
-            unit=context.unit,
-            state=summary.state,
-            intake_s=summary.intake_s,
-            took_s=summary.duration_s,
-            late_s=summary.lateness_s,
-            task_s=summary.task_time_s,
-            lost=summary.lost_runs,
-            path_s={**summary.path_s, STORE_CALL: round(stored_s, 3)},
-            **estimate,
-        )
-        meters, labels = context.meters, (summary.queue, str(context.unit))
-        outcome = _name_outcome(summary)
-        meters.jobs_ended.labels(*labels, outcome).inc()
-        for part, seconds in summary.task_time_s.items():
-            meters.task_seconds.labels(*labels, part).inc(seconds)
-        for how, runs in summary.lost_runs.items():
-            meters.lost_runs.labels(*labels, how).inc(runs)
-
     def _forward(self, action: Forward) -> None:
         """Store records for another unit, retrying until it succeeds.
 
@@ -448,13 +338,6 @@
             self.actor_ref.tell(event)
 
 
-def _name_outcome(summary: JobSummary) -> str:
-    """Return the outcome of a job by which the ends of a queue are counted."""
-    if summary.state != JobState.COMPLETED:
-        return summary.state
-    return "late" if summary.lateness_s > 0 else "in time"
-
-
 def _build_report_order(action: RequestReport) -> Order:
     """Return an order without a task, because a report covers the whole runner."""
     no_task = TaskKey("", 0, 0, 0)
