--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -99,10 +99,6 @@
 """Time between updates of the times of all jobs; the sums at a job's end are off by
 half of it."""
 
-SEARCH_INTERVAL_S = 0.25
-"""Time between searches of all runners for the tasks that found no place. In between
-those that have changed are searched, so that it only delays what depends on time."""
-
 MOVES_INTERVAL_S = 0.3
 """Time between searches for tasks that should move; the reasons for a move take at
 least 0.8 s to show."""
@@ -138,8 +134,7 @@
             _apply(state, event, now)
     state.plan_due |= _changes_plan(state, event)
     state.changed_runners |= _find_changed_runners(event)
-    is_due = now - state.searched_all_at >= SEARCH_INTERVAL_S
-    state.search_all |= is_due and isinstance(event, Tick)
+    state.search_all |= isinstance(event, Tick)
     with contain(state, now):
         if not state.commit_pending:
             if state.plan_due and knows_evacuations(state, now):
--- a/plantainyard/dispatch/planning.py
+++ b/plantainyard/dispatch/planning.py
@@ -146,8 +146,6 @@
     search_all = state.search_all
     state.changed_runners = set()
     state.search_all = False
-    if search_all:
-        state.searched_all_at = now
     full_search = _Search(runners, {}, [])
     partial_search = _Search(changed, {}, [], partial=True)
     for step in order_steps(ready, now):
--- a/plantainyard/dispatch/state.py
+++ b/plantainyard/dispatch/state.py
@@ -101,9 +101,8 @@
     changed_runners : set of str
         Runner incarnations that may have more capacity than at the last search for
         places.
-    search_all, searched_all_at : bool, float
-        Whether the next search considers all runners for all waiting tasks, and when
-        one did so last.
+    search_all : bool
+        Whether the next search considers all runners for all waiting tasks.
     actions : list of Action
         Actions requested so far by the current call of `step`.
     fence : int
@@ -238,7 +237,6 @@
     plan_due: bool = True
     changed_runners: set[str] = field(default_factory=set)
     search_all: bool = True
-    searched_all_at: float = 0.0
     actions: list[Action] = field(default_factory=list)
     fence: int = 0
     wanted_fence: int = 0
