Weigh long-running work only with loads that include it

Cause: loads of other units are up to a second old, the own one 0.3 s. One owner handed thirty jobs to a unit that it took to be empty, and that unit started all it had within a moment, as by its figures the other one was full. Change: beyond its share, a long-running task that never ran starts only once the loads of all units include its job, and what a unit reserves meanwhile counts as its own load.

--- a/plantainyard/dispatch/dispatcher.py
+++ b/plantainyard/dispatch/dispatcher.py
@@ -245,7 +245,10 @@
     runners = state.runners.values()
     update_headroom(state.headroom, policy, demand, runners, unknown_until)
     others = state.other_loads.values()
-    compare_loads(state.headroom, state.load, others, now - state.took_over_at)
+    since_takeover_s = now - state.took_over_at
+    compare_loads(
+        state.headroom, state.load, others, state.other_loads_at, since_takeover_s
+    )
 
 
 def _plan_moves(state: Dispatcher, now: float) -> None:
--- a/plantainyard/dispatch/headroom.py
+++ b/plantainyard/dispatch/headroom.py
@@ -34,6 +34,7 @@
     "compare_loads",
     "describe_headroom",
     "has_headroom",
+    "is_compared",
     "is_first_of_step",
     "may_take_gap",
     "measure_demand",
@@ -91,8 +92,17 @@
         Processor time that long-running tasks may take of their own share.
     loads_known : bool
         Whether the unit can be compared with others, or seems to be alone.
-    lower_loads : list of Load
-        Loads of the units that are notably lower than that of this one.
+    compared_at : float
+        Time up to which the loads that were compared include all work; infinite if the
+        unit seems to be alone.
+    capacity : int
+        Processors of the unit's runners that accept tasks, in thousandths of a core.
+    own_load : float
+        Load of this unit with what waits, or what is reserved by now if that is more.
+    reserved : float
+        What is reserved by now, as a share of the capacity.
+    other_loads : list of Load
+        Loads of the other units, as far as they are known.
     """
 
     demands: deque[Demand] = field(default_factory=deque)
@@ -100,7 +110,11 @@
     spare_slots: float = math.inf
     excess_cpu: float = 0.0
     loads_known: bool = False
-    lower_loads: list[Load] = field(default_factory=list)
+    compared_at: float = 0.0
+    capacity: int = 0
+    own_load: float = 0.0
+    reserved: float = 0.0
+    other_loads: list[Load] = field(default_factory=list)
 
 
 def measure_demand(jobs: Iterable[Job], now: float) -> Demand:
@@ -161,8 +175,8 @@
         return
     usable = [runner for runner in runners if accepts_tasks(runner)]
     free = [measure_finite_capacity(runner) for runner in usable]
-    capacity = sum(r.entry.capacity.cpu for r in usable if r.entry is not None)
-    headroom.excess_cpu = sum(free) - policy.max_share * capacity
+    headroom.capacity = sum(r.entry.capacity.cpu for r in usable if r.entry is not None)
+    headroom.excess_cpu = sum(free) - policy.max_share * headroom.capacity
     headroom.demands.append(demand)
     while demand.at - headroom.demands[0].at > policy.window_s:
         headroom.demands.popleft()
@@ -184,9 +198,13 @@
 
 
 def compare_loads(
-    headroom: Headroom, own: Load, others: Iterable[Load], since_takeover_s: float
+    headroom: Headroom,
+    own: Load,
+    others: Iterable[Load],
+    asked_at: float,
+    since_takeover_s: float,
 ) -> None:
-    """Find the units that work beyond the kept share should go to.
+    """Take the loads of all units into account, between which work should be even.
 
     Parameters
     ----------
@@ -196,15 +214,18 @@
         Load of this unit.
     others : iterable of Load
         Loads of the other units, as far as they are known.
+    asked_at : float
+        When these were requested.
     since_takeover_s : float
         Time since the takeover.
     """
     others = list(others)
     headroom.loads_known = bool(others) or since_takeover_s > LOADS_WAIT_S
-    limit = own.reserved + own.waiting - BALANCE_DIFFERENCE
-    headroom.lower_loads = [
-        load for load in others if load.reserved + load.waiting < limit
-    ]
+    ages_s = [load.measured_s_ago for load in others]
+    headroom.compared_at = asked_at - max(ages_s) if ages_s else math.inf
+    headroom.own_load = own.reserved + own.waiting
+    headroom.reserved = own.reserved
+    headroom.other_loads = others
 
 
 def may_take_gap(
@@ -226,6 +247,11 @@
     Notes
     -----
     A gap that no typical finite task fits in is free to take.
+
+    Guards against a unit that fills up beside one with room: loads are up to a second
+    old, and within that time each of two units may hand its work to the other one, or
+    start all that has just come. A task therefore waits until the loads include its
+    job.
     """
     cpu = task.step.spec.resources.cpu
     if policy is None or headroom.excess_cpu >= cpu:
@@ -234,9 +260,16 @@
         return True
     if not headroom.loads_known or _has_better_unit(headroom, policy, cpu):
         return False
+    if not is_compared(headroom, policy, task.step.job):
+        return False
     return _count_lost_slots(headroom, runner, cpu) <= max(0.0, headroom.spare_slots)
 
 
+def is_compared(headroom: Headroom, policy: HeadroomPolicy | None, job: Job) -> bool:
+    """Return whether the loads that were compared last include a job."""
+    return policy is None or job.received_at < headroom.compared_at
+
+
 def is_first_of_step(task: Task) -> bool:
     """Return whether a task is the one of its step that no large gap is kept from.
 
@@ -254,9 +287,12 @@
 
 
 def _has_better_unit(headroom: Headroom, policy: HeadroomPolicy, cpu: int) -> bool:
+    limit = headroom.own_load - BALANCE_DIFFERENCE
     return any(
-        load.gap >= cpu and has_headroom(headroom, policy, load, cpu, is_first=False)
-        for load in headroom.lower_loads
+        load.reserved + load.waiting < limit
+        and load.gap >= cpu
+        and has_headroom(headroom, policy, load, cpu, is_first=False)
+        for load in headroom.other_loads
     )
 
 
@@ -264,6 +300,8 @@
     """Count a long-running task that is about to be assigned to a runner."""
     headroom.spare_slots -= _count_lost_slots(headroom, runner, cpu)
     headroom.excess_cpu -= cpu
+    headroom.reserved += cpu / max(1, headroom.capacity)
+    headroom.own_load = max(headroom.own_load, headroom.reserved)
 
 
 def _count_lost_slots(headroom: Headroom, runner: Runner, cpu: int) -> int:
@@ -323,7 +361,8 @@
         "excess_cpu": _limit(headroom.excess_cpu),
         "peak_cpu": max((d.cpu for d in list(headroom.demands)), default=0),
         "loads_known": headroom.loads_known,
-        "units_with_lower_load": len(headroom.lower_loads),
+        "own_load": round(headroom.own_load, 3),
+        "other_loads": [round(v.reserved + v.waiting, 3) for v in headroom.other_loads],
     }
 
 
--- a/plantainyard/dispatch/tests/fleet.py
+++ b/plantainyard/dispatch/tests/fleet.py
@@ -91,9 +91,12 @@
             for other in self.worlds:
                 runners = other.state.runners.values()
                 places = {n: measure_places(runners, n, other.now) for n in needs}
-                loads[other.unit] = other.state.load._replace(places=places)
+                age_s = other.now - other.state.load_measured_at
+                loads[other.unit] = other.state.load._replace(
+                    places=places, measured_s_ago=age_s
+                )
             del loads[world.unit]
-            world.send_event(LoadsReceived(loads))
+            world.send_event(LoadsReceived(loads, world.now))
 
     def list_running(self, job_id: str = "") -> list[str]:
         """Return the names of a job's running tasks, one for each run."""
--- a/plantainyard/dispatch/tests/test_shares.py
+++ b/plantainyard/dispatch/tests/test_shares.py
@@ -119,3 +119,34 @@
         earned[filled_first, tick_every] = day.play()
         assert day.measure_lasting() > FLOOR
     assert min(earned.values()) >= FLOOR, earned
+
+
+JOB_TASKS = 7
+JOB_CPU = 4_000
+
+
+@pytest.mark.parametrize("jobs", [(5, 3), (6, 2), (7, 1), (4, 3), (4, 1), (3, 5)])
+@pytest.mark.parametrize("after_s", [0.5, 1.0, 1.3, 1.7, 2.0])
+def test_long_running_work_that_comes_at_once_fills_units_evenly(jobs, after_s):
+    # Guards against a unit that fills up beside one with room, as each decides by loads
+    # that don't include what has come since; short jobs there are late for good.
+    units = Units(*[RUNNERS] * UNITS, policy=load_deployed_policy())
+    for world in units.worlds:
+        for runner in world.runners.values():
+            runner.capacity["cpu"] = RUNNER_CPU
+            runner.durations = {"lasting": 0.0}
+        world.publish_entries()
+    units.run(after_s)
+    for number in range(max(jobs)):
+        for unit, world in enumerate(units.worlds):
+            if number < jobs[unit]:
+                step = make_step(JOB_TASKS, JOB_CPU, long_running=True)
+                world.submit(f"lasting{unit}-{number}", step)
+        if number % 2:
+            units.run(0.1)
+    units.run(8.0)
+    held = [
+        sum(runner.reserved_cpu for runner in world.state.runners.values())
+        for world in units.worlds
+    ]
+    assert abs(held[0] - held[1]) < 2 * JOB_TASKS * JOB_CPU
