--- a/plantainyard/dispatch/commits.py
+++ b/plantainyard/dispatch/commits.py
@@ -66,12 +66,13 @@
         *_encode_ends(state),
         *_encode_handovers(state),
     ]
-    last_ends = _take_last_ends(state)
+    last_ends = _list_last_ends(state)
     records += _encode_fences(state, bool(records), now)
     records += encode_changed_bounds(state, bool(records), now)
     if not records:
         for incarnation, number in last_ends.items():
             state.runners[incarnation].last_stored_end = number
+        state.unstored_ends = set()
         return
     # These are stored only together with others: a separate commit is another call.
     records += _encode_started(state, now)
@@ -82,6 +83,7 @@
     state.commit_requested_at = now
     begin_moves(state)
     state.committing_last_ends = last_ends
+    state.unstored_ends = set()
     state.committing_ends = list(state.new_final_states)
     state.committing_outgoing = state.outgoing
     state.outgoing = {}
@@ -94,12 +96,10 @@
     state.actions.append(Commit(records, summaries))
 
 
-def _take_last_ends(state: Dispatcher) -> dict[str, int]:
+def _list_last_ends(state: Dispatcher) -> dict[str, int]:
     """Return the number of the last end of each runner that has unstored ones."""
     found = (state.runners.get(name) for name in state.unstored_ends)
-    last_ends = {r.incarnation: r.last_end for r in found if r is not None}
-    state.unstored_ends = set()
-    return last_ends
+    return {r.incarnation: r.last_end for r in found if r is not None}
 
 
 def _encode_ends(state: Dispatcher) -> list[Record]:
