--- a/plantainyard/dispatch/critical_path.py
+++ b/plantainyard/dispatch/critical_path.py
@@ -8,6 +8,7 @@
 
 from collections import defaultdict
 
+from plantainyard.batch.values import JobState
 from plantainyard.dispatch.model import Job, Phase, StepRun, Task
 from plantainyard.dispatch.state import Dispatcher
 from plantainyard.dispatch.timing import TimePart
@@ -61,9 +62,7 @@
     Phase.HANDED_OVER: PathPart.ELSEWHERE,
 }
 
-_RUN_PARTS = (
-    *(PathPart.STORING, PathPart.ORDERED, PathPart.RUNNING, PathPart.STOPPING),
-)
+_RUN_PARTS = frozenset(_PARTS.values()) - {PathPart.ELSEWHERE}
 """Parts that are lost time if the run isn't done."""
 
 
@@ -130,11 +129,12 @@
 
     Notes
     -----
-    A job that ends otherwise than by its last task, as it was cancelled or has failed,
-    has no path.
+    A job that was cancelled or has failed has no path, as its last task didn't end it,
+    and neither has a scheduled one.
     """
     steps = [step for step in job.steps.values() if step.ended_at]
-    if job.submission.times or not steps:
+    is_completed = job.final_state == JobState.COMPLETED
+    if not is_completed or job.submission.times or not steps:
         return {}
     total: dict[str, float] = defaultdict(float, {PathPart.INTAKE: max(0.0, intake_s)})
     total[PathPart.ENDING] += now - max(map(_get_end, steps))
