--- a/review/site3.py
+++ b/review/site3.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import bisect
 import contextlib
 import json
 import os
@@ -40,6 +41,7 @@
 HEARTBEAT_S = 1.1
 STORE_S = 0.004
 PARTS = 12
+MAX_CASE_S = 100.0
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 """Exit codes of a case."""
@@ -206,6 +208,24 @@
         default_factory=dict
     )
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    newest: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+    keys: list[str] = field(default_factory=list)
+    indexed: int = 0
+
+    def index(self) -> tuple[dict[str, tuple[int, bytes]], list[str]]:
+        """Return the newest record of each key that has a value, and the keys."""
+        for offset in range(self.indexed, len(self.records)):
+            data = self.records[offset]
+            size = 1 + data[0]
+            key, value = data[1:size].decode(), data[size:]
+            if value:
+                self.newest[key] = (offset, value)
+            else:
+                self.newest.pop(key, None)
+        if self.indexed < len(self.records):
+            self.indexed = len(self.records)
+            self.keys = sorted(self.newest)
+        return self.newest, self.keys
 
 
 @dataclass
@@ -324,22 +344,19 @@
 
     def _read_newest(self, query: dict[str, str]) -> dict[str, Any]:
         partition = self.partitions[query["topic"], int(query.get("part", 0))]
-        newest: dict[str, tuple[int, bytes]] = {}
-        for offset, data in enumerate(partition.records):
-            size = 1 + data[0]
-            newest[data[1:size].decode()] = (offset, data[size:])
-        after = query.get("after", "")
-        keys = sorted(k for k, (_, value) in newest.items() if value and k > after)
-        items = [
-            {
-                "key": key,
-                "value": base64.b64encode(newest[key][1]).decode(),
-                "offset": newest[key][0],
-            }
-            for key in keys[:500]
-        ]
-        end = len(partition.records)
-        return {"items": items, "hasMore": len(keys) > 500, "end": end}
+        newest, keys = partition.index()
+        first = bisect.bisect_right(keys, query.get("after", ""))
+        items: list[dict[str, Any]] = []
+        size = 0
+        for key in keys[first : first + 500]:
+            offset, value = newest[key]
+            size += len(value)
+            if items and size > 1_000_000:
+                break
+            text = base64.b64encode(value).decode()
+            items.append({"key": key, "value": text, "offset": offset})
+        has_more = first + len(items) < len(keys)
+        return {"items": items, "hasMore": has_more, "end": len(partition.records)}
 
     def _join(self, data: dict[str, Any]) -> dict[str, Any]:
         group, name = self.groups[data["group"]], data["member"]
@@ -619,6 +636,19 @@
             self.site.record.write(f"edge-{self.number} gets {number.name}")
             self.process.send_signal(number)
 
+    def wait(self) -> None:
+        """Wait until its process has ended."""
+        if self.process is not None:
+            self.process.wait(15.0)
+
+    def read_memory(self) -> str:
+        """Return the memory of its process, as the system tells it."""
+        if self.process is None or self.process.poll() is not None:
+            return "no process"
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        lines = (line for line in status.splitlines() if line.startswith("VmRSS"))
+        return " ".join(next(lines, "").split())
+
     def end(self) -> None:
         """End its process."""
         if self.process is None:
@@ -656,8 +686,10 @@
         self.broken: list[str] = []
         self.stop_s = STOP_S
         self.max_attempts = 4
+        self.priority = 0
         self.start_watchers: list[Callable[[Runner, Run], None]] = []
         self.stop_watchers: list[Callable[[Runner, Run], None]] = []
+        self.end_watchers: list[Callable[[Runner, Run, str], None]] = []
 
     def plan_run(self, task: str, number: int) -> tuple[float, str, int, bool]:
         """Return how long a run takes, how it ends, its size and whether it lasts."""
@@ -694,6 +726,8 @@
     def on_end(self, runner: Runner, run: Run, how: str) -> None:
         """Record an end."""
         self.record.write(f"end {run.task} run {run.number} {how} at {runner.name}")
+        for watch in self.end_watchers:
+            watch(runner, run, how)
 
     def write_configuration(self, version: int = 1, **changes: Any) -> None:
         """Write the config with one queue."""
@@ -702,7 +736,7 @@
             "host": HOST,
             "pathPrefix": PREFIX,
             "service": SERVICE,
-            "priority": 0,
+            "priority": self.priority,
             "maxAttempts": self.max_attempts,
             "stretch": 2.0,
             "targetLatencyMs": 1000,
@@ -808,7 +842,8 @@
             await instance.prepare(folder)
             instance.start()
 
-    async def _wait_until_ready(self) -> None:
+    async def wait_until_ready(self) -> None:
+        """Wait until all instances report that they are ready."""
         until = now() + 30.0
         for instance in self.instances:
             while not await self._is_ready(instance):
@@ -838,8 +873,8 @@
                 background.append(asyncio.create_task(self._tick()))
                 for runner in self.runners:
                     background.append(asyncio.create_task(self._beat(runner)))
-                await self._wait_until_ready()
-                async with asyncio.timeout(90.0):
+                await self.wait_until_ready()
+                async with asyncio.timeout(MAX_CASE_S):
                     await case(self)
             finally:
                 for task in background:
