--- a/review/site3.py
+++ b/review/site3.py
@@ -427,9 +427,7 @@
     def __init__(self, site: "Site", name: str, cpu: int) -> None:
         self.site, self.name, self.cpu = site, name, cpu
         self.server = Server(self._handle)
-        self.is_late: Callable[[str, dict[str, Any]], bool] = lambda name, data: False
-        self.late: list[tuple[float, dict[str, Any]]] = []
-        self.orders = 0
+        self.labels = ("a", "r1-1")
         self.begin()
 
     def begin(self) -> None:
@@ -460,7 +458,7 @@
             "coldLeftMs": 0,
             "sequence": sequence,
             "capacity": {"cpu": self.cpu, "memMb": 256_000, "gpu": 0},
-            "labels": ["a", "r1-1"],
+            "labels": list(self.labels),
             "machine": f"m-{self.name}",
             "clockMs": round(self.clock() * 1000),
             "born": round(self.born * 1000),
@@ -492,11 +490,6 @@
         self, method: str, path: str, query: dict[str, str], body: bytes
     ) -> tuple[int, bytes]:
         data = json.loads(body)
-        if path != "/v1/hold":
-            self.orders += 1
-            if self.is_late(path, data):
-                self.late.append((now(), data))
-                raise NoAnswerError
         self.advance()
         answer: dict[str, Any] = {"clockMs": round(self.clock() * 1000)}
         if data.get("fence", 0) < self.fence:
@@ -560,23 +553,6 @@
         self.site.on_start(self, run)
         return 200, {}
 
-    def carry_out_late(self, min_s: float, max_s: float) -> None:
-        """Carry out the starts that were left unanswered between these times ago."""
-        self.advance()
-        for sent_at, data in self.late:
-            if not min_s <= now() - sent_at <= max_s:
-                continue
-            what = f"{data['task']} run {data['run']} fence {data.get('fence', 0)}"
-            age_s = now() - sent_at
-            if data.get("fence", 0) < self.fence:
-                self.site.record.write(f"late by {age_s:.1f} s: {what} refused: fence")
-                continue
-            self.fence = data.get("fence", 0)
-            status, more = self._start(data)
-            self.site.record.write(
-                f"late by {age_s:.1f} s: {what} at {self.name}: {status} {more}"
-            )
-
     def _stop(self, data: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         task, number = data["task"], data["run"]
         run = self.running.get(task)
@@ -823,17 +799,6 @@
                 runner.write_entry(sequence)
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def crash(self, runner: Runner, down_s: float) -> None:
-        """Let a runner crash, and come back under its id after some time."""
-        self.record.write(f"{runner.name} crashes with {list(runner.running)}")
-        await runner.server.close()
-        runner.running = {}
-        await asyncio.sleep(down_s)
-        runner.begin()
-        await runner.server.open()
-        runner.write_entry(0)
-        self.record.write(f"{runner.name} is back")
-
     async def _open(self, folder: Path) -> None:
         self.write_configuration()
         for runner in self.runners:
