--- a/review/site3.py
+++ b/review/site3.py
@@ -41,7 +41,7 @@
 HEARTBEAT_S = 1.1
 STORE_S = 0.004
 PARTS = 12
-MAX_CASE_S = 100.0
+MAX_CASE_S = 85.0
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 """Exit codes of a case."""
